--- /dev/null
+++ b/src/cli/mod.rs
@@ -0,0 +1,1 @@
+//! Placeholder.
--- /dev/null
+++ b/src/conf/digest.rs
@@ -0,0 +1,16 @@
+//! Digests of keys; the keys themselves are never kept.
+
+use {
+    sha2::{Digest, Sha256},
+    std::{fmt::Write, sync::Arc},
+};
+
+/// Returns the SHA-256 of a text in hexadecimal.
+pub fn digest(text: &str) -> Arc<str> {
+    let hash = Sha256::digest(text.as_bytes());
+    let mut hex = String::with_capacity(64);
+    for byte in hash {
+        let _ = write!(hex, "{byte:02x}");
+    }
+    Arc::from(hex)
+}
--- /dev/null
+++ b/src/core/job.rs
@@ -0,0 +1,132 @@
+//! Durable jobs and their tasks.
+
+use {
+    crate::core::{
+        Epoch, JobId, Millis, Priority, QueueName, Resources, ShardId, TaskId, TeamName,
+    },
+    serde::{Deserialize, Serialize},
+    std::sync::Arc,
+};
+
+/// Kinds of work.
+#[derive(Clone, Copy, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
+#[serde(rename_all = "snake_case")]
+pub enum JobKind {
+    /// A caller waits for the answer; not durable.
+    #[default]
+    Request,
+    /// Tasks that run to their end, each on its own.
+    Batch,
+    /// Tasks that start all together or not at all.
+    Gang,
+    /// Tasks that are kept running until cancelled.
+    Service,
+}
+
+/// What a caller asks for; policy comes from the queue when the job is accepted.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct JobSpec {
+    pub queue: QueueName,
+    pub kind: JobKind,
+    pub pool: crate::core::PoolName,
+    pub need: Resources,
+    pub tasks: u32,
+    pub priority: Priority,
+    /// A task may run again after its outcome was lost.
+    pub idempotent: bool,
+    /// Further attempts after a failure.
+    pub retries: u32,
+    /// Expected run time of a task, in ms.
+    pub run_ms: Millis,
+    pub pack: bool,
+    /// Group under which jobs can be cancelled together.
+    pub label: Arc<str>,
+}
+
+/// State of a job; the transitions are in `resources/charts/job.yaml`.
+#[derive(Clone, Copy, Debug, Default, Deserialize, Eq, Ord, PartialEq, PartialOrd, Serialize)]
+#[serde(rename_all = "snake_case")]
+pub enum JobState {
+    #[default]
+    Queued,
+    Running,
+    Done,
+    Failed,
+    Cancelling,
+    Cancelled,
+    /// A task of a job that is not idempotent was lost; it may have run.
+    Unknown,
+}
+
+impl JobState {
+    /// Tells whether the job can change no more.
+    pub fn ended(self) -> bool {
+        matches!(
+            self,
+            Self::Done | Self::Failed | Self::Cancelled | Self::Unknown
+        )
+    }
+}
+
+/// Durable stage of one task of a job; the transitions are in `resources/charts/task.yaml`.
+#[derive(Clone, Copy, Debug, Default, Deserialize, Eq, Ord, PartialEq, PartialOrd, Serialize)]
+#[serde(rename_all = "snake_case")]
+pub enum TaskStage {
+    /// Runs nowhere.
+    #[default]
+    Waiting,
+    /// May run on the shard named in [`TaskRecord::run`], and nowhere else.
+    Marked,
+    Done,
+    Failed,
+    Cancelled,
+    Unknown,
+}
+
+/// One run of a task.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct TaskRun {
+    pub id: TaskId,
+    pub shard: ShardId,
+    /// Epoch of the shard when the run was marked.
+    pub epoch: Epoch,
+}
+
+/// One task of a job.
+#[derive(Clone, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
+pub struct TaskRecord {
+    pub stage: TaskStage,
+    /// The current run; set exactly while the stage is `Marked`.
+    pub run: Option<TaskRun>,
+    /// Runs that failed or were lost.
+    pub failures: u32,
+}
+
+/// A job as it is kept in the store.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct JobRecord {
+    pub id: JobId,
+    pub team: TeamName,
+    pub spec: JobSpec,
+    pub state: JobState,
+    pub tasks: Vec<TaskRecord>,
+}
+
+impl JobRecord {
+    /// Creates a queued job.
+    pub fn new(id: JobId, team: TeamName, spec: JobSpec) -> Self {
+        let count = usize::try_from(spec.tasks).unwrap_or(0);
+        Self {
+            id,
+            team,
+            spec,
+            state: JobState::Queued,
+            tasks: vec![TaskRecord::default(); count],
+        }
+    }
+
+    /// Counts the tasks at a stage.
+    pub fn count(&self, stage: TaskStage) -> usize {
+        self.tasks.iter().filter(|t| t.stage == stage).count()
+    }
+}
--- /dev/null
+++ b/src/core/job_book.rs
@@ -0,0 +1,210 @@
+//! What the home of a shard's jobs keeps in memory beside their durable records.
+
+use {
+    crate::core::{
+        Epoch, Intent, IntentState, JobId, JobRecord, JobSpec, JobState, Millis, NodeId, Priority,
+        RefuseReason, ShardId, TaskId, TeamName, WorkerId,
+    },
+    serde::{Deserialize, Serialize},
+    std::{collections::BTreeMap, sync::Arc},
+};
+
+/// Progress of a marked task.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum SoftPhase {
+    /// Waits until this change of the ledger is durable; no ask was sent.
+    Marking(u64),
+    /// Found in the ledger of an earlier owner; waits for the shard's report.
+    Recovering,
+    /// The shard's owner was asked.
+    Asked,
+    /// The owner holds it for a gang.
+    Held,
+    /// The owner was told to start it with its gang.
+    Beginning,
+    /// It runs, as far as is known.
+    Running,
+    /// The owner was told to give it up.
+    Stopping,
+}
+
+/// A marked task.
+#[derive(Clone, Debug)]
+pub struct SoftTask {
+    pub job: JobId,
+    pub index: usize,
+    pub shard: ShardId,
+    /// Epoch of the shard under which the task may be there.
+    pub epoch: Epoch,
+    pub phase: SoftPhase,
+    pub sent_at: Millis,
+    pub asked_at: Millis,
+    pub worker: Option<WorkerId>,
+}
+
+/// Someone who waits for a change to become durable.
+#[derive(Clone, Debug)]
+pub enum Waiter {
+    /// A call from a node.
+    Call {
+        to: NodeId,
+        call: u64,
+        body: JobReply,
+    },
+    /// The owner that reported a task's end.
+    Ended { to: NodeId, task: TaskId },
+}
+
+/// A place in the order of a team's waiting tasks.
+pub type WaitKey = (Priority, u64);
+
+/// Jobs of one shard at their home.
+#[derive(Clone, Debug, Default)]
+pub struct JobBook {
+    /// The durable records have been read.
+    pub loaded: bool,
+    /// Workers added to the roster by a change that may not be durable yet.
+    pub listed: BTreeMap<WorkerId, u64>,
+    /// Marked tasks by the id of their run.
+    pub soft: BTreeMap<TaskId, SoftTask>,
+    /// Tasks that run nowhere, by team, in order of service. A gang has one entry.
+    pub waiting: BTreeMap<TeamName, BTreeMap<WaitKey, (JobId, usize)>>,
+    /// Replies that wait for a change to become durable.
+    pub waiters: Vec<(u64, Waiter)>,
+    /// Cancellations that wait for their job to end.
+    pub cancels: Vec<(JobId, NodeId, u64)>,
+    /// Tasks are not asked for again before this time.
+    pub paused: BTreeMap<JobId, Millis>,
+    pub last: u64,
+}
+
+impl JobBook {
+    /// Adds a task to the waiting ones.
+    pub fn wait(&mut self, job: &JobRecord, index: usize) {
+        self.last += 1;
+        let key = (job.spec.priority, self.last);
+        let lane = self.waiting.entry(job.team.clone()).or_default();
+        lane.insert(key, (job.id.clone(), index));
+    }
+
+    /// Counts the marked tasks of a team that do not run yet.
+    pub fn asked(&self, jobs: &BTreeMap<JobId, JobRecord>, team: &TeamName) -> usize {
+        let unplaced = self.soft.values().filter(|s| s.phase != SoftPhase::Running);
+        unplaced
+            .filter(|s| jobs.get(&s.job).is_some_and(|j| j.team == *team))
+            .count()
+    }
+
+    /// Lists the marked tasks of a job.
+    pub fn of_job(&self, job: &JobId) -> Vec<TaskId> {
+        let of = self.soft.iter().filter(|(_, s)| s.job == *job);
+        of.map(|(task, _)| task.clone()).collect()
+    }
+}
+
+/// A call to the home of a job or an idempotency key.
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
+#[serde(rename_all = "snake_case")]
+pub enum JobCall {
+    /// Accepts a job; repeating it with the same id has no further effect.
+    Submit {
+        id: JobId,
+        team: TeamName,
+        spec: JobSpec,
+    },
+    Get {
+        id: JobId,
+        team: TeamName,
+    },
+    /// Cancels a job; answered once none of its tasks runs.
+    Cancel {
+        id: JobId,
+        team: TeamName,
+    },
+    /// Lists a team's jobs of one shard, or cancels those with a label.
+    List {
+        shard: ShardId,
+        team: TeamName,
+        label: Option<Arc<str>>,
+        cancel: bool,
+    },
+    /// Claims an idempotency key.
+    Claim {
+        key: TaskId,
+        claim: u64,
+    },
+    /// Notes how the claimed request ended; `None` gives the key back, as nothing ran.
+    Settle {
+        key: TaskId,
+        claim: u64,
+        status: Option<u16>,
+    },
+}
+
+impl JobCall {
+    /// Returns the shard whose owner answers the call.
+    pub fn home(&self) -> ShardId {
+        match self {
+            Self::Submit { id, .. } | Self::Get { id, .. } | Self::Cancel { id, .. } => {
+                ShardId::of(id.as_str())
+            }
+            Self::List { shard, .. } => *shard,
+            Self::Claim { key, .. } | Self::Settle { key, .. } => ShardId::of(key.as_str()),
+        }
+    }
+}
+
+/// The answer to a [`JobCall`].
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
+#[serde(rename_all = "snake_case")]
+pub enum JobReply {
+    /// The job is durable.
+    Accepted {
+        id: JobId,
+    },
+    Job(JobSummary),
+    Jobs(Vec<JobSummary>),
+    /// No such job of this team.
+    NotFound,
+    /// Nothing was changed.
+    Refused(RefuseReason),
+    /// No answer came in time; the call may have taken effect.
+    NoAnswer,
+    /// The key is claimed by this call.
+    Claimed,
+    /// The key was used before.
+    Used(IntentState),
+    /// The outcome was noted.
+    Settled,
+}
+
+/// A job as callers see it.
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
+pub struct JobSummary {
+    pub id: JobId,
+    pub team: TeamName,
+    pub queue: crate::core::QueueName,
+    pub label: Arc<str>,
+    pub state: JobState,
+    pub tasks: usize,
+    pub waiting: usize,
+    pub marked: usize,
+    pub done: usize,
+    pub failed: usize,
+    /// Where its tasks run, as far as is known.
+    pub workers: Vec<WorkerId>,
+}
+
+/// Most used idempotency keys that one shard remembers.
+const MOST_INTENTS: usize = 2_000;
+
+/// Forgets the oldest settled keys beyond [`MOST_INTENTS`].
+pub fn trim_intents(intents: &mut BTreeMap<TaskId, Intent>) {
+    while intents.len() > MOST_INTENTS {
+        let oldest = intents.iter().min_by_key(|(_, i)| i.number);
+        let Some(key) = oldest.map(|(key, _)| key.clone()) else {
+            return;
+        };
+        intents.remove(&key);
+    }
+}
--- /dev/null
+++ b/src/core/message.rs
@@ -0,0 +1,149 @@
+//! Messages between nodes.
+
+use {
+    crate::core::{
+        Config, Epoch, Fence, JobCall, JobReply, Millis, Outcome, PoolName, RefuseReason,
+        Resources, ShardId, ShardTable, TaskId, TaskSpec, TeamName, TokenStand, WorkerId, ZoneName,
+    },
+    serde::{Deserialize, Serialize},
+    std::sync::Arc,
+};
+
+/// Free room of one pool on one shard.
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
+pub struct ShardFree {
+    pub shard: ShardId,
+    pub pool: PoolName,
+    pub zone: ZoneName,
+    pub free_slots: u32,
+    /// Free resources of the emptiest worker.
+    pub best: Resources,
+    /// Capacity of a worker.
+    pub largest: Resources,
+}
+
+/// Sign of life with what the receiver needs to place work here; sent every second.
+#[derive(Clone, Debug, Default, Deserialize, PartialEq, Serialize)]
+pub struct Beat {
+    pub table_revision: u64,
+    pub config_revision: u64,
+    /// Whether the sender reached the store lately.
+    pub store_ok: bool,
+    /// The sender is stopping and takes no new work.
+    pub leaving: bool,
+    /// How many key withdrawals not yet in the configuration it knows.
+    pub revoked: u32,
+    /// Asks that wait at the sender.
+    pub queued: u32,
+    /// Room by shard and pool; `None` when unchanged since the last beat.
+    pub free: Option<Vec<ShardFree>>,
+}
+
+/// Asks an owner to place a task.
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
+pub struct PlaceAsk {
+    pub spec: TaskSpec,
+    /// Restricts the placement to a shard at an epoch; `None` leaves the choice to the owner.
+    pub shard: Option<(ShardId, Epoch)>,
+    /// Reserve at once or refuse, and wait for [`Message::Begin`].
+    pub hold: bool,
+    /// How long the ask may wait for room, in ms.
+    pub wait_ms: Millis,
+}
+
+/// What an owner's fenced shards run, for the homes on one node.
+#[derive(Clone, Debug, Default, Deserialize, PartialEq, Serialize)]
+pub struct Report {
+    /// Fenced shards and their epochs.
+    pub shards: Vec<(ShardId, Epoch)>,
+    /// Home shards addressed and their epochs.
+    pub homes: Vec<(ShardId, Epoch)>,
+    /// Non-zero allowances of teams whose home is in `homes`.
+    pub stands: Vec<TokenStand>,
+    /// Hosted tasks of jobs whose home is in `homes`.
+    pub tasks: Vec<TaskId>,
+}
+
+/// One message between nodes. Any may be lost, repeated or overtaken by another.
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
+pub enum Message {
+    Beat(Beat),
+    Table(ShardTable),
+    Config(Arc<Config>),
+    /// Digests of withdrawn keys whose withdrawal may not be in the store yet.
+    Revoked(Vec<Arc<str>>),
+    Place(PlaceAsk),
+    /// The task has a worker.
+    Placed {
+        task: TaskId,
+        shard: ShardId,
+        worker: WorkerId,
+        address: Arc<str>,
+        fence: Fence,
+    },
+    /// The task was not placed here and never will be.
+    Refused {
+        task: TaskId,
+        reason: RefuseReason,
+    },
+    /// Starts a held task.
+    Begin {
+        task: TaskId,
+    },
+    /// Gives a task up; unless `finished`, it is stopped first.
+    Release {
+        task: TaskId,
+        shard: Option<ShardId>,
+        finished: bool,
+    },
+    Released {
+        task: TaskId,
+    },
+    /// A job's task ended; repeated until acknowledged.
+    Ended {
+        task: TaskId,
+        outcome: Outcome,
+    },
+    EndedNoted {
+        task: TaskId,
+    },
+    /// The owner of a shard wishes to run `wish` tasks of a team.
+    TokenAsk {
+        team: TeamName,
+        shard: ShardId,
+        epoch: Epoch,
+        home_epoch: Epoch,
+        wish: u32,
+    },
+    /// The home sets the allowance of a team on a shard.
+    TokenAllow {
+        team: TeamName,
+        shard: ShardId,
+        epoch: Epoch,
+        home_epoch: Epoch,
+        version: u64,
+        amount: u32,
+    },
+    /// The owner acknowledges an allowance.
+    TokenStand {
+        epoch: Epoch,
+        home_epoch: Epoch,
+        stand: TokenStand,
+    },
+    Report {
+        number: u64,
+        report: Report,
+    },
+    ReportNoted {
+        number: u64,
+    },
+    /// A call to the home of a job or an idempotency key.
+    Call {
+        call: u64,
+        body: JobCall,
+    },
+    Answer {
+        call: u64,
+        body: JobReply,
+    },
+}
--- /dev/null
+++ b/src/core/node.rs
@@ -0,0 +1,787 @@
+//! One node: the roles of entry, shard owner, job home and team home in one state machine.
+
+use {
+    crate::core::{
+        AdminCall, AdminReply, Allowance, CallId, Cluster, Config, ConfigChange, Effect, Epoch,
+        Event, JobBook, Ledger, LogEvent, Message, Millis, NodeId, NodeRecord, Out, Outcome,
+        RefuseReason, ReplyId, Report, RequestBook, Resources, SHARD_COUNT, ShardFree, ShardId,
+        ShardTable, StoreAnswer, StoreFault, TaskId, TaskKind, TaskSpec, TeamName, TokenHome,
+        VmRecord, WaitQueue, WorkerBook, WorkerId, wait_queue::refusal,
+    },
+    rand::{Rng, SeedableRng, rngs::SmallRng},
+    serde::Serialize,
+    std::{
+        collections::{BTreeMap, BTreeSet},
+        sync::Arc,
+    },
+};
+
+/// Store writes a second that all nodes together spend on ledgers.
+const LEDGER_WRITES_PER_S: u64 = 160;
+
+/// How long the id of a settled job task is remembered, in ms.
+const SETTLED_KEEP_MS: Millis = 600_000;
+
+/// How long the id of a settled request is remembered, in ms.
+pub(super) const SETTLED_REQUEST_KEEP_MS: Millis = 60_000;
+
+/// Period of the audit and of repeated messages, in ms.
+const UPKEEP_MS: Millis = 1_000;
+
+/// Durations that differ between production and tests.
+#[derive(Clone, Debug)]
+pub struct Tuning {
+    /// Period of [`Event::Tick`], in ms.
+    pub tick_ms: Millis,
+    /// Life of a worker's lease without renewal, in ms.
+    pub worker_ttl_ms: Millis,
+    /// How long a worker holds a renewal open when nothing ends, in ms.
+    pub renew_hold_ms: Millis,
+}
+
+impl Default for Tuning {
+    fn default() -> Self {
+        Self {
+            tick_ms: 50,
+            worker_ttl_ms: 30_000,
+            renew_hold_ms: 8_000,
+        }
+    }
+}
+
+/// What this node keeps for a shard that it owns.
+#[derive(Debug)]
+pub struct OwnedShard {
+    pub epoch: Epoch,
+    pub ledger: Ledger,
+    pub jobs: JobBook,
+    pub home: TokenHome,
+    /// Allowances by team, under the home epoch in `home_epochs`.
+    pub allowances: BTreeMap<TeamName, Allowance>,
+    /// Every worker in the durable roster is open at this epoch or surely runs nothing.
+    /// Never turns false again.
+    pub fenced: bool,
+    /// Ended job tasks whose homes have not acknowledged them.
+    pub ended: BTreeMap<TaskId, EndedNote>,
+}
+
+/// An ended task that its home has yet to acknowledge.
+#[derive(Clone, Debug)]
+pub struct EndedNote {
+    pub home: ShardId,
+    pub outcome: Outcome,
+    pub sent_at: Millis,
+}
+
+/// A report that the addressee has yet to acknowledge.
+#[derive(Debug)]
+pub(super) struct SentReport {
+    pub to: NodeId,
+    pub report: Report,
+    pub sent_at: Millis,
+}
+
+/// Why a store call outside [`Cluster`] and [`Ledger`] was made.
+#[derive(Debug)]
+enum ConfigCall {
+    Write {
+        reply: ReplyId,
+        config: Config,
+        /// The change to make again if another one came first.
+        again: Option<AdminCall>,
+    },
+    /// Reads back after a write whose answer was lost.
+    Settle {
+        reply: ReplyId,
+        config: Config,
+        tries: u32,
+    },
+    /// Reads the author of a racing change.
+    Conflict {
+        reply: ReplyId,
+        again: Option<AdminCall>,
+    },
+}
+
+/// Counts of a node, for operators and tests.
+#[derive(Clone, Debug, Default, Serialize)]
+pub struct NodeView {
+    pub table_revision: u64,
+    pub config_revision: u64,
+    pub owned_shards: usize,
+    pub fenced_shards: usize,
+    pub workers: usize,
+    pub open_workers: usize,
+    pub hosted_tasks: usize,
+    pub waiting_asks: usize,
+    pub pending_requests: usize,
+    pub jobs: usize,
+    pub store_ok: bool,
+    pub fresh: bool,
+    pub leaving: bool,
+}
+
+/// The state machine of one node.
+#[derive(Debug)]
+pub struct Node {
+    pub cluster: Cluster,
+    pub(super) tuning: Tuning,
+    pub(super) book: WorkerBook,
+    pub(super) queue: WaitQueue,
+    pub(super) shards: BTreeMap<ShardId, OwnedShard>,
+    pub(super) requests: RequestBook,
+    pub(super) rng: SmallRng,
+    /// Resources committed here by team.
+    /// Room on the own workers, as of `summary_at`.
+    pub(super) summary: Vec<ShardFree>,
+    pub(super) summary_at: Millis,
+    /// Capacity of the open workers, as of the last upkeep.
+    pub(super) capacity: Resources,
+    pub(super) team_use: BTreeMap<TeamName, Resources>,
+    /// Outcomes of tasks that may be asked for again.
+    pub(super) settled: BTreeMap<TaskId, Outcome>,
+    settled_until: BTreeSet<(Millis, TaskId)>,
+    pub(super) worker_calls: BTreeMap<CallId, (WorkerId, Option<TaskId>)>,
+    pub(super) vm_list: Vec<VmRecord>,
+    pub(super) reports: BTreeMap<u64, SentReport>,
+    pub(super) reports_due: bool,
+    pub(super) token_asked: BTreeMap<(TeamName, ShardId), Millis>,
+    config_calls: BTreeMap<CallId, ConfigCall>,
+    config_waiters: Vec<(Millis, ReplyId, u64)>,
+    write_credit: u64,
+    ledger_turn: u16,
+    upkeep_at: Millis,
+    known_table: u64,
+    pub(super) stopping: bool,
+    pub(super) last_number: u64,
+    pub(super) queue_dirty: bool,
+}
+
+impl Node {
+    /// Creates a node that knows nothing of the cluster yet.
+    pub fn new(me: NodeRecord, tuning: Tuning, seed: u64) -> Self {
+        Self {
+            cluster: Cluster::new(me),
+            tuning,
+            book: WorkerBook::default(),
+            queue: WaitQueue::default(),
+            shards: BTreeMap::new(),
+            requests: RequestBook::default(),
+            rng: SmallRng::seed_from_u64(seed),
+            summary: Vec::new(),
+            summary_at: 0,
+            capacity: Resources::default(),
+            team_use: BTreeMap::new(),
+            settled: BTreeMap::new(),
+            settled_until: BTreeSet::new(),
+            worker_calls: BTreeMap::new(),
+            vm_list: Vec::new(),
+            reports: BTreeMap::new(),
+            reports_due: false,
+            token_asked: BTreeMap::new(),
+            config_calls: BTreeMap::new(),
+            config_waiters: Vec::new(),
+            write_credit: 0,
+            ledger_turn: 0,
+            upkeep_at: 0,
+            known_table: 0,
+            stopping: false,
+            last_number: 0,
+            queue_dirty: false,
+        }
+    }
+
+    /// Returns this node's id.
+    pub fn id(&self) -> &NodeId {
+        &self.cluster.me.id
+    }
+
+    /// Handles one event; messages to this node itself are handled in the same step.
+    pub fn step(&mut self, event: Event, now: Millis, out: &mut Out) -> Vec<Effect> {
+        self.handle(event, now, out);
+        self.follow_table(now, out);
+        self.drain_queue(now, out);
+        let mut effects = Vec::new();
+        loop {
+            let (own, others): (Vec<_>, Vec<_>) = out
+                .take()
+                .into_iter()
+                .partition(|e| matches!(e, Effect::Send { to, .. } if to == self.id()));
+            effects.extend(others);
+            if own.is_empty() {
+                return effects;
+            }
+            for effect in own {
+                if let Effect::Send { message, .. } = effect {
+                    let from = self.id().clone();
+                    self.message(&from, message, now, out);
+                }
+            }
+            self.follow_table(now, out);
+            self.drain_queue(now, out);
+        }
+    }
+
+    fn handle(&mut self, event: Event, now: Millis, out: &mut Out) {
+        match event {
+            Event::Tick => self.tick(now, out),
+            Event::Message { from, message } => self.message(&from, message, now, out),
+            Event::Store { call, result } => self.store_answer(call, result, now, out),
+            Event::Worker { call, answer } => self.worker_answer(call, answer, now, out),
+            Event::VmList(list) => self.vm_list = list,
+            Event::Request { reply, ask } => self.request(reply, ask, now, out),
+            Event::RequestEnded { reply, outcome } => self.request_ended(reply, outcome, now, out),
+            Event::Job { reply, call } => self.job_call(reply, call, now, out),
+            Event::Admin { reply, call } => self.admin_call(reply, call, now, out),
+            Event::Stop => self.stop(now, out),
+        }
+    }
+
+    fn tick(&mut self, now: Millis, out: &mut Out) {
+        if self.cluster.due(now) {
+            let summary = self.book.summary(now);
+            let queued = u32::try_from(self.queue.len()).unwrap_or(u32::MAX);
+            self.cluster.poll(now, &summary, queued, out);
+        }
+        self.pump_ledgers(now, out);
+        self.pump_workers(now, out);
+        self.pump_reports(now, out);
+        self.pump_tokens(now, out);
+        self.pump_jobs(now, out);
+        self.pump_requests(now, out);
+        self.expire_asks(now, out);
+        if now >= self.upkeep_at {
+            self.upkeep_at = now + UPKEEP_MS;
+            self.upkeep(now, out);
+        }
+    }
+
+    fn upkeep(&mut self, now: Millis, out: &mut Out) {
+        self.match_roster(now, out);
+        self.capacity = self.book.capacity();
+        self.stop_orphans(now, out);
+        self.forget_settled(now);
+        self.finish_config_waits(now, out);
+        let broken = self.book.audit();
+        out.invariant(broken.is_none(), || broken.clone().unwrap_or_default());
+        if !self.stopping || self.ledgers_clean() {
+            let weights = self.shard_weights();
+            let write_id = self.rng.random();
+            self.cluster.propose(&weights, write_id, now, out);
+        }
+        self.queue_dirty = true;
+    }
+
+    fn ledgers_clean(&self) -> bool {
+        self.shards.values().all(|s| s.ledger.clean())
+    }
+
+    fn shard_weights(&self) -> Vec<u32> {
+        let mut weights = vec![0; usize::from(SHARD_COUNT)];
+        for vm in &self.vm_list {
+            weights[usize::from(ShardId::of(vm.rack.as_str()).0)] += 8;
+        }
+        weights
+    }
+
+    fn stop(&mut self, now: Millis, out: &mut Out) {
+        if self.stopping {
+            return;
+        }
+        self.stopping = true;
+        self.cluster.me.leaving = true;
+        self.cluster.register(now, out);
+        out.log(LogEvent::DaemonStopping, "");
+        for waiting in self.queue.drain(|_| true) {
+            let message = refusal(&waiting, RefuseReason::Stopping);
+            self.settle(&waiting.ask.spec, Outcome::NotRun, now);
+            out.send(&waiting.from, message);
+        }
+        self.upkeep_at = now;
+    }
+
+    /// Tells whether a graceful stop has nothing left to wait for.
+    ///
+    /// While the store is down the shards cannot be handed over; the workers' tasks
+    /// then go on under their leases until a new owner opens them.
+    pub fn may_exit(&self, now: Millis) -> bool {
+        let handed_over = self.shards.is_empty() || !self.cluster.store_ok(now);
+        self.stopping
+            && handed_over
+            && self.requests.requests.is_empty()
+            && self.requests.releases.is_empty()
+    }
+
+    fn message(&mut self, from: &NodeId, message: Message, now: Millis, out: &mut Out) {
+        match message {
+            Message::Beat(beat) => self.beat(from, beat, now, out),
+            Message::Table(table) => {
+                self.cluster.adopt_table(table, out);
+            }
+            Message::Config(config) => self.take_config(config, out),
+            Message::Revoked(digests) => {
+                for digest in digests {
+                    self.revoke(&digest, out);
+                }
+            }
+            Message::Place(ask) => self.place(from, ask, now, out),
+            Message::Placed {
+                task,
+                shard,
+                worker,
+                address,
+                fence,
+            } => {
+                self.placed(from, &task, (shard, worker, address, fence), now, out);
+            }
+            Message::Refused { task, reason } => self.refused(from, &task, reason, now, out),
+            Message::Begin { task } => self.begin(from, &task, now, out),
+            Message::Release {
+                task,
+                shard,
+                finished,
+            } => {
+                self.release_asked(from, &task, shard, finished, now, out);
+            }
+            Message::Released { task } => {
+                self.requests.releases.remove(&task);
+            }
+            Message::Ended { task, outcome } => self.job_task_ended(from, &task, outcome, now, out),
+            Message::EndedNoted { task } => {
+                for shard in self.shards.values_mut() {
+                    shard.ended.remove(&task);
+                }
+            }
+            Message::TokenAsk {
+                team,
+                shard,
+                epoch,
+                home_epoch,
+                wish,
+            } => {
+                self.token_ask(&team, (shard, epoch), home_epoch, wish, now, out);
+            }
+            Message::TokenAllow {
+                team,
+                shard,
+                epoch,
+                home_epoch,
+                version,
+                amount,
+            } => {
+                self.token_allow(
+                    from,
+                    team,
+                    (shard, epoch),
+                    home_epoch,
+                    (version, amount),
+                    out,
+                );
+            }
+            Message::TokenStand {
+                epoch,
+                home_epoch,
+                stand,
+            } => {
+                self.token_stand(epoch, home_epoch, &stand, now, out);
+            }
+            Message::Report { number, report } => self.report(from, number, &report, now, out),
+            Message::ReportNoted { number } => {
+                self.reports.remove(&number);
+            }
+            Message::Call { call, body } => self.home_call(from, call, body, now, out),
+            Message::Answer { call, body } => self.home_answer(call, body, now, out),
+        }
+    }
+
+    fn store_answer(
+        &mut self,
+        call: CallId,
+        result: Result<StoreAnswer, StoreFault>,
+        now: Millis,
+        out: &mut Out,
+    ) {
+        if self.cluster.answer(call, &result, now, out) {
+            return;
+        }
+        if let Some(config_call) = self.config_calls.remove(&call) {
+            self.config_answer(config_call, result, now, out);
+            return;
+        }
+        for shard in self.shards.values_mut() {
+            if shard.ledger.answer(call, &result, now, out) {
+                break;
+            }
+        }
+        self.after_ledgers(now, out);
+    }
+
+    /// Adjusts the owned shards to the table.
+    fn follow_table(&mut self, now: Millis, out: &mut Out) {
+        if self.known_table == self.cluster.table.revision {
+            return;
+        }
+        self.known_table = self.cluster.table.revision;
+        let table: ShardTable = self.cluster.table.clone();
+        let me = self.id().clone();
+        let lost: Vec<ShardId> = self
+            .shards
+            .iter()
+            .filter(|(id, s)| !table.owns(&me, **id, s.epoch))
+            .map(|(id, _)| *id)
+            .collect();
+        for shard in lost {
+            self.lose_shard(shard, now, out);
+        }
+        for (shard, epoch) in table.owned_by(&me) {
+            self.shards.entry(shard).or_insert_with(|| OwnedShard {
+                epoch,
+                ledger: Ledger::new(shard, epoch),
+                jobs: JobBook::default(),
+                home: TokenHome::new(epoch),
+                allowances: BTreeMap::new(),
+                fenced: false,
+                ended: BTreeMap::new(),
+            });
+        }
+        self.reset_allowances();
+        self.reports_due = true;
+        self.reports.clear();
+    }
+
+    /// Stops acting for a shard; its tasks go on under the new owner.
+    pub(super) fn lose_shard(&mut self, shard: ShardId, now: Millis, out: &mut Out) {
+        if self.shards.remove(&shard).is_none() {
+            return;
+        }
+        out.log(LogEvent::ShardLost, format!("shard {shard}"));
+        for id in self.book.of_shard(shard) {
+            if let Some(worker) = self.book.remove(&id) {
+                for hosted in worker.tasks.values() {
+                    self.uncount(&hosted.spec.team, &hosted.spec.need);
+                }
+            }
+        }
+        let gone = self
+            .queue
+            .drain(|w| w.ask.shard.is_some_and(|(s, _)| s == shard));
+        for waiting in gone {
+            self.settle(&waiting.ask.spec, Outcome::NotRun, now);
+            out.send(&waiting.from, refusal(&waiting, RefuseReason::NotOwner));
+        }
+    }
+
+    fn pump_ledgers(&mut self, now: Millis, out: &mut Out) {
+        let members = self.cluster.others().count() as u64 + 1;
+        let gain = self.tuning.tick_ms * LEDGER_WRITES_PER_S;
+        let price = 1_000 * members;
+        self.write_credit = (self.write_credit + gain).min(4 * price.max(gain));
+        for step in 0..SHARD_COUNT {
+            let id = ShardId((self.ledger_turn + step) % SHARD_COUNT);
+            let Some(shard) = self.shards.get_mut(&id) else {
+                continue;
+            };
+            let may_write = self.write_credit >= price;
+            if shard.ledger.pump(now, may_write, out) {
+                self.write_credit -= price;
+                self.ledger_turn = (id.0 + 1) % SHARD_COUNT;
+            }
+        }
+        self.after_ledgers(now, out);
+    }
+
+    /// Acts on ledgers that became ready, durable or lost.
+    fn after_ledgers(&mut self, now: Millis, out: &mut Out) {
+        let lost: Vec<ShardId> = self
+            .shards
+            .iter()
+            .filter(|(_, s)| s.ledger.lost())
+            .map(|(id, _)| *id)
+            .collect();
+        for shard in lost {
+            self.lose_shard(shard, now, out);
+        }
+        let ids: Vec<ShardId> = self.shards.keys().copied().collect();
+        for id in ids {
+            self.after_ledger(id, now, out);
+        }
+    }
+
+    fn beat(&mut self, from: &NodeId, beat: crate::core::Beat, now: Millis, out: &mut Out) {
+        self.requests.in_flight.remove(from);
+        self.cluster.beat(from, beat, now, out);
+    }
+
+    fn take_config(&mut self, config: Arc<Config>, out: &mut Out) {
+        self.cluster.adopt_config(config, out);
+    }
+
+    fn revoke(&mut self, digest: &Arc<str>, out: &mut Out) {
+        if !self.cluster.revoke(digest.clone(), out) {
+            return;
+        }
+        let others: Vec<NodeId> = self.cluster.others().cloned().collect();
+        for id in others {
+            out.send(&id, Message::Revoked(vec![digest.clone()]));
+        }
+    }
+
+    /// Returns the team of a key, unless the key was withdrawn.
+    pub fn team_of_key(&self, digest: &str) -> Option<TeamName> {
+        if self.cluster.revoked.contains(digest) {
+            return None;
+        }
+        self.cluster.config.keys.get(digest).map(|g| g.team.clone())
+    }
+
+    /// Notes the final outcome of a task id, so that a late repeat is not run.
+    pub(super) fn settle(&mut self, spec: &TaskSpec, outcome: Outcome, now: Millis) {
+        let keep = match spec.kind {
+            TaskKind::Job => SETTLED_KEEP_MS,
+            TaskKind::Request => SETTLED_REQUEST_KEEP_MS,
+        };
+        self.keep_settled(&spec.id, outcome, keep, now);
+    }
+
+    /// Notes an outcome for `keep` ms.
+    pub(super) fn keep_settled(
+        &mut self,
+        task: &TaskId,
+        outcome: Outcome,
+        keep: Millis,
+        now: Millis,
+    ) {
+        self.settled.insert(task.clone(), outcome);
+        self.settled_until.insert((now + keep, task.clone()));
+    }
+
+    fn forget_settled(&mut self, now: Millis) {
+        while let Some((until, task)) = self.settled_until.first().cloned() {
+            if until > now {
+                break;
+            }
+            self.settled_until.pop_first();
+            self.settled.remove(&task);
+        }
+    }
+
+    fn admin_call(&mut self, reply: ReplyId, call: AdminCall, now: Millis, out: &mut Out) {
+        let again = call.clone();
+        let AdminCall::Change {
+            base,
+            author,
+            change,
+        } = call;
+        let current = self.cluster.config.clone();
+        if let ConfigChange::WithdrawKey { digest } = &change
+            && current.keys.contains_key(digest)
+        {
+            self.revoke(digest, out);
+        }
+        if base.is_some_and(|b| b != current.revision) {
+            let body = AdminReply::Conflict {
+                revision: current.revision,
+                author: current.author.clone(),
+            };
+            out.admin_reply(reply, body);
+            return;
+        }
+        if !self.cluster.store_ok(now) {
+            out.admin_reply(
+                reply,
+                AdminReply::StoreDown {
+                    maybe_written: false,
+                },
+            );
+            return;
+        }
+        let mut config = current.with(&change);
+        config.author = author;
+        config.write_id = self.rng.random();
+        let call = Cluster::write_config(&config, current.revision, out);
+        self.config_calls.insert(
+            call,
+            ConfigCall::Write {
+                reply,
+                config,
+                again: base.is_none().then_some(again),
+            },
+        );
+    }
+
+    fn config_answer(
+        &mut self,
+        call: ConfigCall,
+        result: Result<StoreAnswer, StoreFault>,
+        now: Millis,
+        out: &mut Out,
+    ) {
+        match (call, result) {
+            (
+                ConfigCall::Write {
+                    reply, mut config, ..
+                },
+                Ok(StoreAnswer::Written { version }),
+            ) => {
+                config.revision = version;
+                self.accept_config(reply, config, now, out);
+            }
+            (ConfigCall::Write { reply, again, .. }, Ok(StoreAnswer::Conflict { .. })) => {
+                let call = Cluster::reread_config(out);
+                self.config_calls
+                    .insert(call, ConfigCall::Conflict { reply, again });
+            }
+            (ConfigCall::Write { reply, config, .. }, _) => {
+                self.settle_config(reply, config, 0, out);
+            }
+            (
+                ConfigCall::Settle { reply, config, .. },
+                Ok(StoreAnswer::Value { version, value }),
+            ) => {
+                let stored: Config = serde_json::from_str(&value).unwrap_or_default();
+                if stored.write_id == config.write_id {
+                    self.accept_config(
+                        reply,
+                        Config {
+                            revision: version,
+                            ..stored
+                        },
+                        now,
+                        out,
+                    );
+                } else {
+                    out.admin_reply(
+                        reply,
+                        AdminReply::StoreDown {
+                            maybe_written: true,
+                        },
+                    );
+                }
+            }
+            (
+                ConfigCall::Settle {
+                    reply,
+                    config,
+                    tries,
+                },
+                _,
+            ) => {
+                self.settle_config(reply, config, tries + 1, out);
+            }
+            (ConfigCall::Conflict { reply, again }, Ok(StoreAnswer::Value { version, value })) => {
+                let stored: Config = serde_json::from_str(&value).unwrap_or_default();
+                let author = stored.author.clone();
+                self.take_config(
+                    Arc::new(Config {
+                        revision: version,
+                        ..stored
+                    }),
+                    out,
+                );
+                match again {
+                    Some(call) => self.admin_call(reply, call, now, out),
+                    None => out.admin_reply(
+                        reply,
+                        AdminReply::Conflict {
+                            revision: version,
+                            author,
+                        },
+                    ),
+                }
+            }
+            (ConfigCall::Conflict { reply, .. }, _) => {
+                let body = AdminReply::Conflict {
+                    revision: self.cluster.config.revision,
+                    author: self.cluster.config.author.clone(),
+                };
+                out.admin_reply(reply, body);
+            }
+        }
+    }
+
+    /// Reads back a write whose answer was lost, a few times.
+    fn settle_config(&mut self, reply: ReplyId, config: Config, tries: u32, out: &mut Out) {
+        const MOST_TRIES: u32 = 3;
+        if tries >= MOST_TRIES {
+            out.admin_reply(
+                reply,
+                AdminReply::StoreDown {
+                    maybe_written: true,
+                },
+            );
+            return;
+        }
+        let call = Cluster::reread_config(out);
+        let settle = ConfigCall::Settle {
+            reply,
+            config,
+            tries,
+        };
+        self.config_calls.insert(call, settle);
+    }
+
+    fn accept_config(&mut self, reply: ReplyId, config: Config, now: Millis, out: &mut Out) {
+        const WAIT_IN_FORCE_MS: Millis = 2_000;
+        let revision = config.revision;
+        let config = Arc::new(config);
+        self.take_config(config.clone(), out);
+        let others: Vec<NodeId> = self.cluster.others().cloned().collect();
+        for id in others {
+            out.send(&id, Message::Config(config.clone()));
+        }
+        self.config_waiters
+            .push((now + WAIT_IN_FORCE_MS, reply, revision));
+    }
+
+    fn finish_config_waits(&mut self, now: Millis, out: &mut Out) {
+        let cluster = &self.cluster;
+        let all = cluster.records().len();
+        self.config_waiters.retain(|(until, reply, revision)| {
+            let in_force = cluster.in_force(*revision);
+            let done = in_force.len() >= all || now >= *until;
+            if done {
+                let body = AdminReply::Accepted {
+                    revision: *revision,
+                    in_force,
+                };
+                out.admin_reply(*reply, body);
+            }
+            !done
+        });
+    }
+
+    /// Summarises the node's state.
+    pub fn view(&self, now: Millis) -> NodeView {
+        let open = |w: &&crate::core::Worker| w.state == crate::core::WorkerState::Open;
+        NodeView {
+            table_revision: self.cluster.table.revision,
+            config_revision: self.cluster.config.revision,
+            owned_shards: self.shards.len(),
+            fenced_shards: self.shards.values().filter(|s| s.fenced).count(),
+            workers: self.book.iter().count(),
+            open_workers: self.book.iter().filter(open).count(),
+            hosted_tasks: self.book.iter().map(|w| w.tasks.len()).sum(),
+            waiting_asks: self.queue.len(),
+            pending_requests: self.requests.requests.len(),
+            jobs: self
+                .shards
+                .values()
+                .map(|s| s.ledger.value.jobs.len())
+                .sum(),
+            store_ok: self.cluster.store_ok(now),
+            fresh: self.cluster.fresh(now),
+            leaving: self.cluster.me.leaving,
+        }
+    }
+
+    /// Returns the workers of the owned shards.
+    pub fn workers(&self) -> &WorkerBook {
+        &self.book
+    }
+
+    /// Iterates over the jobs whose home is here.
+    pub fn jobs(&self) -> impl Iterator<Item = &crate::core::JobRecord> {
+        let ready = self.shards.values().filter(|s| s.ledger.ready());
+        ready.flat_map(|s| s.ledger.value.jobs.values())
+    }
+}
--- /dev/null
+++ b/src/core/request_book.rs
@@ -0,0 +1,71 @@
+//! Requests that entered at this node and calls on their way to other nodes.
+
+use {
+    crate::core::{
+        Fence, JobCall, Millis, NodeId, ReplyId, RequestAsk, ShardId, TaskId, TaskSpec, WorkerId,
+    },
+    std::collections::{BTreeMap, BTreeSet},
+};
+
+/// A request that waits for a worker or is being forwarded.
+#[derive(Clone, Debug)]
+pub struct EntryRequest {
+    pub ask: RequestAsk,
+    pub deadline: Millis,
+    /// Number of the current attempt; each has a task id of its own.
+    pub attempt: u32,
+    pub task: Option<TaskId>,
+    /// The owner that was asked last.
+    pub owner: Option<NodeId>,
+    /// What the owner was asked to place.
+    pub spec: Option<TaskSpec>,
+    pub sent_at: Millis,
+    pub granted: Option<(ShardId, WorkerId, Fence)>,
+    /// Owners that refused.
+    pub refused_by: BTreeSet<NodeId>,
+    /// Claim on the idempotency key.
+    pub claim: u64,
+}
+
+/// Why a call to another node's ledger was made.
+#[derive(Clone, Debug)]
+pub enum CallFor {
+    /// A local caller waits for the reply.
+    Caller(ReplyId),
+    /// A request waits for its idempotency key.
+    Key(ReplyId),
+    /// Nobody waits.
+    Nobody,
+}
+
+/// A call to the home of a job or key, repeated until answered.
+#[derive(Clone, Debug)]
+pub struct PendingCall {
+    pub call_for: CallFor,
+    pub shard: ShardId,
+    pub body: JobCall,
+    pub sent_at: Millis,
+    pub give_up_at: Millis,
+}
+
+/// A task given back to its owner, repeated until acknowledged.
+#[derive(Clone, Debug)]
+pub struct PendingRelease {
+    pub shard: Option<ShardId>,
+    /// The owner asked, when the shard is not known.
+    pub owner: NodeId,
+    pub finished: bool,
+    pub sent_at: Millis,
+    pub give_up_at: Millis,
+}
+
+/// State of the entry role.
+#[derive(Clone, Debug, Default)]
+pub struct RequestBook {
+    pub requests: BTreeMap<ReplyId, EntryRequest>,
+    pub by_task: BTreeMap<TaskId, ReplyId>,
+    pub calls: BTreeMap<u64, PendingCall>,
+    pub releases: BTreeMap<TaskId, PendingRelease>,
+    /// Requests sent to each node and not answered since its last beat.
+    pub in_flight: BTreeMap<NodeId, u32>,
+}
--- /dev/null
+++ b/src/core/resources.rs
@@ -0,0 +1,67 @@
+//! Amounts of worker resources.
+
+use serde::{Deserialize, Serialize};
+
+/// What a task declares or a worker holds.
+#[derive(Clone, Copy, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
+#[serde(deny_unknown_fields)]
+pub struct Resources {
+    /// Processor time in thousandths of a core.
+    pub cpu_milli: u32,
+    /// Memory in MiB.
+    pub memory_mib: u32,
+    /// Whole accelerators.
+    #[serde(default)]
+    pub accelerators: u32,
+    /// Execution slots of the worker; a task takes at least one.
+    #[serde(default = "one")]
+    pub slots: u32,
+}
+
+fn one() -> u32 {
+    1
+}
+
+impl Resources {
+    /// Tells whether `need` fits into this amount.
+    pub fn holds(&self, need: &Self) -> bool {
+        self.cpu_milli >= need.cpu_milli
+            && self.memory_mib >= need.memory_mib
+            && self.accelerators >= need.accelerators
+            && self.slots >= need.slots
+    }
+
+    /// Adds each resource.
+    pub fn add(&mut self, o: &Self) {
+        self.cpu_milli += o.cpu_milli;
+        self.memory_mib += o.memory_mib;
+        self.accelerators += o.accelerators;
+        self.slots += o.slots;
+    }
+
+    /// Subtracts each resource, stopping at zero.
+    #[must_use]
+    pub fn minus(&self, o: &Self) -> Self {
+        Self {
+            cpu_milli: self.cpu_milli.saturating_sub(o.cpu_milli),
+            memory_mib: self.memory_mib.saturating_sub(o.memory_mib),
+            accelerators: self.accelerators.saturating_sub(o.accelerators),
+            slots: self.slots.saturating_sub(o.slots),
+        }
+    }
+
+    /// Returns the largest fraction that this amount takes of any resource of `whole`.
+    pub fn dominant_fraction(&self, whole: &Self) -> f64 {
+        let part = |a: u32, b: u32| {
+            if b == 0 {
+                0.0
+            } else {
+                f64::from(a) / f64::from(b)
+            }
+        };
+        part(self.cpu_milli, whole.cpu_milli)
+            .max(part(self.memory_mib, whole.memory_mib))
+            .max(part(self.accelerators, whole.accelerators))
+            .max(part(self.slots, whole.slots))
+    }
+}
--- /dev/null
+++ b/src/core/worker_book.rs
@@ -0,0 +1,212 @@
+//! The workers of the shards that this node owns, and where tasks fit on them.
+
+use {
+    crate::core::{
+        Epoch, Fence, Hosted, Millis, PoolName, Resources, ShardFree, ShardId, TaskId, VmRecord,
+        Worker, WorkerHealth, WorkerId, WorkerState,
+    },
+    std::collections::{BTreeMap, BTreeSet},
+};
+
+/// Most workers looked at for one placement.
+const PROBES: usize = 64;
+
+/// Key of the free-space index: pool, free processor time, worker.
+type FreeKey = (PoolName, u32, WorkerId);
+
+/// Owned workers with an index by free processor time.
+#[derive(Clone, Debug, Default)]
+pub struct WorkerBook {
+    workers: BTreeMap<WorkerId, Worker>,
+    by_free: BTreeSet<FreeKey>,
+    /// Where each task is hosted.
+    by_task: BTreeMap<TaskId, WorkerId>,
+}
+
+impl WorkerBook {
+    /// Adds a worker of a shard, before its lease is open.
+    pub fn insert(&mut self, record: VmRecord, shard: ShardId, epoch: Epoch, state: WorkerState) {
+        let id = record.id.clone();
+        let worker = Worker {
+            record,
+            shard,
+            state,
+            fence: Fence { epoch, opening: 0 },
+            committed: Resources::default(),
+            tasks: BTreeMap::new(),
+            health: WorkerHealth::default(),
+            call_sent_at: None,
+            retry_at: 0,
+            lapses_at: None,
+            clock: None,
+            until: 0,
+            last_event: 0,
+            acked_event: 0,
+            silent: false,
+            unlisted_since: None,
+        };
+        self.by_free.insert(free_key(&worker));
+        self.workers.insert(id, worker);
+    }
+
+    /// Removes a worker and returns it.
+    pub fn remove(&mut self, id: &WorkerId) -> Option<Worker> {
+        let worker = self.workers.remove(id)?;
+        self.by_free.remove(&free_key(&worker));
+        for task in worker.tasks.keys() {
+            self.by_task.remove(task);
+        }
+        Some(worker)
+    }
+
+    /// Returns a worker.
+    pub fn get(&self, id: &WorkerId) -> Option<&Worker> {
+        self.workers.get(id)
+    }
+
+    /// Returns a worker for changes that leave its tasks as they are.
+    pub fn get_mut(&mut self, id: &WorkerId) -> Option<&mut Worker> {
+        self.workers.get_mut(id)
+    }
+
+    /// Iterates over all workers.
+    pub fn iter(&self) -> impl Iterator<Item = &Worker> {
+        self.workers.values()
+    }
+
+    /// Lists the workers of a shard.
+    pub fn of_shard(&self, shard: ShardId) -> Vec<WorkerId> {
+        let of = self.workers.values().filter(|w| w.shard == shard);
+        of.map(|w| w.record.id.clone()).collect()
+    }
+
+    /// Returns the worker that hosts a task.
+    pub fn host_of(&self, task: &TaskId) -> Option<&Worker> {
+        self.workers.get(self.by_task.get(task)?)
+    }
+
+    /// Returns a hosted task for changes that leave its resources as they are.
+    pub fn task_mut(&mut self, task: &TaskId) -> Option<(&mut Hosted, &VmRecord)> {
+        let worker = self.workers.get_mut(self.by_task.get(task)?)?;
+        Some((worker.tasks.get_mut(task)?, &worker.record))
+    }
+
+    /// Commits a task's resources on a worker.
+    pub fn commit(&mut self, id: &WorkerId, hosted: Hosted) {
+        let Some(worker) = self.workers.get_mut(id) else {
+            return;
+        };
+        self.by_free.remove(&free_key(worker));
+        worker.committed.add(&hosted.spec.need);
+        self.by_task.insert(hosted.spec.id.clone(), id.clone());
+        worker.tasks.insert(hosted.spec.id.clone(), hosted);
+        self.by_free.insert(free_key(worker));
+    }
+
+    /// Frees a task's resources; returns the task and its shard.
+    pub fn release(&mut self, task: &TaskId) -> Option<(Hosted, ShardId)> {
+        let id = self.by_task.remove(task)?;
+        let worker = self.workers.get_mut(&id)?;
+        self.by_free.remove(&free_key(worker));
+        let hosted = worker.tasks.remove(task)?;
+        worker.committed = worker.committed.minus(&hosted.spec.need);
+        self.by_free.insert(free_key(worker));
+        Some((hosted, worker.shard))
+    }
+
+    /// Finds a worker with room, on a given shard or any for which `allowed` holds.
+    pub fn fit(
+        &self,
+        pool: &PoolName,
+        need: &Resources,
+        pack: bool,
+        now: Millis,
+        allowed: impl Fn(ShardId) -> bool,
+    ) -> Option<&Worker> {
+        let low = (pool.clone(), need.cpu_milli, WorkerId::from(""));
+        let high = (pool.clone(), u32::MAX, WorkerId::from("\u{10ffff}"));
+        let usable = |key: &FreeKey| {
+            let worker = &self.workers[&key.2];
+            let fits = worker.free().holds(need) && worker.placeable(now);
+            (fits && allowed(worker.shard)).then_some(worker)
+        };
+        let mut range = self.by_free.range(low..=high);
+        if pack {
+            range.take(PROBES).find_map(usable)
+        } else {
+            std::iter::from_fn(|| range.next_back())
+                .take(PROBES)
+                .find_map(usable)
+        }
+    }
+
+    /// Tells whether any worker of the pool could hold the task when empty.
+    pub fn could_fit(&self, pool: &PoolName, need: &Resources, shard: Option<ShardId>) -> bool {
+        self.workers.values().any(|w| {
+            w.record.pool == *pool
+                && w.record.capacity.holds(need)
+                && shard.is_none_or(|s| s == w.shard)
+        })
+    }
+
+    /// Sums the capacity of all workers whose lease is open.
+    pub fn capacity(&self) -> Resources {
+        let mut sum = Resources::default();
+        for worker in self.workers.values() {
+            if worker.state == WorkerState::Open {
+                sum.add(&worker.record.capacity);
+            }
+        }
+        sum
+    }
+
+    /// Summarises free room by shard and pool, for other nodes.
+    pub fn summary(&self, now: Millis) -> Vec<ShardFree> {
+        let mut sums: BTreeMap<(ShardId, PoolName), ShardFree> = BTreeMap::new();
+        for worker in self.workers.values().filter(|w| w.placeable(now)) {
+            let key = (worker.shard, worker.record.pool.clone());
+            let sum = sums.entry(key).or_insert_with(|| ShardFree {
+                shard: worker.shard,
+                pool: worker.record.pool.clone(),
+                zone: worker.record.zone.clone(),
+                free_slots: 0,
+                best: Resources::default(),
+                largest: Resources::default(),
+            });
+            let free = worker.free();
+            sum.free_slots += free.slots;
+            if free.dominant_fraction(&worker.record.capacity)
+                > sum.best.dominant_fraction(&worker.record.capacity)
+            {
+                sum.best = free;
+            }
+            sum.largest = worker.record.capacity;
+        }
+        sums.into_values().collect()
+    }
+
+    /// Checks that commitments are exact and within capacity; returns what is wrong.
+    pub fn audit(&self) -> Option<String> {
+        for worker in self.workers.values() {
+            let mut sum = Resources::default();
+            for hosted in worker.tasks.values() {
+                sum.add(&hosted.spec.need);
+            }
+            if sum != worker.committed {
+                return Some(format!("worker {}: commitments differ", worker.record.id));
+            }
+            if !worker.record.capacity.holds(&worker.committed) {
+                return Some(format!(
+                    "worker {}: committed beyond capacity",
+                    worker.record.id
+                ));
+            }
+        }
+        None
+    }
+}
+
+fn free_key(worker: &Worker) -> FreeKey {
+    let free = worker.free().cpu_milli;
+    (worker.record.pool.clone(), free, worker.record.id.clone())
+}
--- /dev/null
+++ b/standins/src/lib.rs
@@ -0,0 +1,15 @@
+//! Small stand-ins for the platform, used by tests, trials and measurements.
+//!
+//! The models hold the behaviour; `server` puts them behind HTTP, and `fleet` joins
+//! several cores with them in one thread under a seeded schedule of failures.
+
+pub mod fleet;
+pub mod sample;
+pub mod server;
+mod store_model;
+mod worker_model;
+
+pub use {
+    store_model::StoreModel,
+    worker_model::{Run, WorkerModel},
+};
--- /dev/null
+++ b/standins/src/sample.rs
@@ -0,0 +1,137 @@
+//! Workers, teams and documents of today's two users, for tests and trials.
+
+use {
+    dragonflyferry::{
+        conf::Document,
+        core::{
+            Config, JobSpec, KeyGrant, PoolName, QueueName, RackName, Resources, TeamLimits,
+            TeamName, VmRecord, WorkerId, ZoneName,
+        },
+    },
+    std::sync::Arc,
+};
+
+/// A set of equal workers.
+struct PoolSize {
+    pool: &'static str,
+    workers: usize,
+    per_rack: usize,
+    capacity: Resources,
+}
+
+const LEAGUE: [PoolSize; 2] = [
+    PoolSize {
+        pool: "scorekeeper",
+        workers: 35,
+        per_rack: 5,
+        capacity: worker(16, 64, 0),
+    },
+    PoolSize {
+        pool: "replay",
+        workers: 13,
+        per_rack: 3,
+        capacity: worker(32, 128, 8),
+    },
+];
+
+const ONBOARDING: [PoolSize; 2] = [
+    PoolSize {
+        pool: "checklist",
+        workers: 35,
+        per_rack: 4,
+        capacity: worker(32, 128, 0),
+    },
+    PoolSize {
+        pool: "document",
+        workers: 13,
+        per_rack: 3,
+        capacity: worker(32, 64, 8),
+    },
+];
+
+const fn worker(cores: u32, memory_gib: u32, accelerators: u32) -> Resources {
+    Resources {
+        cpu_milli: cores * 1_000,
+        memory_mib: memory_gib * 1_024,
+        accelerators,
+        slots: 8,
+    }
+}
+
+/// Lists the league's workers.
+pub fn league_workers() -> Vec<VmRecord> {
+    LEAGUE.iter().flat_map(|p| pool_workers(p, 3, 1)).collect()
+}
+
+/// Lists the onboarding service's workers.
+pub fn onboarding_workers() -> Vec<VmRecord> {
+    ONBOARDING
+        .iter()
+        .flat_map(|p| pool_workers(p, 4, 1))
+        .collect()
+}
+
+/// Lists the league's workers enlarged to about `count`.
+pub fn many_workers(count: usize) -> Vec<VmRecord> {
+    let factor = count.div_ceil(48);
+    let all = LEAGUE.iter().flat_map(|p| pool_workers(p, 4, factor));
+    all.take(count).collect()
+}
+
+fn pool_workers(size: &PoolSize, zones: usize, factor: usize) -> Vec<VmRecord> {
+    (0..size.workers * factor)
+        .map(|n| {
+            let rack = n / size.per_rack;
+            VmRecord {
+                id: WorkerId::from(format!("{}-{n}", size.pool)),
+                address: Arc::from(""),
+                pool: PoolName::from(size.pool),
+                rack: RackName::from(format!("{}-rack-{rack}", size.pool)),
+                zone: ZoneName::from(format!("zone-{}", rack % zones)),
+                capacity: size.capacity,
+                leaving: false,
+            }
+        })
+        .collect()
+}
+
+/// Reads the league's sample document.
+pub fn league_document() -> Document {
+    Document::from_yaml(include_str!("../../resources/league.yaml")).unwrap_or_default()
+}
+
+/// Reads the onboarding service's sample document.
+pub fn onboarding_document() -> Document {
+    Document::from_yaml(include_str!("../../resources/onboarding.yaml")).unwrap_or_default()
+}
+
+/// Makes a configuration with teams of a share and a limit; a team's key is `key-TEAM`.
+pub fn config(document: Document, teams: &[(&str, u32, u32)]) -> Config {
+    let mut config = Config {
+        author: Arc::from("sample"),
+        document: Arc::new(document),
+        ..Config::default()
+    };
+    for (name, share, limit) in teams {
+        let team = TeamName::from(*name);
+        let limits = TeamLimits {
+            share: *share,
+            limit: *limit,
+        };
+        config.teams.insert(team.clone(), limits);
+        let digest = dragonflyferry::conf::digest(&format!("key-{name}"));
+        let grant = KeyGrant {
+            team,
+            label: Arc::from("sample"),
+        };
+        config.keys.insert(digest, grant);
+    }
+    config
+}
+
+/// Makes a job of a queue of the configuration's document.
+pub fn job_spec(config: &Config, queue: &str, tasks: u32) -> Option<JobSpec> {
+    let name = QueueName::from(queue);
+    let policy = config.document.queues.get(&name)?;
+    Some(policy.job_spec(name, tasks, Arc::from("")))
+}
--- /dev/null
+++ b/standins/src/server.rs
@@ -0,0 +1,1 @@
+//! The models behind HTTP.
--- /dev/null
+++ b/standins/src/store_model.rs
@@ -0,0 +1,124 @@
+//! The key-value service: compare-and-swap, leases and ranges.
+
+use {
+    dragonflyferry::core::{Millis, StoreAnswer, StoreOp},
+    std::{collections::BTreeMap, sync::Arc},
+};
+
+#[derive(Clone, Debug)]
+struct Entry {
+    version: u64,
+    value: Arc<str>,
+    lease: Option<u64>,
+}
+
+/// All keys and leases.
+#[derive(Clone, Debug, Default)]
+pub struct StoreModel {
+    revision: u64,
+    entries: BTreeMap<String, Entry>,
+    /// Time to live and expiry of each lease.
+    leases: BTreeMap<u64, (Millis, Millis)>,
+    /// Calls answered so far: reads and writes.
+    pub reads: u64,
+    pub writes: u64,
+}
+
+impl StoreModel {
+    /// Carries out a call.
+    pub fn apply(&mut self, op: &StoreOp, now: Millis) -> StoreAnswer {
+        self.expire(now);
+        match op {
+            StoreOp::Get { .. } | StoreOp::Range { .. } => self.reads += 1,
+            _ => self.writes += 1,
+        }
+        match op {
+            StoreOp::Get { key, known } => self.get(key, *known),
+            StoreOp::Range { prefix } => StoreAnswer::Entries {
+                entries: self
+                    .entries
+                    .range(prefix.clone()..)
+                    .take_while(|(k, _)| k.starts_with(prefix.as_str()))
+                    .map(|(k, e)| (k.clone(), e.version, e.value.clone()))
+                    .collect(),
+            },
+            StoreOp::Cas {
+                key,
+                expect,
+                value,
+                lease,
+            } => self.cas(key, *expect, value, *lease),
+            StoreOp::Delete { key, expect } => self.delete(key, *expect),
+            StoreOp::Grant { ttl_ms } => {
+                self.revision += 1;
+                self.leases.insert(self.revision, (*ttl_ms, now + ttl_ms));
+                StoreAnswer::Lease {
+                    lease: self.revision,
+                }
+            }
+            StoreOp::Keep { lease } => match self.leases.get_mut(lease) {
+                Some((ttl, until)) => {
+                    *until = now + *ttl;
+                    StoreAnswer::Lease { lease: *lease }
+                }
+                None => StoreAnswer::Lapsed,
+            },
+        }
+    }
+
+    /// Returns a key's value.
+    pub fn value(&self, key: &str) -> Option<Arc<str>> {
+        self.entries.get(key).map(|e| e.value.clone())
+    }
+
+    fn expire(&mut self, now: Millis) {
+        self.leases.retain(|_, (_, until)| now < *until);
+        let leases = &self.leases;
+        self.entries
+            .retain(|_, e| e.lease.is_none_or(|l| leases.contains_key(&l)));
+    }
+
+    fn get(&self, key: &str, known: u64) -> StoreAnswer {
+        match self.entries.get(key) {
+            None => StoreAnswer::Absent,
+            Some(e) if e.version == known => StoreAnswer::Unchanged,
+            Some(e) => StoreAnswer::Value {
+                version: e.version,
+                value: e.value.clone(),
+            },
+        }
+    }
+
+    fn version(&self, key: &str) -> u64 {
+        self.entries.get(key).map_or(0, |e| e.version)
+    }
+
+    fn cas(&mut self, key: &str, expect: u64, value: &Arc<str>, lease: Option<u64>) -> StoreAnswer {
+        let version = self.version(key);
+        if version != expect {
+            return StoreAnswer::Conflict { version };
+        }
+        if lease.is_some_and(|l| !self.leases.contains_key(&l)) {
+            return StoreAnswer::Lapsed;
+        }
+        self.revision += 1;
+        let entry = Entry {
+            version: self.revision,
+            value: value.clone(),
+            lease,
+        };
+        self.entries.insert(key.to_owned(), entry);
+        StoreAnswer::Written {
+            version: self.revision,
+        }
+    }
+
+    fn delete(&mut self, key: &str, expect: u64) -> StoreAnswer {
+        let version = self.version(key);
+        if version != expect {
+            return StoreAnswer::Conflict { version };
+        }
+        self.entries.remove(key);
+        StoreAnswer::Written { version: 0 }
+    }
+}
--- /dev/null
+++ b/standins/src/worker_model.rs
@@ -0,0 +1,222 @@
+//! A worker: tasks under a fenced lease with an end by the worker's own clock.
+
+use {
+    dragonflyferry::core::{
+        EndedTask, Fence, Millis, Outcome, TaskId, TaskKind, TaskSpec, VmRecord, WorkerAnswer,
+        WorkerOp,
+    },
+    std::collections::BTreeMap,
+};
+
+/// A task that runs.
+#[derive(Clone, Debug)]
+pub struct Run {
+    pub spec: TaskSpec,
+    pub fence: Fence,
+    /// When it ends by itself; `None` for services and requests.
+    pub ends_at: Option<Millis>,
+}
+
+/// State of one worker process.
+#[derive(Clone, Debug)]
+pub struct WorkerModel {
+    pub record: VmRecord,
+    pub fence: Fence,
+    lease_until: Option<Millis>,
+    pub running: BTreeMap<TaskId, Run>,
+    /// Every task id that was started or refused for good, with its outcome once ended.
+    seen: BTreeMap<TaskId, Option<Outcome>>,
+    events: BTreeMap<u64, EndedTask>,
+    last_event: u64,
+    /// Every task that it starts fails at once.
+    pub broken: bool,
+    /// Each start, in order, for checks.
+    pub started: Vec<TaskSpec>,
+}
+
+impl WorkerModel {
+    /// Creates an idle worker without a lease.
+    pub fn new(record: VmRecord) -> Self {
+        Self {
+            record,
+            fence: Fence::default(),
+            lease_until: None,
+            running: BTreeMap::new(),
+            seen: BTreeMap::new(),
+            events: BTreeMap::new(),
+            last_event: 0,
+            broken: false,
+            started: Vec::new(),
+        }
+    }
+
+    /// Lets time pass: ends due tasks, and all tasks if the lease has lapsed.
+    pub fn tick(&mut self, now: Millis) {
+        let due: Vec<TaskId> = self
+            .running
+            .iter()
+            .filter(|(_, r)| r.ends_at.is_some_and(|t| now >= t))
+            .map(|(id, _)| id.clone())
+            .collect();
+        let outcome = if self.broken {
+            Outcome::Failed
+        } else {
+            Outcome::Done
+        };
+        for task in due {
+            self.end(&task, outcome);
+        }
+        if self.lease_until.is_some_and(|until| now >= until) {
+            self.lease_until = None;
+            let all: Vec<TaskId> = self.running.keys().cloned().collect();
+            for task in all {
+                self.end(&task, Outcome::Lost);
+            }
+        }
+    }
+
+    /// Carries out a call; `None` holds a renewal open until something ends.
+    pub fn apply(&mut self, op: &WorkerOp, now: Millis) -> Option<WorkerAnswer> {
+        self.tick(now);
+        let fence = match op {
+            WorkerOp::Open { fence, .. }
+            | WorkerOp::Renew { fence, .. }
+            | WorkerOp::Start { fence, .. }
+            | WorkerOp::Stop { fence, .. } => *fence,
+        };
+        if fence < self.fence {
+            return Some(WorkerAnswer::Fenced { seen: self.fence });
+        }
+        match op {
+            WorkerOp::Open { ttl_ms, until, .. } => Some(self.open(fence, *ttl_ms, *until, now)),
+            WorkerOp::Renew {
+                until,
+                after,
+                acked,
+                ..
+            } => self.renew(*until, *after, *acked, now),
+            WorkerOp::Start { task, .. } => Some(self.start(fence, task, now)),
+            WorkerOp::Stop { task, .. } => Some(self.stop(task)),
+        }
+    }
+
+    fn open(
+        &mut self,
+        fence: Fence,
+        ttl_ms: Millis,
+        until: Option<Millis>,
+        now: Millis,
+    ) -> WorkerAnswer {
+        let until = until.unwrap_or(now + ttl_ms);
+        if now >= until {
+            return WorkerAnswer::Lapsed;
+        }
+        self.fence = fence;
+        self.lease_until = Some(until);
+        WorkerAnswer::Opened {
+            clock: now,
+            running: self.running.values().map(|r| r.spec.clone()).collect(),
+            ended: self.events.values().cloned().collect(),
+            last_event: self.last_event,
+        }
+    }
+
+    fn renew(
+        &mut self,
+        until: Millis,
+        after: u64,
+        acked: u64,
+        now: Millis,
+    ) -> Option<WorkerAnswer> {
+        if self.lease_until.is_none() {
+            return Some(WorkerAnswer::Lapsed);
+        }
+        self.lease_until = self.lease_until.max(Some(until));
+        self.events.retain(|n, _| *n > acked);
+        (self.last_event > after).then(|| self.renewed(after, now))
+    }
+
+    /// Answers a renewal with what ended after an event.
+    pub fn renewed(&self, after: u64, now: Millis) -> WorkerAnswer {
+        WorkerAnswer::Renewed {
+            clock: now,
+            ended: self
+                .events
+                .range(after + 1..)
+                .map(|(_, e)| e.clone())
+                .collect(),
+            last_event: self.last_event,
+        }
+    }
+
+    /// Tells whether something ended after an event.
+    pub fn has_news(&self, after: u64) -> bool {
+        self.last_event > after
+    }
+
+    fn start(&mut self, fence: Fence, task: &TaskSpec, now: Millis) -> WorkerAnswer {
+        if self.lease_until.is_none() {
+            return WorkerAnswer::Lapsed;
+        }
+        if fence != self.fence {
+            return WorkerAnswer::Fenced { seen: self.fence };
+        }
+        if self.seen.contains_key(&task.id) {
+            return WorkerAnswer::Started;
+        }
+        self.seen.insert(task.id.clone(), None);
+        self.started.push(task.clone());
+        let ends_at = match (task.kind, task.run_ms) {
+            (TaskKind::Request, _) | (TaskKind::Job, 0) => None,
+            (TaskKind::Job, _) if self.broken => Some(now),
+            (TaskKind::Job, ms) => Some(now + ms),
+        };
+        let run = Run {
+            spec: task.clone(),
+            fence,
+            ends_at,
+        };
+        self.running.insert(task.id.clone(), run);
+        WorkerAnswer::Started
+    }
+
+    /// Starts a caller's request; returns false if it does not run.
+    pub fn start_request(&mut self, fence: Fence, spec: &TaskSpec, now: Millis) -> bool {
+        self.tick(now);
+        let fresh = !self.seen.contains_key(&spec.id);
+        fresh && self.start(fence, spec, now) == WorkerAnswer::Started
+    }
+
+    /// Ends a caller's request.
+    pub fn end_request(&mut self, task: &TaskId) -> bool {
+        let runs = self.running.contains_key(task);
+        self.end(task, Outcome::Done);
+        runs
+    }
+
+    fn stop(&mut self, task: &TaskId) -> WorkerAnswer {
+        self.end(task, Outcome::Stopped);
+        let outcome = self
+            .seen
+            .entry(task.clone())
+            .or_insert(Some(Outcome::NotRun))
+            .unwrap_or(Outcome::Lost);
+        WorkerAnswer::Stopped { outcome }
+    }
+
+    fn end(&mut self, task: &TaskId, outcome: Outcome) {
+        let Some(run) = self.running.remove(task) else {
+            return;
+        };
+        self.seen.insert(task.clone(), Some(outcome));
+        if run.spec.kind == TaskKind::Job || run.fence.epoch != self.fence.epoch {
+            self.last_event += 1;
+            let ended = EndedTask {
+                task: task.clone(),
+                job: run.spec.job.clone(),
+                outcome,
+            };
+            self.events.insert(self.last_event, ended);
+        }
+    }
+}
