Whole path: daemon, callers' and operators' HTTP, QUIC between nodes, trial

Cause: the core had no sockets; a request could not be served from end to end. Ruled out: proxying a request through the owner of its worker (a second hop for every body); the entry node forwards it under the granted fence instead. Change: net (HTTP client, mutual TLS, QUIC mesh with a new UDP socket after each failure), app (core task, callers' and operators' interfaces, meter, graceful stop), stand-in servers, the trial example.

--- /dev/null
+++ b/src/app/admin_api.rs
@@ -0,0 +1,294 @@
+//! The operators' interface: state of the node, changes of the configuration, metrics.
+
+use {
+    crate::{
+        app::{
+            ApiError, ErrorKind, MeterDump, metrics,
+            shared::{CoreReply, Shared},
+        },
+        conf::Document,
+        core::{
+            AdminCall, AdminReply, Config, ConfigChange, Event, JobId, JobSummary, Millis, NodeId,
+            NodeRecord, NodeView, PoolName, RackName, Resources, TaskStage, WorkerId, WorkerState,
+            ZoneName, summary,
+        },
+    },
+    axum::{
+        Json, Router,
+        extract::{Path, Request, State},
+        http::{StatusCode, header},
+        middleware::{self, Next},
+        response::{IntoResponse, Response},
+        routing::{get, post},
+    },
+    serde::{Deserialize, Serialize},
+    std::{
+        collections::BTreeMap,
+        sync::{Arc, atomic::Ordering},
+    },
+};
+
+/// One node's state and what it knows of the others.
+#[derive(Clone, Debug, Deserialize, Serialize)]
+pub struct StatusView {
+    pub node: NodeRecord,
+    pub view: NodeView,
+    pub members: Vec<NodeRecord>,
+    /// Revision of the configuration that each node has taken in, as far as known here.
+    pub revisions: BTreeMap<NodeId, u64>,
+}
+
+/// One worker as its owner sees it.
+#[derive(Clone, Debug, Deserialize, Serialize)]
+pub struct WorkerView {
+    pub id: WorkerId,
+    pub pool: PoolName,
+    pub rack: RackName,
+    pub zone: ZoneName,
+    pub state: WorkerState,
+    pub leaving: bool,
+    pub set_aside: bool,
+    pub capacity: Resources,
+    pub committed: Resources,
+    pub tasks: usize,
+}
+
+/// Why a job waits: for each reason, how many workers it holds for.
+#[derive(Clone, Debug, Deserialize, Serialize)]
+pub struct JobWhy {
+    pub job: Option<JobSummary>,
+    /// Workers of this node's shards by what keeps them from taking a task.
+    pub reasons: BTreeMap<String, usize>,
+}
+
+type Reply<T> = Result<T, ApiError>;
+type Shares = State<Arc<Shared>>;
+
+/// Makes the operators' routes.
+pub fn router(shared: Arc<Shared>) -> Router {
+    let guarded = Router::new()
+        .route("/admin/status", get(status))
+        .route("/admin/workers", get(workers))
+        .route("/admin/jobs", get(jobs))
+        .route("/admin/why/{job}", get(why))
+        .route("/admin/config", get(config))
+        .route("/admin/change", post(change))
+        .route("/admin/try", post(try_document))
+        .route("/admin/drain", post(drain))
+        .route("/admin/meter", get(meter))
+        .layer(middleware::from_fn_with_state(shared.clone(), check_token));
+    Router::new()
+        .route("/live", get(async || "live\n"))
+        .route("/ready", get(ready))
+        .route("/metrics", get(metrics_text))
+        .merge(guarded)
+        .fallback(async || ApiError::new(ErrorKind::UnknownPath, "see docs/OPERATING.md"))
+        .with_state(shared)
+}
+
+async fn check_token(State(shared): Shares, req: Request, next: Next) -> Response {
+    let expected = format!("Bearer {}", shared.settings.admin_token);
+    let given = req.headers().get(header::AUTHORIZATION);
+    let good = given.is_some_and(|v| {
+        crate::conf::digest(v.to_str().unwrap_or_default()) == crate::conf::digest(&expected)
+    });
+    if good {
+        return next.run(req).await;
+    }
+    let message = "the operators' token is missing or wrong; set DRAGONFLYFERRY_TOKEN";
+    ApiError::new(ErrorKind::BadToken, message).into_response()
+}
+
+fn stopped() -> ApiError {
+    ApiError::new(ErrorKind::Stopping, "the node has stopped")
+}
+
+async fn status(State(shared): Shares) -> Reply<Json<StatusView>> {
+    let look = shared.core.look(|node, now| {
+        let peers = node.cluster.peers.iter();
+        let mut revisions: BTreeMap<NodeId, u64> = peers
+            .map(|(id, v)| (id.clone(), v.beat.config_revision))
+            .collect();
+        revisions.insert(node.id().clone(), node.cluster.config.revision);
+        StatusView {
+            node: node.cluster.me.clone(),
+            view: node.view(now),
+            members: node.cluster.records(),
+            revisions,
+        }
+    });
+    look.await.map(Json).ok_or_else(stopped)
+}
+
+async fn workers(State(shared): Shares) -> Reply<Json<Vec<WorkerView>>> {
+    let look = shared.core.look(|node, now| {
+        let all = node.workers().iter();
+        all.map(|w| WorkerView {
+            id: w.record.id.clone(),
+            pool: w.record.pool.clone(),
+            rack: w.record.rack.clone(),
+            zone: w.record.zone.clone(),
+            state: w.state,
+            leaving: w.record.leaving,
+            set_aside: !w.health.usable(now),
+            capacity: w.record.capacity,
+            committed: w.committed,
+            tasks: w.tasks.len(),
+        })
+        .collect()
+    });
+    look.await.map(Json).ok_or_else(stopped)
+}
+
+async fn jobs(State(shared): Shares) -> Reply<Json<Vec<JobSummary>>> {
+    let look = shared
+        .core
+        .look(|node, _| node.jobs().map(|j| summary(j, &BTreeMap::new())).collect());
+    look.await.map(Json).ok_or_else(stopped)
+}
+
+async fn why(State(shared): Shares, Path(job): Path<String>) -> Reply<Json<JobWhy>> {
+    let id = JobId::from(job);
+    let look = shared.core.look(move |node, now| {
+        let job = node.jobs().find(|j| j.id == id);
+        let mut reasons = BTreeMap::new();
+        if let Some(job) = job {
+            let waiting = job.count(TaskStage::Waiting) + job.count(TaskStage::Marked);
+            *reasons.entry("tasks not ended".to_owned()).or_default() += waiting;
+        }
+        for worker in node.workers().iter() {
+            let reason = worker_reason(worker, job.map(|j| &j.spec), now);
+            *reasons.entry(reason.to_owned()).or_default() += 1;
+        }
+        JobWhy {
+            job: job.map(|j| summary(j, &BTreeMap::new())),
+            reasons,
+        }
+    });
+    look.await.map(Json).ok_or_else(stopped)
+}
+
+fn worker_reason(
+    worker: &crate::core::Worker,
+    spec: Option<&crate::core::JobSpec>,
+    now: Millis,
+) -> &'static str {
+    if worker.state != WorkerState::Open {
+        return "worker: lease not open";
+    }
+    if worker.record.leaving {
+        return "worker: leaving";
+    }
+    if !worker.health.usable(now) {
+        return "worker: set aside after failures";
+    }
+    let Some(spec) = spec else {
+        return "worker: open";
+    };
+    if worker.record.pool != spec.pool {
+        "worker: of another pool"
+    } else if !worker.record.capacity.holds(&spec.need) {
+        "worker: too small"
+    } else if worker.free().holds(&spec.need) {
+        "worker: has room"
+    } else {
+        "worker: full"
+    }
+}
+
+async fn config(State(shared): Shares) -> Reply<Json<Arc<Config>>> {
+    let look = shared.core.look(|node, _| node.cluster.config.clone());
+    look.await.map(Json).ok_or_else(stopped)
+}
+
+async fn change(State(shared): Shares, Json(call): Json<AdminCall>) -> Reply<Json<AdminReply>> {
+    let AdminCall::Change { change, .. } = &call;
+    if let ConfigChange::Apply { document } = change {
+        let current = shared.config();
+        check_document(document, &current)?;
+    }
+    if let ConfigChange::SetTeam { team, limits } = change
+        && (limits.share == 0 || limits.limit == 0)
+    {
+        let message = format!("team {team}: share and limit must be 1 or more");
+        return Err(ApiError::new(ErrorKind::BadDocument, message));
+    }
+    let (_, mut rx) = shared.core.ask(|reply| Event::Admin { reply, call });
+    match rx.recv().await {
+        Some(CoreReply::Admin(AdminReply::Conflict { revision, author })) => {
+            let message = format!("{author} made revision {revision} meanwhile; read it and retry");
+            Err(ApiError::new(ErrorKind::Conflict, message))
+        }
+        Some(CoreReply::Admin(AdminReply::StoreDown { maybe_written })) => {
+            let kind = if maybe_written {
+                ErrorKind::OutcomeUnknown
+            } else {
+                ErrorKind::StoreDown
+            };
+            let mut e = ApiError::new(kind, "the platform's store did not answer");
+            e.retry_after_ms = Some(5_000);
+            Err(e)
+        }
+        Some(CoreReply::Admin(reply)) => Ok(Json(reply)),
+        _ => Err(stopped()),
+    }
+}
+
+/// Refuses a document that its own checks refuse or that an open queue's team does not match.
+fn check_document(document: &Document, current: &Config) -> Reply<()> {
+    let mut faults: Vec<String> = document
+        .faults("")
+        .iter()
+        .map(ToString::to_string)
+        .collect();
+    for (name, queue) in &document.queues {
+        if let Some(team) = &queue.open_to_all
+            && !current.teams.contains_key(team)
+        {
+            faults.push(format!(
+                "E1008 `{name}` is open for the unknown team {team}; create the team first"
+            ));
+        }
+    }
+    if faults.is_empty() {
+        return Ok(());
+    }
+    Err(ApiError::new(ErrorKind::BadDocument, faults.join("\n")))
+}
+
+/// What a document would change.
+async fn try_document(
+    State(shared): Shares,
+    Json(document): Json<Document>,
+) -> Reply<Json<Vec<String>>> {
+    let current = shared.config();
+    check_document(&document, &current)?;
+    Ok(Json(crate::conf::diff(&current.document, &document)))
+}
+
+async fn drain(State(shared): Shares) -> &'static str {
+    shared.stopping.store(true, Ordering::Relaxed);
+    shared.core.send(Event::Stop);
+    "draining\n"
+}
+
+async fn meter(State(shared): Shares) -> Json<MeterDump> {
+    Json(shared.meter.dump(shared.now()))
+}
+
+async fn ready(State(shared): Shares) -> Response {
+    let look = shared.core.look(|node, now| node.view(now)).await;
+    let ready = look.is_some_and(|v| v.fresh && !v.leaving && v.config_revision > 0);
+    let stopping = shared.stopping.load(Ordering::Relaxed);
+    if ready && !stopping {
+        (StatusCode::OK, "ready\n").into_response()
+    } else {
+        (StatusCode::SERVICE_UNAVAILABLE, "not ready\n").into_response()
+    }
+}
+
+async fn metrics_text(State(shared): Shares) -> Reply<String> {
+    let view = shared.core.look(|node, now| node.view(now)).await;
+    let view = view.ok_or_else(stopped)?;
+    Ok(metrics::text(&view, &shared.meter, shared.now()))
+}
--- /dev/null
+++ b/src/app/caller_api.rs
@@ -0,0 +1,384 @@
+//! The callers' interface: requests and jobs over HTTP.
+
+use {
+    crate::{
+        app::{
+            ApiError, ErrorKind,
+            forward::Forward,
+            shared::{CoreReply, Shared},
+        },
+        conf::{MOST_TASKS, QueuePolicy},
+        core::{
+            Event, JobCall, JobId, JobKind, JobReply, JobSummary, Millis, QueueName, RefuseReason,
+            ShardId, TaskId, TeamName,
+        },
+    },
+    axum::{
+        Json, Router,
+        body::Body,
+        extract::{DefaultBodyLimit, Path, Query, Request, State},
+        http::HeaderMap,
+        response::Response,
+        routing::{any, get, post},
+    },
+    serde::{Deserialize, Serialize},
+    std::{
+        collections::BTreeSet,
+        sync::{Arc, atomic::Ordering},
+        time::Duration,
+    },
+    tokio::time::Instant,
+};
+
+/// Longest deadline header, in ms.
+const LONGEST_DEADLINE_MS: Millis = 600_000;
+
+/// Longest idempotency key, in bytes.
+const LONGEST_KEY: usize = 200;
+
+/// Largest declared body of a request, in bytes.
+const LARGEST_BODY: u64 = 64 << 20;
+
+/// Largest body of a job call, in bytes.
+const LARGEST_JOB_BODY: usize = 65_536;
+
+/// Longest wait for a job in one call, in ms.
+const LONGEST_WAIT_MS: Millis = 60_000;
+
+/// Period at which a waited-for job is read, in ms.
+const WAIT_POLL_MS: Millis = 200;
+
+/// When a caller may come back after a store failure, in ms.
+const RETRY_MS: Millis = 5_000;
+
+type Reply<T> = Result<T, ApiError>;
+
+/// Body of a job submission.
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
+#[serde(deny_unknown_fields)]
+pub struct SubmitBody {
+    pub queue: QueueName,
+    #[serde(default = "one")]
+    pub tasks: u32,
+    #[serde(default)]
+    pub label: String,
+    /// Replaces the queue's expected run time, in ms.
+    #[serde(default)]
+    pub run_ms: Option<Millis>,
+}
+
+fn one() -> u32 {
+    1
+}
+
+#[derive(Debug, Deserialize)]
+struct WaitQuery {
+    #[serde(default)]
+    wait_ms: Millis,
+}
+
+#[derive(Debug, Deserialize)]
+struct LabelQuery {
+    label: Option<String>,
+}
+
+/// Makes the callers' routes.
+pub fn router(shared: Arc<Shared>) -> Router {
+    Router::new()
+        .route("/q/{queue}", any(request_root))
+        .route("/q/{queue}/", any(request_root))
+        .route("/q/{queue}/{*path}", any(request))
+        .route("/v1/jobs", post(submit).get(list))
+        .route("/v1/jobs/{id}", get(read).delete(cancel))
+        .route("/v1/cancel", post(cancel_label))
+        .layer(DefaultBodyLimit::max(LARGEST_JOB_BODY))
+        .fallback(async || ApiError::new(ErrorKind::UnknownPath, "use /q/QUEUE or /v1/jobs"))
+        .with_state(shared)
+}
+
+async fn request_root(
+    state: State<Arc<Shared>>,
+    Path(queue): Path<String>,
+    req: Request,
+) -> Reply<Response> {
+    request(state, Path((queue, String::new())), req).await
+}
+
+async fn request(
+    State(shared): State<Arc<Shared>>,
+    Path((queue, path)): Path<(String, String)>,
+    req: Request,
+) -> Reply<Response> {
+    let queue = QueueName::from(queue);
+    let policy = queue_policy(&shared, &queue)?;
+    if policy.kind != JobKind::Request {
+        let message = format!("{queue} takes jobs; POST them to /v1/jobs");
+        return Err(ApiError::new(ErrorKind::WrongKind, message));
+    }
+    let (parts, body) = req.into_parts();
+    let team = team(&shared, &parts.headers, Some(&policy))?;
+    let declared = header(&parts.headers, "content-length")?;
+    if declared.is_some_and(|l| l.parse().is_ok_and(|l: u64| l > LARGEST_BODY)) {
+        let message = format!("the body may have {LARGEST_BODY} bytes");
+        return Err(ApiError::new(ErrorKind::BodyTooLarge, message));
+    }
+    let wait_ms = deadline(&parts.headers)?.unwrap_or(policy.deadline_ms);
+    let key = idempotency_key(&parts.headers, &team)?;
+    let path = match parts.uri.query() {
+        Some(query) => format!("{path}?{query}"),
+        None => path,
+    };
+    let forward = Forward {
+        shared,
+        queue,
+        team,
+        policy,
+        wait_ms,
+        key,
+        parts,
+        path,
+    };
+    forward.run(body).await.map(|resp| resp.map(Body::new))
+}
+
+fn queue_policy(shared: &Shared, queue: &QueueName) -> Reply<QueuePolicy> {
+    let config = shared.config();
+    if config.revision == 0 {
+        let mut e = ApiError::new(ErrorKind::Isolated, "the node has no configuration yet");
+        e.retry_after_ms = Some(1_000);
+        return Err(e);
+    }
+    config.document.queues.get(queue).cloned().ok_or_else(|| {
+        let names: Vec<&str> = config
+            .document
+            .queues
+            .keys()
+            .map(QueueName::as_str)
+            .collect();
+        let message = format!("no queue {queue}; there are: {}", names.join(", "));
+        ApiError::new(ErrorKind::UnknownQueue, message)
+    })
+}
+
+fn header<'a>(headers: &'a HeaderMap, name: &str) -> Reply<Option<&'a str>> {
+    let value = headers.get(name).map(|v| v.to_str());
+    value.transpose().map_err(|_| {
+        ApiError::new(
+            ErrorKind::BadHeader,
+            format!("header {name} is not plain text"),
+        )
+    })
+}
+
+/// Returns the team of the key that came with a call, or of the open queue.
+fn team(shared: &Shared, headers: &HeaderMap, policy: Option<&QueuePolicy>) -> Reply<TeamName> {
+    let Some(value) = header(headers, "authorization")? else {
+        let open = policy.and_then(|p| p.open_to_all.clone());
+        return open.ok_or_else(|| {
+            let message = "send `Authorization: Bearer KEY` with the team's key";
+            ApiError::new(ErrorKind::KeyMissing, message)
+        });
+    };
+    let key = value.strip_prefix("Bearer ").unwrap_or(value);
+    shared.team_of(key).ok_or_else(|| {
+        let message = "the key is unknown or withdrawn; ask an operator for a new one";
+        ApiError::new(ErrorKind::KeyUnknown, message)
+    })
+}
+
+fn deadline(headers: &HeaderMap) -> Reply<Option<Millis>> {
+    let Some(value) = header(headers, "x-deadline-ms")? else {
+        return Ok(None);
+    };
+    let parsed = value.parse().ok();
+    let valid = parsed.filter(|ms| (1..=LONGEST_DEADLINE_MS).contains(ms));
+    valid.map(Some).ok_or_else(|| {
+        let message = "x-deadline-ms must be a whole number from 1 to 600000";
+        ApiError::new(ErrorKind::BadHeader, message)
+    })
+}
+
+fn idempotency_key(headers: &HeaderMap, team: &TeamName) -> Reply<Option<TaskId>> {
+    let Some(key) = header(headers, "idempotency-key")? else {
+        return Ok(None);
+    };
+    let good = (1..=LONGEST_KEY).contains(&key.len()) && key.chars().all(|c| c.is_ascii_graphic());
+    if !good {
+        let message = "idempotency-key must be 1 to 200 printable characters without spaces";
+        return Err(ApiError::new(ErrorKind::BadHeader, message));
+    }
+    let digest = crate::conf::digest(&format!("{team}/{key}"));
+    Ok(Some(TaskId(digest)))
+}
+
+async fn call(shared: &Shared, call: JobCall) -> JobReply {
+    let (_, mut rx) = shared.core.ask(|reply| Event::Job { reply, call });
+    match rx.recv().await {
+        Some(CoreReply::Job(reply)) => reply,
+        _ => JobReply::NoAnswer,
+    }
+}
+
+/// Turns a reply that is no success into an error.
+fn refused(reply: &JobReply) -> ApiError {
+    match reply {
+        JobReply::Refused(reason) => {
+            let ms = if *reason == RefuseReason::StoreDown {
+                RETRY_MS
+            } else {
+                1_000
+            };
+            ApiError::refused(*reason, ms)
+        }
+        JobReply::NotFound => ApiError::new(ErrorKind::UnknownJob, "no such job of this team"),
+        _ => {
+            let message = "no answer came; read the job, or submit it again under the same id";
+            let mut e = ApiError::new(ErrorKind::OutcomeUnknown, message);
+            e.retry_after_ms = Some(RETRY_MS);
+            e
+        }
+    }
+}
+
+async fn submit(
+    State(shared): State<Arc<Shared>>,
+    headers: HeaderMap,
+    body: Result<Json<SubmitBody>, axum::extract::rejection::JsonRejection>,
+) -> Reply<Json<JobSummary>> {
+    let Json(body) = body.map_err(|e| ApiError::new(ErrorKind::BadBody, e.body_text()))?;
+    let policy = queue_policy(&shared, &body.queue)?;
+    let team = team(&shared, &headers, Some(&policy))?;
+    if shared.stopping.load(Ordering::Relaxed) {
+        return Err(ApiError::refused(RefuseReason::Stopping, 1_000));
+    }
+    if policy.kind == JobKind::Request {
+        let message = format!("{} takes requests; send them to /q/{0}", body.queue);
+        return Err(ApiError::new(ErrorKind::WrongKind, message));
+    }
+    if !(1..=MOST_TASKS).contains(&body.tasks) {
+        let message = format!("`tasks` must be from 1 to {MOST_TASKS}");
+        return Err(ApiError::new(ErrorKind::NoTasks, message));
+    }
+    let id = match idempotency_key(&headers, &team)? {
+        Some(key) => JobId::from(&key.as_str()[..32]),
+        None => JobId::from(format!("{:032x}", rand::random::<u128>())),
+    };
+    let mut spec = policy.job_spec(body.queue.clone(), body.tasks, Arc::from(body.label));
+    spec.run_ms = body.run_ms.unwrap_or(spec.run_ms);
+    let submit = JobCall::Submit {
+        id: id.clone(),
+        team: team.clone(),
+        spec,
+    };
+    match call(&shared, submit).await {
+        JobReply::Accepted { id } => {
+            match call(
+                &shared,
+                JobCall::Get {
+                    id: id.clone(),
+                    team,
+                },
+            )
+            .await
+            {
+                JobReply::Job(job) => Ok(Json(job)),
+                other => Err(refused(&other)),
+            }
+        }
+        other => {
+            let mut e = refused(&other);
+            if e.kind == ErrorKind::OutcomeUnknown {
+                e.message = format!("no answer came; read job {id} to learn its state");
+            }
+            Err(e)
+        }
+    }
+}
+
+async fn read(
+    State(shared): State<Arc<Shared>>,
+    Path(id): Path<String>,
+    Query(query): Query<WaitQuery>,
+    headers: HeaderMap,
+) -> Reply<Json<JobSummary>> {
+    let team = team(&shared, &headers, None)?;
+    let wait = Duration::from_millis(query.wait_ms.min(LONGEST_WAIT_MS));
+    let until = Instant::now() + wait;
+    loop {
+        let get = JobCall::Get {
+            id: JobId::from(id.as_str()),
+            team: team.clone(),
+        };
+        match call(&shared, get).await {
+            JobReply::Job(job) if job.state.ended() || Instant::now() >= until => {
+                return Ok(Json(job));
+            }
+            JobReply::Job(_) => {}
+            other => return Err(refused(&other)),
+        }
+        tokio::time::sleep(Duration::from_millis(WAIT_POLL_MS)).await;
+    }
+}
+
+async fn cancel(
+    State(shared): State<Arc<Shared>>,
+    Path(id): Path<String>,
+    headers: HeaderMap,
+) -> Reply<Json<JobSummary>> {
+    let team = team(&shared, &headers, None)?;
+    let id = JobId::from(id);
+    match call(&shared, JobCall::Cancel { id, team }).await {
+        JobReply::Job(job) => Ok(Json(job)),
+        other => Err(refused(&other)),
+    }
+}
+
+async fn list(
+    State(shared): State<Arc<Shared>>,
+    Query(query): Query<LabelQuery>,
+    headers: HeaderMap,
+) -> Reply<Json<Vec<JobSummary>>> {
+    let team = team(&shared, &headers, None)?;
+    all_shards(&shared, &team, query.label, false).await
+}
+
+async fn cancel_label(
+    State(shared): State<Arc<Shared>>,
+    Query(query): Query<LabelQuery>,
+    headers: HeaderMap,
+) -> Reply<Json<Vec<JobSummary>>> {
+    let team = team(&shared, &headers, None)?;
+    if query.label.is_none() {
+        let message = "name the jobs with ?label=LABEL";
+        return Err(ApiError::new(ErrorKind::BadBody, message));
+    }
+    all_shards(&shared, &team, query.label, true).await
+}
+
+/// Asks the homes of all shards for a team's jobs.
+async fn all_shards(
+    shared: &Arc<Shared>,
+    team: &TeamName,
+    label: Option<String>,
+    cancel: bool,
+) -> Reply<Json<Vec<JobSummary>>> {
+    let label: Option<Arc<str>> = label.map(Arc::from);
+    let shards: BTreeSet<ShardId> = ShardId::all().collect();
+    let calls = shards.into_iter().map(|shard| {
+        let list = JobCall::List {
+            shard,
+            team: team.clone(),
+            label: label.clone(),
+            cancel,
+        };
+        call(shared, list)
+    });
+    let mut jobs = Vec::new();
+    for reply in futures_util::future::join_all(calls).await {
+        match reply {
+            JobReply::Jobs(mut some) => jobs.append(&mut some),
+            other => return Err(refused(&other)),
+        }
+    }
+    Ok(Json(jobs))
+}
--- /dev/null
+++ b/src/app/metrics.rs
@@ -0,0 +1,59 @@
+//! The node's figures in the usual text format of metrics.
+
+use {
+    crate::{
+        app::{Meter, Spent, report_histogram},
+        core::{Millis, NodeView},
+    },
+    std::{fmt::Write, sync::atomic::Ordering},
+};
+
+/// Writes all figures.
+pub fn text(view: &NodeView, meter: &Meter, now: Millis) -> String {
+    let mut text = String::new();
+    let gauges = [
+        ("config_revision", view.config_revision),
+        ("table_revision", view.table_revision),
+        ("owned_shards", view.owned_shards as u64),
+        ("fenced_shards", view.fenced_shards as u64),
+        ("workers", view.workers as u64),
+        ("open_workers", view.open_workers as u64),
+        ("hosted_tasks", view.hosted_tasks as u64),
+        ("waiting_asks", view.waiting_asks as u64),
+        ("pending_requests", view.pending_requests as u64),
+        ("jobs", view.jobs as u64),
+        ("store_ok", u64::from(view.store_ok)),
+        (
+            "invariants_broken",
+            meter.invariants.load(Ordering::Relaxed),
+        ),
+    ];
+    for (name, value) in gauges {
+        let _ = writeln!(text, "# TYPE dragonflyferry_{name} gauge");
+        let _ = writeln!(text, "dragonflyferry_{name} {value}");
+    }
+    let _ = writeln!(text, "# TYPE dragonflyferry_requests_total counter");
+    for series in meter.dump(now).series {
+        let labels = format!("queue=\"{}\",team=\"{}\"", series.queue, series.team);
+        let mut spent = Spent::default();
+        let total: u64 = series.periods.iter().map(|p| p.total).sum();
+        for period in &series.periods {
+            spent.add(&period.spent);
+        }
+        let _ = writeln!(text, "dragonflyferry_requests_total{{{labels}}} {total}");
+        let _ = writeln!(
+            text,
+            "dragonflyferry_requests_bad{{{labels}}} {}",
+            spent.bad()
+        );
+        let waits = report_histogram(&series.waits);
+        for quantile in [0.5, 0.99] {
+            let value = waits.value_at_quantile(quantile);
+            let _ = writeln!(
+                text,
+                "dragonflyferry_wait_ms{{{labels},quantile=\"{quantile}\"}} {value}"
+            );
+        }
+    }
+    text
+}
--- a/src/conf/document.rs
+++ b/src/conf/document.rs
@@ -46,7 +46,7 @@
     #[serde(default)]
     pub priority: Priority,
     /// The team that work without a key runs for; absent where a key is needed.
-    #[serde(default, skip_serializing_if = "Option::is_none")]
+    #[serde(default)]
     pub open_to_all: Option<TeamName>,
     /// The work may run more than once.
     #[serde(default)]
@@ -62,7 +62,7 @@
     pub retries: u32,
     #[serde(default)]
     pub placement: Placement,
-    #[serde(default, skip_serializing_if = "Option::is_none")]
+    #[serde(default)]
     pub objective: Option<Objective>,
 }
 
--- a/src/core/event.rs
+++ b/src/core/event.rs
@@ -27,6 +27,8 @@
     Answered(u16),
     /// The worker refused it or could not be reached: it did not run.
     NotRun,
+    /// The caller left, or the entry node gave up, while no worker had the request.
+    GivenUp,
     /// The connection broke after the request may have been acted on.
     Unknown,
 }
--- a/src/core/node.rs
+++ b/src/core/node.rs
@@ -9,7 +9,7 @@
         VmRecord, WaitQueue, WorkerBook, WorkerId, wait_queue::refusal,
     },
     rand::{Rng, SeedableRng, rngs::SmallRng},
-    serde::Serialize,
+    serde::{Deserialize, Serialize},
     std::{
         collections::{BTreeMap, BTreeSet},
         sync::Arc,
@@ -104,7 +104,8 @@
 }
 
 /// Counts of a node, for operators and tests.
-#[derive(Clone, Debug, Default, Serialize)]
+#[derive(Clone, Debug, Default, Deserialize, Serialize)]
+#[allow(clippy::struct_excessive_bools)]
 pub struct NodeView {
     pub table_revision: u64,
     pub config_revision: u64,
@@ -369,14 +370,7 @@
                 version,
                 amount,
             } => {
-                self.token_allow(
-                    from,
-                    team,
-                    (shard, epoch),
-                    home_epoch,
-                    (version, amount),
-                    out,
-                );
+                self.token_allow(&team, (shard, epoch), home_epoch, (version, amount), out);
             }
             Message::TokenStand {
                 epoch,
--- a/src/core/node_requests.rs
+++ b/src/core/node_requests.rs
@@ -292,18 +292,26 @@
         let task = request.task.take();
         let owner = request.owner.clone();
         let granted = request.granted.take();
-        if let (Some(task), Some(owner), Some((shard, _, _))) = (task, owner, granted) {
+        if let (Some(task), Some(owner)) = (task, owner) {
+            let shard = granted.map(|(shard, _, _)| shard);
             self.requests.by_task.remove(&task);
-            self.give_back(&owner, &task, Some(shard), finished, now, out);
+            self.give_back(&owner, &task, shard, finished, now, out);
         }
         if outcome == RequestOutcome::NotRun {
             self.attempt(reply, now, out);
             return;
         }
-        if let Some(request) = self.requests.requests.remove(&reply)
-            && let RequestOutcome::Answered(status) = outcome
-        {
-            self.settle_claim(&request.ask, request.claim, Some(status), now, out);
+        let Some(request) = self.requests.requests.remove(&reply) else {
+            return;
+        };
+        match outcome {
+            RequestOutcome::Answered(status) => {
+                self.settle_claim(&request.ask, request.claim, Some(status), now, out);
+            }
+            RequestOutcome::GivenUp => {
+                self.settle_claim(&request.ask, request.claim, None, now, out);
+            }
+            RequestOutcome::NotRun | RequestOutcome::Unknown => {}
         }
     }
 
--- a/src/dragonflyferryd.rs
+++ b/src/dragonflyferryd.rs
@@ -1,1 +1,97 @@
-fn main() {}
+//! The daemon that every entry VM runs.
+
+use {
+    dragonflyferry::{
+        app::{Daemon, logger},
+        conf::Settings,
+        core::Tuning,
+    },
+    std::{path::PathBuf, process::ExitCode},
+    tokio::signal::unix::{SignalKind, signal},
+};
+
+const HELP: &str = "\
+dragonflyferryd - the daemon of the cluster scheduler
+
+Usage: dragonflyferryd --settings FILE [--check-settings]
+
+Options:
+  --settings FILE    settings of this VM, in YAML
+  --check-settings   check the settings and exit
+  -h, --help         print this help
+  -V, --version      print the version
+
+Example: dragonflyferryd --settings /etc/dragonflyferry/settings.yaml
+
+SIGTERM stops gracefully; a second SIGTERM stops at once.
+Exit codes: 0 stopped, 1 failed, 2 wrong arguments, 3 settings refused.
+";
+
+/// Exit codes of the daemon.
+const EXIT_FAILED: u8 = 1;
+const EXIT_USAGE: u8 = 2;
+const EXIT_SETTINGS: u8 = 3;
+
+#[tokio::main]
+async fn main() -> ExitCode {
+    let mut args = pico_args::Arguments::from_env();
+    if args.contains(["-h", "--help"]) {
+        print!("{HELP}");
+        return ExitCode::SUCCESS;
+    }
+    if args.contains(["-V", "--version"]) {
+        println!("dragonflyferryd {}", env!("CARGO_PKG_VERSION"));
+        return ExitCode::SUCCESS;
+    }
+    let check = args.contains("--check-settings");
+    let path: Result<PathBuf, _> = args.value_from_str("--settings");
+    let Ok(path) = path else {
+        eprintln!("E4001 name the settings: dragonflyferryd --settings FILE");
+        return ExitCode::from(EXIT_USAGE);
+    };
+    match Settings::read(&path) {
+        Ok(_) if check => {
+            println!("settings are good");
+            ExitCode::SUCCESS
+        }
+        Ok(settings) => run(settings).await,
+        Err(e) => {
+            eprintln!("{e}");
+            ExitCode::from(EXIT_SETTINGS)
+        }
+    }
+}
+
+async fn run(settings: Settings) -> ExitCode {
+    let log = logger(settings.log_json, &settings.name);
+    let signals = (
+        signal(SignalKind::terminate()),
+        signal(SignalKind::interrupt()),
+    );
+    let (Ok(mut term), Ok(mut interrupt)) = signals else {
+        eprintln!("E4002 cannot listen for signals");
+        return ExitCode::from(EXIT_FAILED);
+    };
+    let daemon = match Daemon::start(settings, Tuning::default(), log).await {
+        Ok(daemon) => daemon,
+        Err(e) => {
+            eprintln!("{e}");
+            return ExitCode::from(EXIT_FAILED);
+        }
+    };
+    println!(
+        "callers={} admin={} peers={}",
+        daemon.addresses.callers, daemon.addresses.admin, daemon.addresses.peers
+    );
+    tokio::select! {
+        _ = term.recv() => {}
+        _ = interrupt.recv() => {}
+        () = daemon.drained() => return ExitCode::SUCCESS,
+    }
+    tokio::select! {
+        () = daemon.stop() => {}
+        _ = term.recv() => {}
+        _ = interrupt.recv() => {}
+    }
+    ExitCode::SUCCESS
+}
--- /dev/null
+++ b/standins/src/main.rs
@@ -0,0 +1,56 @@
+//! Serves the stand-ins in a process of their own: `standin league|onboarding`.
+//!
+//! Prints one line of JSON with the addresses when all listen.
+
+use {
+    dragonflyferry::core::{Config, StoreOp, VmRecord},
+    standins::{
+        sample,
+        server::{PlatformServer, WorkerServer},
+    },
+    std::sync::Arc,
+};
+
+#[tokio::main]
+async fn main() -> std::io::Result<()> {
+    let mut args = pico_args::Arguments::from_env();
+    let count: usize = args
+        .opt_value_from_str("--workers")
+        .unwrap_or(None)
+        .unwrap_or(48);
+    let platform = PlatformServer::default();
+    let records: Vec<VmRecord> = sample::league_workers().into_iter().take(count).collect();
+    let mut listed = Vec::new();
+    for record in records {
+        let (_, record) = WorkerServer::start(record).await?;
+        listed.push(record);
+    }
+    *platform
+        .vms
+        .lock()
+        .unwrap_or_else(std::sync::PoisonError::into_inner) = listed.clone();
+    write_config(&platform);
+    let address = platform.start().await?;
+    let workers: Vec<&str> = listed.iter().map(|r| &*r.address).collect();
+    println!(
+        "{}",
+        serde_json::json!({ "platform": address, "workers": workers })
+    );
+    std::future::pending().await
+}
+
+fn write_config(platform: &PlatformServer) {
+    let teams = [("laurentide", 3, 60), ("bromont", 1, 20), ("public", 1, 10)];
+    let config: Config = sample::config(sample::league_document(), &teams);
+    let op = StoreOp::Cas {
+        key: "cluster/config".to_owned(),
+        expect: 0,
+        value: Arc::from(serde_json::to_string(&config).unwrap_or_default()),
+        lease: None,
+    };
+    let mut store = platform
+        .store
+        .lock()
+        .unwrap_or_else(std::sync::PoisonError::into_inner);
+    store.apply(&op, 0);
+}
