Seeded chaos runs of six cores

Cause: the promises had no test under failure. Change: standins::chaos drives a Fleet through kills, pauses, cuts from store and peers, store outages with lost answers, lost and cut workers, cancellations, lost, repeated and reordered messages; limits, capacity, single running, single starts of work that is not idempotent and truth of refusals are checked at every millisecond against the workers' own records, and every accepted job must end after recovery.

--- a/examples/trial.rs
+++ b/examples/trial.rs
@@ -150,7 +150,11 @@
         let mut fenced = 0;
         let mut open = 0;
         for daemon in daemons {
-            let look = daemon.shared().core.look(|node, now| node.view(now)).await;
+            let look = daemon
+                .shared()
+                .core
+                .look(dragonflyferry::core::Node::view)
+                .await;
             let view = look.ok_or("a core ended")?;
             fenced += view.fenced_shards;
             open += view.open_workers;
--- a/standins/src/lib.rs
+++ b/standins/src/lib.rs
@@ -3,6 +3,7 @@
 //! The models hold the behaviour; `server` puts them behind HTTP, and `fleet` joins
 //! several cores with them in one thread under a seeded schedule of failures.
 
+pub mod chaos;
 pub mod fleet;
 pub mod sample;
 pub mod server;
--- a/standins/src/main.rs
+++ b/standins/src/main.rs
@@ -25,10 +25,11 @@
         let (_, record) = WorkerServer::start(record).await?;
         listed.push(record);
     }
-    *platform
+    platform
         .vms
         .lock()
-        .unwrap_or_else(std::sync::PoisonError::into_inner) = listed.clone();
+        .unwrap_or_else(std::sync::PoisonError::into_inner)
+        .clone_from(&listed);
     write_config(&platform);
     let address = platform.start().await?;
     let workers: Vec<&str> = listed.iter().map(|r| &*r.address).collect();
--- /dev/null
+++ b/tests/chaos.rs
@@ -0,0 +1,40 @@
+//! Long seeded runs of six cores with failures, with every promise checked at every step.
+
+use standins::chaos::{Chaos, Plan};
+
+/// Runs one seed; `CHAOS_SEEDS` of the environment replaces the seeds of CI.
+fn run(seed: u64, plan: Plan) {
+    let mut chaos = Chaos::new(seed, plan);
+    chaos.run();
+    println!("seed {seed}: {:?}", chaos.acts);
+    let violations = &chaos.fleet.violations;
+    assert!(violations.is_empty(), "seed {seed}: {violations:#?}");
+}
+
+fn seeds(first: u64, count: u64) -> std::ops::Range<u64> {
+    let set = std::env::var("CHAOS_SEEDS").ok();
+    let count = set.and_then(|s| s.parse().ok()).unwrap_or(count);
+    first..first + count
+}
+
+#[test]
+fn no_failures() {
+    let none = Plan {
+        kills: false,
+        pauses: false,
+        cuts: false,
+        outages: false,
+        worker_losses: false,
+        ..Plan::ALL
+    };
+    for seed in seeds(100, 1) {
+        run(seed, none);
+    }
+}
+
+#[test]
+fn everything_at_once() {
+    for seed in seeds(1, 3) {
+        run(seed, Plan::ALL);
+    }
+}
