Operators' client, burn report, process tests; end of an answer told from its bytes

Cause: operators had no client, and tests with separate processes showed that every answer with a Content-Length was noted as unknown: the server drops a body of known length without asking for its end, so the guard saw a caller who had left. The task was then stopped instead of released and a used idempotency key stayed unknown. Ruled out: a lost Settle call (the home had noted none at all). Change: the relay counts the bytes of the answer and ends with the last one; HEAD, 204 and 304 end at the head. Client with team, key, check, diff, try, apply, promote, history, nodes, workers, jobs, top, why, report burn, drain. Settings no longer refuse two addresses with port 0.

--- a/src/app/admin_api.rs
+++ b/src/app/admin_api.rs
@@ -8,9 +8,9 @@
         },
         conf::Document,
         core::{
-            AdminCall, AdminReply, Config, ConfigChange, Event, JobId, JobSummary, Millis, NodeId,
-            NodeRecord, NodeView, PoolName, RackName, Resources, TaskStage, WorkerId, WorkerState,
-            ZoneName, summary,
+            AdminCall, AdminReply, Config, ConfigChange, Event, JobId, JobSummary, Millis, Node,
+            NodeId, NodeRecord, NodeView, PoolName, RackName, Resources, TaskStage, WorkerId,
+            WorkerState, ZoneName, summary,
         },
     },
     axum::{
@@ -266,10 +266,10 @@
     Ok(Json(crate::conf::diff(&current.document, &document)))
 }
 
-async fn drain(State(shared): Shares) -> &'static str {
+async fn drain(State(shared): Shares) -> Json<&'static str> {
     shared.stopping.store(true, Ordering::Relaxed);
     shared.core.send(Event::Stop);
-    "draining\n"
+    Json("draining")
 }
 
 async fn meter(State(shared): Shares) -> Json<MeterDump> {
@@ -277,7 +277,7 @@
 }
 
 async fn ready(State(shared): Shares) -> Response {
-    let look = shared.core.look(|node, now| node.view(now)).await;
+    let look = shared.core.look(Node::view).await;
     let ready = look.is_some_and(|v| v.fresh && !v.leaving && v.config_revision > 0);
     let stopping = shared.stopping.load(Ordering::Relaxed);
     if ready && !stopping {
@@ -288,7 +288,7 @@
 }
 
 async fn metrics_text(State(shared): Shares) -> Reply<String> {
-    let view = shared.core.look(|node, now| node.view(now)).await;
+    let view = shared.core.look(Node::view).await;
     let view = view.ok_or_else(stopped)?;
     Ok(metrics::text(&view, &shared.meter, shared.now()))
 }
--- a/src/app/forward.rs
+++ b/src/app/forward.rs
@@ -15,8 +15,8 @@
         net::{HttpClient, SendError},
     },
     axum::{
-        body::Body,
-        http::{HeaderMap, HeaderName, Request, Response, StatusCode, request::Parts},
+        body::{Body, BodyDataStream},
+        http::{HeaderMap, HeaderName, Method, Request, Response, StatusCode, request::Parts},
     },
     bytes::Bytes,
     futures_util::StreamExt,
@@ -223,7 +223,7 @@
     }
 }
 
-/// Streams a worker's answer to the caller; the guard ends with the stream.
+/// Streams a worker's answer to the caller; the guard ends with its last byte.
 fn stream_back(
     resp: Response<Body>,
     guard: EndGuard,
@@ -233,28 +233,79 @@
     for name in HOP_HEADERS {
         parts.headers.remove(name);
     }
-    let status = parts.status;
-    let chunks = futures_util::stream::unfold(
-        (body.into_data_stream(), Some(guard), permit),
-        move |(mut chunks, mut guard, permit)| async move {
-            match chunks.next().await {
-                Some(Ok(chunk)) => Some((Ok(chunk), (chunks, guard, permit))),
-                Some(Err(e)) => {
-                    if let Some(mut guard) = guard.take() {
-                        guard.unknown();
-                    }
-                    Some((Err(e), (chunks, guard, permit)))
+    let relay = Relay {
+        left: bytes_to_come(&parts, &guard),
+        status: parts.status,
+        chunks: body.into_data_stream(),
+        guard: Some(guard),
+        _permit: permit,
+    };
+    let chunks = futures_util::stream::unfold(relay.checked(), async |mut relay| {
+        let chunk = relay.next().await?;
+        Some((chunk, relay))
+    });
+    Response::from_parts(parts, Body::from_stream(chunks))
+}
+
+/// Returns how long an answer's body is, if its head says so.
+fn bytes_to_come(parts: &hyper::http::response::Parts, guard: &EndGuard) -> Option<u64> {
+    let empty = guard.head
+        || parts.status == StatusCode::NO_CONTENT
+        || parts.status == StatusCode::NOT_MODIFIED;
+    let length = parts.headers.get("content-length");
+    let length = length.and_then(|v| v.to_str().ok()?.parse().ok());
+    if empty { Some(0) } else { length }
+}
+
+/// Passes the body of an answer on.
+///
+/// The server drops a body of known length without asking for its end, so the end is
+/// told from the count of bytes.
+struct Relay {
+    chunks: BodyDataStream,
+    left: Option<u64>,
+    status: StatusCode,
+    /// Taken when the answer has ended.
+    guard: Option<EndGuard>,
+    _permit: OwnedSemaphorePermit,
+}
+
+impl Relay {
+    /// Ends an answer that has no body.
+    fn checked(mut self) -> Self {
+        if self.left == Some(0) {
+            self.end();
+        }
+        self
+    }
+
+    fn end(&mut self) {
+        if let Some(mut guard) = self.guard.take() {
+            guard.answered(self.status);
+        }
+    }
+
+    async fn next(&mut self) -> Option<Result<Bytes, axum::Error>> {
+        let Some(chunk) = self.chunks.next().await else {
+            self.end();
+            return None;
+        };
+        match &chunk {
+            Ok(bytes) => {
+                let left = self.left.map(|l| l.saturating_sub(bytes.len() as u64));
+                self.left = left;
+                if left == Some(0) {
+                    self.end();
                 }
-                None => {
-                    if let Some(mut guard) = guard.take() {
-                        guard.answered(status);
-                    }
-                    None
+            }
+            Err(_) => {
+                if let Some(mut guard) = self.guard.take() {
+                    guard.unknown();
                 }
             }
-        },
-    );
-    Response::from_parts(parts, Body::from_stream(chunks))
+        }
+        Some(chunk)
+    }
 }
 
 /// Tells the core and the meter exactly once how a request ended, also when it is dropped.
@@ -267,6 +318,8 @@
     began: Millis,
     granted_at: Option<Millis>,
     attempts: u32,
+    /// The answer has no body, whatever its length says.
+    head: bool,
     /// The request may have reached a worker that has not turned it down.
     dispatched: bool,
     ended: bool,
@@ -283,6 +336,7 @@
             began: forward.shared.now(),
             granted_at: None,
             attempts: 0,
+            head: forward.parts.method == Method::HEAD,
             dispatched: false,
             ended: false,
         }
--- /dev/null
+++ b/src/cli/changes.rs
@@ -0,0 +1,245 @@
+//! Commands that change teams, keys and documents.
+
+use {
+    crate::{
+        cli::{Args, CliError, Client, ExitKind, OutputFormat, Table},
+        conf::{ConfError, Document, digest},
+        core::{AdminReply, Config, ConfigChange, KeyGrant, TeamLimits, TeamName},
+    },
+    hyper::Method,
+    serde::Serialize,
+    std::sync::Arc,
+};
+
+type Done = Result<ExitKind, CliError>;
+
+/// Prints a value as JSON, or as the text made of it.
+pub fn print<T: Serialize>(output: OutputFormat, value: &T, text: impl FnOnce(&T) -> String) {
+    match output {
+        OutputFormat::Json => println!("{}", serde_json::to_string(value).unwrap_or_default()),
+        OutputFormat::Text => print!("{}", text(value)),
+    }
+}
+
+async fn change(args: &Args, base: Option<u64>, change: ConfigChange) -> Done {
+    let client = Client::new(&args.environment)?;
+    let reply = client.change(base, &args.author, change).await?;
+    print(args.output, &reply, |reply| match reply {
+        AdminReply::Accepted { revision, in_force } => format!(
+            "accepted as revision {revision}; in force on {} nodes so far\n",
+            in_force.len()
+        ),
+        other => format!("{other:?}\n"),
+    });
+    Ok(ExitKind::Done)
+}
+
+/// `team list | set | remove`
+pub async fn team(mut args: Args) -> Done {
+    match args.word("action: list, set or remove")?.as_str() {
+        "list" => {
+            args.finish()?;
+            let config = Client::new(&args.environment)?.config().await?;
+            print(args.output, &config.teams, |teams| {
+                let mut table = Table::new(&["team", "share", "limit"]);
+                for (name, limits) in teams {
+                    table.row(&[name, &limits.share, &limits.limit]);
+                }
+                table.text()
+            });
+            Ok(ExitKind::Done)
+        }
+        "set" => {
+            let limits = TeamLimits {
+                share: args.value("--share")?,
+                limit: args.value("--limit")?,
+            };
+            let team = TeamName::from(args.word("team")?);
+            args.finish()?;
+            change(&args, None, ConfigChange::SetTeam { team, limits }).await
+        }
+        "remove" => {
+            let team = TeamName::from(args.word("team")?);
+            args.finish()?;
+            change(&args, None, ConfigChange::RemoveTeam { team }).await
+        }
+        other => Err(CliError::usage(format!("`team {other}` is not understood"))),
+    }
+}
+
+/// `key list | grant | withdraw`
+pub async fn key(mut args: Args) -> Done {
+    match args.word("action: list, grant or withdraw")?.as_str() {
+        "list" => {
+            args.finish()?;
+            let config = Client::new(&args.environment)?.config().await?;
+            print(args.output, &config.keys, |keys| {
+                let mut table = Table::new(&["digest", "team", "label"]);
+                for (digest, grant) in keys {
+                    table.row(&[&&digest[..16], &grant.team, &grant.label]);
+                }
+                table.text()
+            });
+            Ok(ExitKind::Done)
+        }
+        "grant" => grant_key(args).await,
+        "withdraw" => {
+            let named = args.word("key or the start of its digest")?;
+            args.finish()?;
+            let config = Client::new(&args.environment)?.config().await?;
+            let digest = find_key(&config, &named)?;
+            change(&args, None, ConfigChange::WithdrawKey { digest }).await
+        }
+        other => Err(CliError::usage(format!("`key {other}` is not understood"))),
+    }
+}
+
+async fn grant_key(mut args: Args) -> Done {
+    let label: Option<String> = args.rest.opt_value_from_str("--label")?;
+    let team = TeamName::from(args.word("team")?);
+    args.finish()?;
+    let client = Client::new(&args.environment)?;
+    if !client.config().await?.teams.contains_key(&team) {
+        let message = format!("there is no team {team}; create it with `team set {team}`");
+        return Err(CliError::Refused { message });
+    }
+    let key = format!("dff-{:032x}", rand::random::<u128>());
+    let grant = KeyGrant {
+        team,
+        label: Arc::from(label.unwrap_or_default()),
+    };
+    let granted = ConfigChange::GrantKey {
+        digest: digest(&key),
+        grant,
+    };
+    client.change(None, &args.author, granted).await?;
+    print(args.output, &key, |key| {
+        format!("{key}\nThis key is not shown again.\n")
+    });
+    Ok(ExitKind::Done)
+}
+
+fn find_key(config: &Config, named: &str) -> Result<Arc<str>, CliError> {
+    let whole = digest(named);
+    let mut matching = config
+        .keys
+        .keys()
+        .filter(|d| **d == whole || (named.len() >= 8 && d.starts_with(named)));
+    match (matching.next(), matching.next()) {
+        (Some(digest), None) => Ok(digest.clone()),
+        (None, _) => Err(CliError::usage(
+            "no such key; see `dragonflyferry key list`",
+        )),
+        (Some(_), Some(_)) => Err(CliError::usage(
+            "several keys match; give more of the digest",
+        )),
+    }
+}
+
+fn read_document(args: &mut Args) -> Result<Document, CliError> {
+    let path = args.word("file")?;
+    let text = std::fs::read_to_string(&path).map_err(|source| ConfError::Read { path, source })?;
+    Ok(Document::from_yaml(&text)?)
+}
+
+/// `check FILE`
+pub fn check(mut args: Args) -> Done {
+    let document = read_document(&mut args)?;
+    args.finish()?;
+    print(args.output, &document.queues.len(), |n| {
+        format!("the document is good: {n} queues\n")
+    });
+    Ok(ExitKind::Done)
+}
+
+fn print_lines(args: &Args, lines: &Vec<String>) {
+    print(args.output, lines, |lines| {
+        if lines.is_empty() {
+            return "no difference\n".to_owned();
+        }
+        lines.join("\n") + "\n"
+    });
+}
+
+/// `diff FILE`
+pub async fn diff(mut args: Args) -> Done {
+    let document = read_document(&mut args)?;
+    args.finish()?;
+    let config = Client::new(&args.environment)?.config().await?;
+    print_lines(&args, &crate::conf::diff(&config.document, &document));
+    Ok(ExitKind::Done)
+}
+
+/// `try FILE`
+pub async fn try_document(mut args: Args) -> Done {
+    let document = read_document(&mut args)?;
+    args.finish()?;
+    let client = Client::new(&args.environment)?;
+    let lines: Vec<String> = client
+        .any(Method::POST, "/admin/try", Some(&document))
+        .await?;
+    print_lines(&args, &lines);
+    Ok(ExitKind::Done)
+}
+
+/// `apply FILE`
+pub async fn apply(mut args: Args) -> Done {
+    let base: Option<u64> = args.rest.opt_value_from_str("--base")?;
+    let document = Box::new(read_document(&mut args)?);
+    args.finish()?;
+    let base = match base {
+        Some(base) => base,
+        None => Client::new(&args.environment)?.config().await?.revision,
+    };
+    change(&args, Some(base), ConfigChange::Apply { document }).await
+}
+
+/// `promote FROM TO`
+pub async fn promote(mut args: Args) -> Done {
+    let from = args.word("environment to promote from")?;
+    let to = args.word("environment to promote to")?;
+    args.finish()?;
+    let named = |name: &str| {
+        let found = args.environments.get(name);
+        found.cloned().ok_or_else(|| {
+            CliError::usage(format!(
+                "no environment {name}; list it in --environments FILE"
+            ))
+        })
+    };
+    let source = Client::new(&named(&from)?)?.config().await?;
+    let target = named(&to)?;
+    let base = Client::new(&target)?.config().await?.revision;
+    let mut document = Document::clone(&source.document);
+    document.environment = Arc::from(to);
+    args.environment = target;
+    let document = Box::new(document);
+    change(&args, Some(base), ConfigChange::Apply { document }).await
+}
+
+/// `history`
+pub async fn history(mut args: Args) -> Done {
+    args.finish()?;
+    let config = Client::new(&args.environment)?.config().await?;
+    print(args.output, &config.history, |notes| {
+        let mut table = Table::new(&["made from", "author", "change"]);
+        for note in notes {
+            table.row(&[&note.base, &note.author, &note.what]);
+        }
+        format!("revision {} is in force\n{}", config.revision, table.text())
+    });
+    Ok(ExitKind::Done)
+}
+
+/// `drain ADDRESS`
+pub async fn drain(mut args: Args) -> Done {
+    let address = args.word("operators' address of the node")?;
+    args.finish()?;
+    args.environment.nodes = vec![address];
+    let client = Client::new(&args.environment)?;
+    let reply: String = client
+        .any(Method::POST, "/admin/drain", None::<&()>)
+        .await?;
+    print(args.output, &reply, |reply| format!("{reply}\n"));
+    Ok(ExitKind::Done)
+}
--- /dev/null
+++ b/src/cli/errors.rs
@@ -0,0 +1,98 @@
+//! Errors and exit codes of the client; the numbers are in docs/ERRORS.md.
+
+use {
+    crate::{conf::ConfError, net::NetError},
+    snafu::Snafu,
+};
+
+/// Exit codes.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum ExitKind {
+    Done = 0,
+    /// A node refused the call.
+    Refused = 1,
+    Usage = 2,
+    /// No node answered.
+    Unreachable = 3,
+    /// A document was refused.
+    Document = 4,
+    /// Another operator's change came first.
+    Conflict = 5,
+    /// Done, but some nodes did not answer.
+    Partial = 6,
+}
+
+/// Why a command failed.
+#[derive(Debug, Snafu)]
+pub enum CliError {
+    #[snafu(display("E4101 {message}; see `dragonflyferry --help`"))]
+    Usage { message: String },
+    #[snafu(display("E4102 no node answered: {message}; check --nodes or DRAGONFLYFERRY_NODES"))]
+    Unreachable { message: String },
+    #[snafu(display("E4103 refused: {message}"))]
+    Refused { message: String },
+    #[snafu(display("{source}"))]
+    Document { source: ConfError },
+    #[snafu(display("E4104 {message}; run `dragonflyferry history`, then try again"))]
+    Conflict { message: String },
+    #[snafu(display("E4105 cannot write {path}: {source}"))]
+    Write {
+        path: String,
+        source: std::io::Error,
+    },
+    #[snafu(display("E4106 no data yet: no node has counted a request; send some work first"))]
+    NoData,
+}
+
+impl CliError {
+    /// Wraps wrong arguments.
+    pub fn usage(message: impl Into<String>) -> Self {
+        Self::Usage {
+            message: message.into(),
+        }
+    }
+
+    /// Returns the exit code.
+    pub fn exit(&self) -> ExitKind {
+        match self {
+            Self::Usage { .. } => ExitKind::Usage,
+            Self::Unreachable { .. } => ExitKind::Unreachable,
+            Self::Refused { .. } | Self::Write { .. } | Self::NoData => ExitKind::Refused,
+            Self::Document { .. } => ExitKind::Document,
+            Self::Conflict { .. } => ExitKind::Conflict,
+        }
+    }
+}
+
+impl From<pico_args::Error> for CliError {
+    fn from(e: pico_args::Error) -> Self {
+        Self::usage(e.to_string())
+    }
+}
+
+impl From<ConfError> for CliError {
+    fn from(source: ConfError) -> Self {
+        Self::Document { source }
+    }
+}
+
+impl From<NetError> for CliError {
+    fn from(e: NetError) -> Self {
+        let NetError::BadAnswer { message, .. } = &e else {
+            return Self::Unreachable {
+                message: e.to_string(),
+            };
+        };
+        match serde_json::from_str::<crate::app::ErrorBody>(message) {
+            Ok(body) if body.code == crate::app::ErrorKind::Conflict.number() => Self::Conflict {
+                message: body.message,
+            },
+            Ok(body) => Self::Refused {
+                message: format!("E{} {}", body.code, body.message),
+            },
+            Err(_) => Self::Refused {
+                message: message.clone(),
+            },
+        }
+    }
+}
--- /dev/null
+++ b/src/cli/table.rs
@@ -0,0 +1,45 @@
+//! Aligned text tables.
+
+/// Rows of text under a heading.
+#[derive(Clone, Debug, Default)]
+pub struct Table {
+    rows: Vec<Vec<String>>,
+}
+
+impl Table {
+    /// Creates a table with a heading.
+    pub fn new(heading: &[&str]) -> Self {
+        Self {
+            rows: vec![heading.iter().map(ToString::to_string).collect()],
+        }
+    }
+
+    /// Adds a row.
+    pub fn row(&mut self, cells: &[&dyn ToString]) {
+        self.rows
+            .push(cells.iter().map(|c| c.to_string()).collect());
+    }
+
+    /// Writes the table with columns two spaces apart.
+    pub fn text(&self) -> String {
+        let columns = self.rows.iter().map(Vec::len).max().unwrap_or(0);
+        let widths: Vec<usize> = (0..columns)
+            .map(|c| {
+                self.rows
+                    .iter()
+                    .filter_map(|r| r.get(c))
+                    .map(String::len)
+                    .max()
+            })
+            .map(Option::unwrap_or_default)
+            .collect();
+        let mut text = String::new();
+        for row in &self.rows {
+            let cells = row.iter().zip(&widths).map(|(c, w)| format!("{c:w$}"));
+            let line: Vec<String> = cells.collect();
+            text.push_str(line.join("  ").trim_end());
+            text.push('\n');
+        }
+        text
+    }
+}
--- a/src/conf/settings.rs
+++ b/src/conf/settings.rs
@@ -82,7 +82,8 @@
                 "is shorter than 16 characters; make a longer one",
             );
         }
-        if self.caller_address == self.admin_address {
+        let chosen = self.caller_address.port() != 0;
+        if chosen && self.caller_address == self.admin_address {
             return fault(
                 "admin_address",
                 "equals `caller_address`; choose another port",
--- a/src/core/config.rs
+++ b/src/core/config.rs
@@ -39,8 +39,23 @@
     /// Grants by the SHA-256 of the key, in hexadecimal.
     pub keys: BTreeMap<Arc<str>, KeyGrant>,
     pub document: Arc<Document>,
+    /// The last changes, oldest first; at most [`HISTORY_KEPT`].
+    #[serde(default)]
+    pub history: Vec<ChangeNote>,
 }
 
+/// A change that was made, for operators.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct ChangeNote {
+    /// The revision that it was made from.
+    pub base: u64,
+    pub author: Arc<str>,
+    pub what: String,
+}
+
+/// Changes that a configuration remembers.
+const HISTORY_KEPT: usize = 50;
+
 /// One change by an operator.
 #[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
 #[serde(rename_all = "snake_case", tag = "change")]
@@ -52,11 +67,42 @@
     Apply { document: Box<Document> },
 }
 
+impl ConfigChange {
+    /// Describes the change in one line.
+    pub fn describe(&self) -> String {
+        match self {
+            Self::SetTeam { team, limits } => {
+                format!(
+                    "team {team}: share {}, limit {}",
+                    limits.share, limits.limit
+                )
+            }
+            Self::RemoveTeam { team } => format!("team {team} removed"),
+            Self::GrantKey { grant, .. } => {
+                format!("key {} granted to {}", grant.label, grant.team)
+            }
+            Self::WithdrawKey { digest } => {
+                format!("key {} withdrawn", &digest[..8.min(digest.len())])
+            }
+            Self::Apply { document } => format!("document of {} applied", document.environment),
+        }
+    }
+}
+
 impl Config {
     /// Returns this configuration with a change applied.
     #[must_use]
-    pub fn with(&self, change: &ConfigChange) -> Self {
+    pub fn with(&self, change: &ConfigChange, author: &Arc<str>) -> Self {
         let mut next = self.clone();
+        next.author = author.clone();
+        next.history.push(ChangeNote {
+            base: self.revision,
+            author: author.clone(),
+            what: change.describe(),
+        });
+        if next.history.len() > HISTORY_KEPT {
+            next.history.remove(0);
+        }
         match change {
             ConfigChange::SetTeam { team, limits } => {
                 next.teams.insert(team.clone(), *limits);
--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -31,7 +31,7 @@
 pub use {
     allowance::{Allowance, TokenKey, TokenStand},
     cluster::{Cluster, NodeRecord, PeerView},
-    config::{AdminCall, AdminReply, Config, ConfigChange, KeyGrant, TeamLimits},
+    config::{AdminCall, AdminReply, ChangeNote, Config, ConfigChange, KeyGrant, TeamLimits},
     effect::{Effect, LogEvent, Out},
     event::{Event, RequestAsk, RequestOutcome, RequestReply},
     health::WorkerHealth,
--- a/src/core/node.rs
+++ b/src/core/node.rs
@@ -589,8 +589,7 @@
             );
             return;
         }
-        let mut config = current.with(&change);
-        config.author = author;
+        let mut config = current.with(&change, &author);
         config.write_id = self.rng.random();
         let call = Cluster::write_config(&config, current.revision, out);
         self.config_calls.insert(
--- a/src/main.rs
+++ b/src/main.rs
@@ -1,1 +1,15 @@
-fn main() {}
+//! The operators' client.
+
+use {dragonflyferry::cli, std::process::ExitCode};
+
+#[tokio::main]
+async fn main() -> ExitCode {
+    let args = pico_args::Arguments::from_env();
+    match cli::run(args).await {
+        Ok(exit) => ExitCode::from(exit as u8),
+        Err(e) => {
+            eprintln!("{e}");
+            ExitCode::from(e.exit() as u8)
+        }
+    }
+}
--- a/standins/src/chaos.rs
+++ b/standins/src/chaos.rs
@@ -16,6 +16,7 @@
 const NODES: usize = 6;
 
 /// What may happen in a run.
+#[allow(clippy::struct_excessive_bools)]
 #[derive(Clone, Copy, Debug)]
 pub struct Plan {
     pub faults: Faults,
@@ -120,8 +121,7 @@
     }
 
     fn team(&mut self) -> TeamName {
-        let name = ["laurentide", "laurentide", "bromont"][self.fleet.draw(3) as usize];
-        TeamName::from(name)
+        TeamName::from(self.fleet.pick(&["laurentide", "laurentide", "bromont"]))
     }
 
     fn load(&mut self) {
@@ -158,8 +158,7 @@
     }
 
     fn submit(&mut self, node: &NodeId) {
-        let queues = ["standings", "tilt-review", "ball-path"];
-        let queue = queues[self.fleet.draw(3) as usize];
+        let queue = self.fleet.pick(&["standings", "tilt-review", "ball-path"]);
         let tasks = 1 + u32::try_from(self.fleet.draw(6)).unwrap_or(0);
         let Some(mut spec) = sample::job_spec(&self.config, queue, tasks) else {
             return;
--- a/standins/src/fleet.rs
+++ b/standins/src/fleet.rs
@@ -185,6 +185,12 @@
         self.rng.random_range(0..n.max(1))
     }
 
+    /// Draws one of `names`; empty if there are none.
+    pub fn pick<'a>(&mut self, names: &[&'a str]) -> &'a str {
+        let n = usize::try_from(self.draw(names.len() as u64)).unwrap_or(0);
+        names.get(n).copied().unwrap_or_default()
+    }
+
     fn chance(&mut self, per_thousand: u64) -> bool {
         per_thousand > 0 && self.draw(1_000) < per_thousand
     }
--- /dev/null
+++ b/standins/tests/models.rs
@@ -0,0 +1,31 @@
+//! The stand-ins themselves.
+
+use {
+    dragonflyferry::core::{StoreAnswer, StoreOp},
+    standins::StoreModel,
+    std::sync::Arc,
+};
+
+#[test]
+fn a_key_under_a_lapsed_lease_is_gone() {
+    let mut store = StoreModel::default();
+    let StoreAnswer::Lease { lease } = store.apply(&StoreOp::Grant { ttl_ms: 100 }, 0) else {
+        panic!("no lease");
+    };
+    let write = StoreOp::Cas {
+        key: "a".to_owned(),
+        expect: 0,
+        value: Arc::from("1"),
+        lease: Some(lease),
+    };
+    assert!(matches!(
+        store.apply(&write, 0),
+        StoreAnswer::Written { .. }
+    ));
+    let read = StoreOp::Get {
+        key: "a".to_owned(),
+        known: 0,
+    };
+    assert!(matches!(store.apply(&read, 99), StoreAnswer::Value { .. }));
+    assert_eq!(store.apply(&read, 100), StoreAnswer::Absent);
+}
--- /dev/null
+++ b/tests/cluster/mod.rs
@@ -0,0 +1,267 @@
+//! A cluster of separate processes: stand-ins and daemons on ports of the system's choice.
+
+use {
+    axum::body::Body,
+    dragonflyferry::{
+        conf::{Settings, SettingsBuilder},
+        core::TaskSpec,
+        net::{HttpClient, Pooling, TlsFiles, make_trial_certificates},
+    },
+    http_body_util::BodyExt,
+    hyper::{Method, Request, Response},
+    serde_json::Value,
+    std::{
+        io::{BufRead, BufReader},
+        net::SocketAddr,
+        path::{Path, PathBuf},
+        process::{Child, Command, Output, Stdio},
+        time::Duration,
+    },
+};
+
+pub const ADMIN_TOKEN: &str = "process-test-token";
+pub const KEY: &str = "key-laurentide";
+const NODES: usize = 3;
+const WORKERS: usize = 10;
+
+/// Tries of a condition before a test gives up, a tenth of a second apart.
+const MOST_TRIES: usize = 1_200;
+
+/// A child process that ends with the test.
+pub struct Process {
+    child: Child,
+    pub line: String,
+}
+
+impl Process {
+    fn start(command: &mut Command) -> Self {
+        let mut child = command
+            .stdout(Stdio::piped())
+            .stderr(Stdio::null())
+            .spawn()
+            .expect("process starts");
+        let stdout = child.stdout.take().expect("standard output");
+        let mut line = String::new();
+        BufReader::new(stdout).read_line(&mut line).expect("a line");
+        Self { child, line }
+    }
+
+    /// Sends a signal by name, such as `STOP`.
+    pub fn signal(&self, name: &str) {
+        let id = self.child.id().to_string();
+        let status = Command::new("kill")
+            .args([&format!("-{name}"), &id])
+            .status();
+        assert!(status.is_ok_and(|s| s.success()));
+    }
+
+    /// Tells whether the process has ended.
+    pub fn ended(&mut self) -> bool {
+        self.child.try_wait().is_ok_and(|s| s.is_some())
+    }
+}
+
+impl Drop for Process {
+    fn drop(&mut self) {
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+    }
+}
+
+/// A daemon process and its addresses.
+pub struct Node {
+    pub process: Process,
+    pub callers: SocketAddr,
+    pub admin: SocketAddr,
+}
+
+/// Stand-ins and daemons.
+pub struct Cluster {
+    pub platform: SocketAddr,
+    pub workers: Vec<SocketAddr>,
+    pub nodes: Vec<Node>,
+    _standin: Process,
+    certificates: Vec<TlsFiles>,
+    folder: PathBuf,
+    booted: usize,
+}
+
+impl Drop for Cluster {
+    fn drop(&mut self) {
+        let _ = std::fs::remove_dir_all(&self.folder);
+    }
+}
+
+fn sibling(name: &str) -> PathBuf {
+    Path::new(env!("CARGO_BIN_EXE_dragonflyferryd")).with_file_name(name)
+}
+
+impl Cluster {
+    /// Starts the processes and waits until every worker is served.
+    pub async fn start(name: &str) -> Self {
+        let mut command = Command::new(sibling("standin"));
+        command.args(["--workers", &WORKERS.to_string()]);
+        let standin = Process::start(&mut command);
+        let addresses: Value = serde_json::from_str(&standin.line).expect("addresses");
+        let address = |v: &Value| v.as_str().and_then(|s| s.parse().ok()).expect("address");
+        let workers = addresses["workers"].as_array().expect("workers");
+        let folder = std::env::temp_dir().join(format!("dff-{name}-{}", std::process::id()));
+        std::fs::create_dir_all(&folder).expect("folder");
+        let mut cluster = Self {
+            platform: address(&addresses["platform"]),
+            workers: workers.iter().map(address).collect(),
+            nodes: Vec::new(),
+            _standin: standin,
+            certificates: make_trial_certificates(16).expect("certificates"),
+            folder,
+            booted: 0,
+        };
+        for _ in 0..NODES {
+            cluster.boot();
+        }
+        cluster.settle().await;
+        cluster
+    }
+
+    /// Starts one more daemon.
+    pub fn boot(&mut self) {
+        let tls = &self.certificates[self.booted];
+        let name = format!("entry-{}", self.booted);
+        let settings: Settings = SettingsBuilder::new(&name, &format!("zone-{}", self.booted % 3))
+            .platform(self.platform, self.platform)
+            .admin_token(ADMIN_TOKEN)
+            .certificate(&tls.authority, &tls.certificate, &tls.key)
+            .build();
+        self.booted += 1;
+        let path = self.folder.join(format!("{name}.yaml"));
+        let text = serde_json::to_string(&settings).expect("settings");
+        std::fs::write(&path, text).expect("settings file");
+        let mut command = Command::new(env!("CARGO_BIN_EXE_dragonflyferryd"));
+        let process = Process::start(command.arg("--settings").arg(&path));
+        let address = |name: &str| {
+            let mut words = process.line.split_whitespace();
+            let word = words.find_map(|w| w.strip_prefix(name)).expect("address");
+            word.parse().expect("address")
+        };
+        self.nodes.push(Node {
+            callers: address("callers="),
+            admin: address("admin="),
+            process,
+        });
+    }
+
+    /// Waits until the running nodes hold all shards and workers.
+    pub async fn settle(&self) {
+        let admins: Vec<SocketAddr> = self.nodes.iter().map(|n| n.admin).collect();
+        until("the cluster settles", async || {
+            let (mut fenced, mut open) = (0, 0);
+            for admin in &admins {
+                let status = admin_get(*admin, "/admin/status").await;
+                fenced += status["view"]["fenced_shards"].as_u64().unwrap_or(0);
+                open += status["view"]["open_workers"].as_u64().unwrap_or(0);
+            }
+            fenced == 64 && open == WORKERS as u64
+        })
+        .await;
+        tokio::time::sleep(Duration::from_millis(1_200)).await;
+    }
+
+    /// Runs the operators' client against the nodes.
+    pub fn client(&self, args: &[&str]) -> Output {
+        let nodes: Vec<String> = self.nodes.iter().map(|n| n.admin.to_string()).collect();
+        Command::new(env!("CARGO_BIN_EXE_dragonflyferry"))
+            .args(["--nodes", &nodes.join(",")])
+            .args(args)
+            .env("DRAGONFLYFERRY_TOKEN", ADMIN_TOKEN)
+            .output()
+            .expect("client runs")
+    }
+
+    /// Lists every task that the workers started, as they recorded it.
+    pub async fn started(&self) -> Vec<TaskSpec> {
+        let mut all = Vec::new();
+        for worker in &self.workers {
+            let (_, text) = get(&format!("http://{worker}/started")).await;
+            all.extend(serde_json::from_str::<Vec<TaskSpec>>(&text).expect("tasks"));
+        }
+        all
+    }
+
+    /// Takes the store down or up.
+    pub async fn store_down(&self, down: bool) {
+        let state = if down { "on" } else { "off" };
+        let url = format!("http://{}/down/{state}", self.platform);
+        let req = Request::post(url).body(Body::empty()).expect("request");
+        send(req).await.expect("platform answers");
+    }
+}
+
+/// Waits for a condition.
+pub async fn until(what: &str, mut condition: impl AsyncFnMut() -> bool) {
+    for _ in 0..MOST_TRIES {
+        if condition().await {
+            return;
+        }
+        tokio::time::sleep(Duration::from_millis(100)).await;
+    }
+    panic!("waited in vain until {what}");
+}
+
+/// Sends a request and returns the answer's head.
+pub async fn send(req: Request<Body>) -> Result<Response<Body>, String> {
+    let client = HttpClient::new(Pooling::Fresh);
+    client.send(req).await.map_err(|e| e.message)
+}
+
+/// Reads a whole answer.
+pub async fn read(resp: Response<Body>) -> (u16, String) {
+    let status = resp.status().as_u16();
+    let body = resp.into_body().collect().await;
+    let bytes = body
+        .map(http_body_util::Collected::to_bytes)
+        .unwrap_or_default();
+    (status, String::from_utf8_lossy(&bytes).into_owned())
+}
+
+pub async fn get(url: &str) -> (u16, String) {
+    let req = Request::get(url).body(Body::empty()).expect("request");
+    match send(req).await {
+        Ok(resp) => read(resp).await,
+        Err(e) => (0, e),
+    }
+}
+
+pub async fn admin_get(admin: SocketAddr, path: &str) -> Value {
+    let req = Request::get(format!("http://{admin}{path}"))
+        .header("authorization", format!("Bearer {ADMIN_TOKEN}"))
+        .body(Body::empty())
+        .expect("request");
+    let call = async {
+        match send(req).await {
+            Ok(resp) => serde_json::from_str(&read(resp).await.1).unwrap_or(Value::Null),
+            Err(_) => Value::Null,
+        }
+    };
+    let limit = Duration::from_secs(2);
+    tokio::time::timeout(limit, call)
+        .await
+        .unwrap_or(Value::Null)
+}
+
+/// Makes a caller's request with a key and further headers.
+pub fn request(
+    method: Method,
+    callers: SocketAddr,
+    path: &str,
+    headers: &[(&str, &str)],
+    body: &str,
+) -> Request<Body> {
+    let mut req = Request::builder()
+        .method(method)
+        .uri(format!("http://{callers}{path}"))
+        .header("authorization", format!("Bearer {KEY}"));
+    for (name, value) in headers {
+        req = req.header(*name, *value);
+    }
+    req.body(Body::from(body.to_owned())).expect("request")
+}
