A gang whose tasks ended partly starts again as a whole or ends

A gang was gathered again only when a run ended badly; if the last run ended well while others waited, or its home moved in between, no task was marked and none was queued as a whole. Ruled out: lost reports (none missing) and workers (all open) by a dump of the home. Change: a gang without marked tasks is gathered again after any end and at load; one that cannot run as a whole any more (a task failed for good, or ran and must not run again) is closed and reported as failed or unknown.

--- a/src/core/job.rs
+++ b/src/core/job.rs
@@ -125,6 +125,15 @@
         }
     }
 
+    /// Cancels the tasks that run nowhere.
+    pub fn close_waiting(&mut self) {
+        for task in &mut self.tasks {
+            if task.stage == TaskStage::Waiting {
+                task.stage = TaskStage::Cancelled;
+            }
+        }
+    }
+
     /// Counts the tasks at a stage.
     pub fn count(&self, stage: TaskStage) -> usize {
         self.tasks.iter().filter(|t| t.stage == stage).count()
--- a/src/core/job_book.rs
+++ b/src/core/job_book.rs
@@ -87,6 +87,12 @@
         lane.insert(key, (job.id.clone(), index));
     }
 
+    /// Tells whether a task of the job waits.
+    pub fn is_waiting(&self, job: &JobRecord) -> bool {
+        let lane = self.waiting.get(&job.team);
+        lane.is_some_and(|lane| lane.values().any(|(id, _)| *id == job.id))
+    }
+
     /// Counts the marked tasks of a team that do not run yet.
     pub fn asked(&self, jobs: &BTreeMap<JobId, JobRecord>, team: &TeamName) -> usize {
         let unplaced = self.soft.values().filter(|s| s.phase != SoftPhase::Running);
--- a/src/core/node_jobs.rs
+++ b/src/core/node_jobs.rs
@@ -57,21 +57,26 @@
         let Some(shard) = self.shards.get_mut(&id) else {
             return;
         };
+        let mut gangs = Vec::new();
         let jobs = std::mem::take(&mut shard.ledger.value.jobs);
         for job in jobs.values().filter(|j| !j.state.ended()) {
             let gang = job.spec.kind == JobKind::Gang;
-            let mut queued = false;
+            if gang {
+                gangs.push(job.id.clone());
+            }
             for (index, task) in job.tasks.iter().enumerate() {
                 if let Some(run) = &task.run {
                     let soft = recovering(job, index, run);
                     shard.jobs.soft.insert(run.id.clone(), soft);
-                } else if task.stage == TaskStage::Waiting && !(gang && queued) {
+                } else if task.stage == TaskStage::Waiting && !gang {
                     shard.jobs.wait(job, index);
-                    queued = true;
                 }
             }
         }
         shard.ledger.value.jobs = jobs;
+        for gang in gangs {
+            self.regather(id, &gang);
+        }
     }
 
     fn answer_waiters(&mut self, id: ShardId, out: &mut Out) {
@@ -571,47 +576,43 @@
         if outcome != Outcome::Done && stage == TaskStage::Waiting {
             self.pause(id, &soft.job, now);
         }
-        if gang && outcome != Outcome::Done && !cancelling {
-            self.regather(id, &soft.job, now, out);
+        if gang && !cancelling {
+            if outcome != Outcome::Done {
+                self.break_gang(id, &soft.job, now, out);
+            }
+            self.regather(id, &soft.job);
         }
         self.finish_job(id, &soft.job);
         change
     }
 
     /// Queues a gang again once none of its tasks is left anywhere.
-    fn regather(&mut self, id: ShardId, job: &JobId, now: Millis, out: &mut Out) {
-        self.break_gang(id, job, now, out);
+    ///
+    /// A gang that cannot run as a whole any more, because a task failed for good or ran
+    /// and must not run again, gets no further runs.
+    fn regather(&mut self, id: ShardId, job: &JobId) {
         let Some(shard) = self.shards.get_mut(&id) else {
             return;
         };
         let Some(record) = shard.ledger.value.jobs.get_mut(job) else {
             return;
         };
-        let gone = record.tasks.iter().all(|t| t.stage != TaskStage::Marked);
-        let hopeless = record
-            .tasks
-            .iter()
-            .any(|t| matches!(t.stage, TaskStage::Failed | TaskStage::Unknown));
-        if !gone {
+        let partly = record.count(TaskStage::Waiting) > 0;
+        if record.count(TaskStage::Marked) > 0 || !partly {
+            return;
+        }
+        let done = record.count(TaskStage::Done) > 0;
+        let ended = record.count(TaskStage::Failed) + record.count(TaskStage::Unknown) > 0;
+        if ended || (done && !record.spec.idempotent) {
+            record.close_waiting();
             return;
         }
         for task in &mut record.tasks {
-            if hopeless && task.stage == TaskStage::Waiting {
-                task.stage = TaskStage::Cancelled;
-            } else if !hopeless {
-                task.stage = TaskStage::Waiting;
-            }
+            task.stage = TaskStage::Waiting;
         }
-        if !hopeless {
-            let record = record.clone();
-            let queued = shard
-                .jobs
-                .waiting
-                .get(&record.team)
-                .is_some_and(|lane| lane.values().any(|(j, _)| j == job));
-            if !queued {
-                shard.jobs.wait(&record, 0);
-            }
+        let record = record.clone();
+        if !shard.jobs.is_waiting(&record) {
+            shard.jobs.wait(&record, 0);
         }
     }
 
@@ -631,7 +632,7 @@
             JobState::Cancelled
         } else if job.count(TaskStage::Unknown) > 0 {
             JobState::Unknown
-        } else if job.count(TaskStage::Failed) > 0 {
+        } else if job.count(TaskStage::Failed) + job.count(TaskStage::Cancelled) > 0 {
             JobState::Failed
         } else {
             JobState::Done
@@ -759,11 +760,7 @@
             return;
         }
         job.state = JobState::Cancelling;
-        for task in &mut job.tasks {
-            if task.stage == TaskStage::Waiting {
-                task.stage = TaskStage::Cancelled;
-            }
-        }
+        job.close_waiting();
         if let Some(lane) = shard.jobs.waiting.get_mut(&job.team) {
             lane.retain(|_, (waiting, _)| waiting != job_id);
         }
--- a/src/core/node_requests.rs
+++ b/src/core/node_requests.rs
@@ -475,11 +475,9 @@
             let claimed = request.claimed;
             if now >= request.deadline {
                 self.give_up(reply, RefuseReason::Deadline, now, out);
-            } else if !claimed {
-                continue;
-            } else if alive {
+            } else if claimed && alive {
                 self.send_request_ask(reply, now, out);
-            } else {
+            } else if claimed {
                 self.ask_another(reply, now, out);
             }
         }
--- a/tests/fleet.rs
+++ b/tests/fleet.rs
@@ -213,8 +213,7 @@
 fn tokens_move_to_another_shard_when_their_team_moves() {
     let (mut fleet, nodes) = start(7);
     let team = TeamName::from("bromont");
-    for round in 0..5 {
-        let node = &nodes[round];
+    for (round, node) in nodes.iter().take(5).enumerate() {
         let before = fleet.answers.len();
         for _ in 0..40 {
             fleet.request(node, ask("score-check", "bromont"));
@@ -316,10 +315,10 @@
 #[test]
 fn two_gangs_that_fit_only_one_at_a_time_both_end() {
     let (mut fleet, nodes) = start(11);
-    for n in 0..4 {
+    for (n, node) in nodes.iter().take(4).enumerate() {
         submit(
             &mut fleet,
-            &nodes[n],
+            node,
             &format!("gang-{n}"),
             "ball-path",
             30,
