State charts of worker, job, task and node as files that the code interprets

Cause: transitions were scattered over assignments. Change: resources/charts/*.yaml, read and checked (every state reached, no ambiguous transition); core moves worker, job, task and node states through them. Conclusion: a transition that the chart lacks leaves the state as it is.

--- a/src/core/job.rs
+++ b/src/core/job.rs
@@ -1,8 +1,9 @@
 //! Durable jobs and their tasks.
 
 use {
-    crate::core::{
-        Epoch, JobId, Millis, Priority, QueueName, Resources, ShardId, TaskId, TeamName,
+    crate::{
+        chart::{self, TaskEvent},
+        core::{Epoch, JobId, Millis, Priority, QueueName, Resources, ShardId, TaskId, TeamName},
     },
     serde::{Deserialize, Serialize},
     std::sync::Arc,
@@ -129,7 +130,7 @@
     pub fn close_waiting(&mut self) {
         for task in &mut self.tasks {
             if task.stage == TaskStage::Waiting {
-                task.stage = TaskStage::Cancelled;
+                chart::task().follow(&mut task.stage, TaskEvent::Cancelled);
             }
         }
     }
--- a/src/core/node.rs
+++ b/src/core/node.rs
@@ -1,12 +1,15 @@
 //! One node: the roles of entry, shard owner, job home and team home in one state machine.
 
 use {
-    crate::core::{
-        AdminCall, AdminReply, Allowance, CallId, Cluster, Config, ConfigChange, Effect, Epoch,
-        Event, HomeState, JobBook, Ledger, LogEvent, Message, Millis, NodeId, NodeRecord, Out,
-        Outcome, RefuseReason, ReplyId, Report, RequestBook, Resources, SHARD_COUNT, ShardFree,
-        ShardId, ShardTable, StoreAnswer, StoreFault, TaskId, TaskKind, TaskSpec, TeamName,
-        TokenHome, VmRecord, WaitQueue, WorkerBook, WorkerId, wait_queue::refusal,
+    crate::{
+        chart::{self, NodeEvent, NodeState},
+        core::{
+            AdminCall, AdminReply, Allowance, CallId, Cluster, Config, ConfigChange, Effect, Epoch,
+            Event, HomeState, JobBook, Ledger, LogEvent, Message, Millis, NodeId, NodeRecord, Out,
+            Outcome, RefuseReason, ReplyId, Report, RequestBook, Resources, SHARD_COUNT, ShardFree,
+            ShardId, ShardTable, StoreAnswer, StoreFault, TaskId, TaskKind, TaskSpec, TeamName,
+            TokenHome, VmRecord, WaitQueue, WorkerBook, WorkerId, wait_queue::refusal,
+        },
     },
     rand::{Rng, SeedableRng, rngs::SmallRng},
     serde::{Deserialize, Serialize},
@@ -110,6 +113,7 @@
 #[derive(Clone, Debug, Default, Deserialize, Serialize)]
 #[allow(clippy::struct_excessive_bools)]
 pub struct NodeView {
+    pub state: NodeState,
     pub table_revision: u64,
     pub config_revision: u64,
     pub owned_shards: usize,
@@ -158,7 +162,7 @@
     ledger_turn: u16,
     upkeep_at: Millis,
     known_table: u64,
-    pub(super) stopping: bool,
+    pub(super) state: NodeState,
     pub(super) last_number: u64,
     pub(super) queue_dirty: bool,
 }
@@ -192,7 +196,7 @@
             ledger_turn: 0,
             upkeep_at: 0,
             known_table: 0,
-            stopping: false,
+            state: chart::node().initial,
             last_number: 0,
             queue_dirty: false,
         }
@@ -264,6 +268,9 @@
     }
 
     fn upkeep(&mut self, now: Millis, out: &mut Out) {
+        if self.cluster.config.revision > 0 {
+            chart::node().follow(&mut self.state, NodeEvent::ConfigRead);
+        }
         self.match_roster(now, out);
         self.capacity = self.book.capacity();
         self.stop_orphans(now, out);
@@ -271,7 +278,7 @@
         self.finish_config_waits(now, out);
         let broken = self.book.audit();
         out.invariant(broken.is_none(), || broken.clone().unwrap_or_default());
-        if !self.stopping || self.ledgers_clean() {
+        if !self.stopping() || self.ledgers_clean() {
             let weights = self.shard_weights();
             let write_id = self.rng.random();
             self.cluster.propose(&weights, write_id, now, out);
@@ -279,6 +286,11 @@
         self.queue_dirty = true;
     }
 
+    /// Tells whether a graceful stop was asked for.
+    pub(super) fn stopping(&self) -> bool {
+        self.state == NodeState::Leaving
+    }
+
     fn ledgers_clean(&self) -> bool {
         self.shards.values().all(|s| s.ledger.clean())
     }
@@ -292,10 +304,10 @@
     }
 
     fn stop(&mut self, now: Millis, out: &mut Out) {
-        if self.stopping {
+        if self.stopping() {
             return;
         }
-        self.stopping = true;
+        chart::node().follow(&mut self.state, NodeEvent::StopAsked);
         self.cluster.me.leaving = true;
         self.cluster.register(now, out);
         out.log(LogEvent::DaemonStopping, "");
@@ -313,7 +325,7 @@
     /// then go on under their leases until a new owner opens them.
     pub fn may_exit(&self, now: Millis) -> bool {
         let handed_over = self.shards.is_empty() || !self.cluster.store_ok(now);
-        self.stopping
+        self.stopping()
             && handed_over
             && self.requests.requests.is_empty()
             && self.requests.releases.is_empty()
@@ -785,6 +797,7 @@
     pub fn view(&self, now: Millis) -> NodeView {
         let open = |w: &&crate::core::Worker| w.state == crate::core::WorkerState::Open;
         NodeView {
+            state: self.state,
             table_revision: self.cluster.table.revision,
             config_revision: self.cluster.config.revision,
             owned_shards: self.shards.len(),
--- a/src/core/node_jobs.rs
+++ b/src/core/node_jobs.rs
@@ -1,13 +1,16 @@
 //! The home role: durable jobs, idempotency keys and the limits of teams.
 
 use {
-    crate::core::{
-        Epoch, Intent, IntentState, JobCall, JobId, JobKind, JobRecord, JobReply, JobSpec,
-        JobState, LogEvent, Message, Millis, Node, NodeId, Out, Outcome, PlaceAsk, PoolName,
-        RefuseReason, Report, Resources, ShardFree, ShardId, TaskId, TaskKind, TaskRecord, TaskRun,
-        TaskSpec, TaskStage, TeamName, TokenStand, WorkerId,
-        job_book::{JobSummary, SoftPhase, SoftTask, WaitKey, Waiter, trim_intents},
-        token_home::AllowOut,
+    crate::{
+        chart::{self, JobEvent, TaskEvent},
+        core::{
+            Epoch, Intent, IntentState, JobCall, JobId, JobKind, JobRecord, JobReply, JobSpec,
+            JobState, LogEvent, Message, Millis, Node, NodeId, Out, Outcome, PlaceAsk, PoolName,
+            RefuseReason, Report, Resources, ShardFree, ShardId, TaskId, TaskKind, TaskRecord,
+            TaskRun, TaskSpec, TaskStage, TeamName, TokenStand, WorkerId,
+            job_book::{JobSummary, SoftPhase, SoftTask, WaitKey, Waiter, trim_intents},
+            token_home::AllowOut,
+        },
     },
     rand::Rng,
     std::{collections::BTreeMap, sync::Arc},
@@ -180,7 +183,7 @@
             if !self.shards[&id].ledger.ready() {
                 continue;
             }
-            if !self.stopping {
+            if !self.stopping() {
                 self.mark_waiting(id, now);
             }
             self.repeat_asks(id, now, out);
@@ -305,9 +308,7 @@
         let Some(job) = shard.ledger.value.jobs.get_mut(job_id) else {
             return;
         };
-        if job.state == JobState::Queued {
-            job.state = JobState::Running;
-        }
+        chart::job().follow(&mut job.state, JobEvent::Marked);
         for (index, run) in indexes.iter().zip(runs) {
             let soft = SoftTask {
                 phase: SoftPhase::Marking(change),
@@ -315,7 +316,7 @@
                 ..recovering(job, *index, &run)
             };
             shard.jobs.soft.insert(run.id.clone(), soft);
-            job.tasks[*index].stage = TaskStage::Marked;
+            chart::task().follow(&mut job.tasks[*index].stage, TaskEvent::Marked);
             job.tasks[*index].run = Some(run);
         }
     }
@@ -566,7 +567,8 @@
         let cancelling = job.state == JobState::Cancelling;
         let record = &mut job.tasks[soft.index];
         record.run = None;
-        record.stage = next_stage(&job.spec, record, outcome, cancelling);
+        let event = task_event(&job.spec, record, outcome, cancelling);
+        chart::task().follow(&mut record.stage, event);
         let (stage, gang) = (record.stage, job.spec.kind == JobKind::Gang);
         let again = stage == TaskStage::Waiting && !gang;
         if again {
@@ -608,7 +610,7 @@
             return;
         }
         for task in &mut record.tasks {
-            task.stage = TaskStage::Waiting;
+            chart::task().follow(&mut task.stage, TaskEvent::Regathered);
         }
         let record = record.clone();
         if !shard.jobs.is_waiting(&record) {
@@ -628,15 +630,14 @@
         if open > 0 || job.state.ended() {
             return;
         }
-        job.state = if job.state == JobState::Cancelling {
-            JobState::Cancelled
-        } else if job.count(TaskStage::Unknown) > 0 {
-            JobState::Unknown
+        let event = if job.count(TaskStage::Unknown) > 0 {
+            JobEvent::SomeUnknown
         } else if job.count(TaskStage::Failed) + job.count(TaskStage::Cancelled) > 0 {
-            JobState::Failed
+            JobEvent::SomeFailed
         } else {
-            JobState::Done
+            JobEvent::AllDone
         };
+        chart::job().follow(&mut job.state, event);
         shard.jobs.paused.remove(job_id);
         shard.ledger.touch();
         trim_ended(&mut shard.ledger.value.jobs, job_id);
@@ -653,7 +654,7 @@
     ) {
         let id = body.home();
         let store_ok = self.cluster.store_ok(now);
-        let stopping = self.stopping;
+        let stopping = self.stopping();
         let call_key = TaskId::from(format!("call {call} of {from}"));
         let Some(shard) = self.shards.get_mut(&id).filter(|s| s.ledger.ready()) else {
             return;
@@ -759,7 +760,7 @@
         if job.state.ended() || job.state == JobState::Cancelling {
             return;
         }
-        job.state = JobState::Cancelling;
+        chart::job().follow(&mut job.state, JobEvent::CancelAsked);
         job.close_waiting();
         if let Some(lane) = shard.jobs.waiting.get_mut(&job.team) {
             lane.retain(|_, (waiting, _)| waiting != job_id);
@@ -1084,26 +1085,26 @@
 }
 
 /// Decides what becomes of a task after a run.
-fn next_stage(
+fn task_event(
     spec: &JobSpec,
     record: &mut TaskRecord,
     outcome: Outcome,
     cancelling: bool,
-) -> TaskStage {
+) -> TaskEvent {
     let service = spec.kind == JobKind::Service;
     match outcome {
-        Outcome::Done if !service => TaskStage::Done,
-        _ if cancelling => TaskStage::Cancelled,
-        Outcome::NotRun | Outcome::Done => TaskStage::Waiting,
-        Outcome::Lost | Outcome::Stopped if spec.idempotent => TaskStage::Waiting,
-        Outcome::Lost | Outcome::Stopped => TaskStage::Unknown,
-        Outcome::Failed if !spec.idempotent => TaskStage::Failed,
+        Outcome::Done if !service => TaskEvent::Done,
+        _ if cancelling => TaskEvent::Cancelled,
+        Outcome::NotRun | Outcome::Done => TaskEvent::RunAgain,
+        Outcome::Lost | Outcome::Stopped if spec.idempotent => TaskEvent::RunAgain,
+        Outcome::Lost | Outcome::Stopped => TaskEvent::LostForGood,
+        Outcome::Failed if !spec.idempotent => TaskEvent::FailedForGood,
         Outcome::Failed => {
             record.failures += 1;
             if service || record.failures <= spec.retries {
-                TaskStage::Waiting
+                TaskEvent::RunAgain
             } else {
-                TaskStage::Failed
+                TaskEvent::FailedForGood
             }
         }
     }
--- a/src/core/node_requests.rs
+++ b/src/core/node_requests.rs
@@ -61,7 +61,7 @@
 
     fn refuse_entry(&self, ask: &RequestAsk, now: Millis) -> Option<RefuseReason> {
         let config = &self.cluster.config;
-        if self.stopping {
+        if self.stopping() {
             Some(RefuseReason::Stopping)
         } else if !self.cluster.fresh(now) {
             Some(RefuseReason::Isolated)
--- a/src/core/node_workers.rs
+++ b/src/core/node_workers.rs
@@ -1,13 +1,16 @@
 //! The owner role: worker leases, placement and the allowances of owned shards.
 
 use {
-    crate::core::{
-        Allowance, CallId, EndedTask, Epoch, Fence, Hosted, HostedStage, JobId, LogEvent, Message,
-        Millis, Node, NodeId, Out, Outcome, PlaceAsk, RefuseReason, Report, Resources, ShardId,
-        TaskId, TaskKind, TaskSpec, TeamName, TokenKey, TokenStand, VmRecord, WorkerAnswer,
-        WorkerId, WorkerOp, WorkerState,
-        node::{EndedNote, SETTLED_REQUEST_KEEP_MS, SentReport},
-        wait_queue::{Waiting, refusal},
+    crate::{
+        chart::{self, WorkerEvent},
+        core::{
+            Allowance, CallId, EndedTask, Epoch, Fence, Hosted, HostedStage, JobId, LogEvent,
+            Message, Millis, Node, NodeId, Out, Outcome, PlaceAsk, RefuseReason, Report, Resources,
+            ShardId, TaskId, TaskKind, TaskSpec, TeamName, TokenKey, TokenStand, VmRecord,
+            WorkerAnswer, WorkerId, WorkerOp, WorkerState,
+            node::{EndedNote, SETTLED_REQUEST_KEEP_MS, SentReport},
+            wait_queue::{Waiting, refusal},
+        },
     },
     std::{
         collections::{BTreeMap, BTreeSet},
@@ -133,7 +136,7 @@
         });
         for worker in durable {
             if let Some(worker) = self.book.get_mut(&worker) {
-                worker.state = WorkerState::Opening;
+                chart::worker().follow(&mut worker.state, WorkerEvent::Recorded);
             }
         }
         self.check_fenced(id, out);
@@ -174,7 +177,7 @@
         if worker.state != WorkerState::Open || !lapsed {
             return;
         }
-        worker.state = WorkerState::Lapsed;
+        chart::worker().follow(&mut worker.state, WorkerEvent::RanOut);
         out.log(LogEvent::WorkerLapsed, id.to_string());
         self.lose_tasks(id, now, out);
     }
@@ -305,7 +308,7 @@
     /// Has a lapsed lease opened anew, which settles what the worker ran.
     fn reopen(&mut self, id: &WorkerId) {
         if let Some(worker) = self.book.get_mut(id) {
-            worker.state = WorkerState::Opening;
+            chart::worker().follow(&mut worker.state, WorkerEvent::AnsweredLapsed);
             worker.silent = true;
         }
     }
@@ -377,7 +380,7 @@
         if worker.state != WorkerState::Open {
             worker.lapses_at = Some(now + ttl);
         }
-        worker.state = WorkerState::Open;
+        chart::worker().follow(&mut worker.state, WorkerEvent::Opened);
         worker.last_event = last_event;
         let (fence, shard) = (worker.fence, worker.shard);
         self.capacity = self.book.capacity();
@@ -727,7 +730,7 @@
     }
 
     fn refuse_at_once(&self, ask: &PlaceAsk) -> Option<RefuseReason> {
-        if self.stopping {
+        if self.stopping() {
             return Some(RefuseReason::Stopping);
         }
         if let Some((id, epoch)) = ask.shard {
--- /dev/null
+++ b/tests/charts.rs
@@ -0,0 +1,35 @@
+//! The state charts load, and a faulty one is refused.
+
+use {
+    assert_matches::assert_matches,
+    dragonflyferry::{
+        chart::{self, Chart, ChartError, NodeEvent, NodeState, WorkerEvent},
+        core::{JobState, TaskStage, WorkerState},
+    },
+};
+
+#[test]
+fn every_chart_loads() {
+    assert_eq!(chart::worker().initial, WorkerState::Listed);
+    assert_eq!(chart::job().initial, JobState::Queued);
+    assert_eq!(chart::task().initial, TaskStage::Waiting);
+    assert_eq!(chart::node().initial, NodeState::Joining);
+}
+
+#[test]
+fn a_transition_that_the_chart_lacks_changes_nothing() {
+    let mut state = WorkerState::Listed;
+    assert!(!chart::worker().follow(&mut state, WorkerEvent::Opened));
+    assert_eq!(state, WorkerState::Listed);
+}
+
+#[test]
+fn faulty_charts_are_refused() {
+    let unreachable = "chart: c\ninitial: joining\nstates: [joining, serving]\ntransitions: []\n";
+    let read = |text: &str| Chart::<NodeState, NodeEvent>::from_yaml(text);
+    assert_matches!(read(unreachable), Err(ChartError::Unreachable { .. }));
+    let twice = "chart: c\ninitial: joining\nstates: [joining]\ntransitions:\n  \
+                 - {from: [joining, joining], on: stop_asked, to: leaving}\n";
+    assert_matches!(read(twice), Err(ChartError::Ambiguous { .. }));
+    assert_matches!(read("chart: 1"), Err(ChartError::Yaml { .. }));
+}
