Only the current home acknowledges a task's end

The owner sent the end of a task to a node that had just lost the job's shard, or still believed to own it; that node knew no such run and acknowledged at once, so the true home never heard. Ruled out: lost reports and gangs (the jobs were batch, all shards had reported). Change: Ended names the home shard; a home that knows no such run acknowledges only after a further write of its ledger, which a node that lost the shard cannot make.

--- a/src/core/message.rs
+++ b/src/core/message.rs
@@ -100,10 +100,11 @@
     Released {
         task: TaskId,
     },
-    /// A job's task ended; repeated until acknowledged.
+    /// A job's task ended; repeated until acknowledged where `home` names the job's shard.
     Ended {
         task: TaskId,
         outcome: Outcome,
+        home: Option<ShardId>,
     },
     EndedNoted {
         task: TaskId,
--- a/src/core/node.rs
+++ b/src/core/node.rs
@@ -365,7 +365,11 @@
             Message::Released { task } => {
                 self.requests.releases.remove(&task);
             }
-            Message::Ended { task, outcome } => self.job_task_ended(from, &task, outcome, now, out),
+            Message::Ended {
+                task,
+                outcome,
+                home,
+            } => self.job_task_ended(from, &task, (outcome, home), now, out),
             Message::EndedNoted { task } => {
                 for shard in self.shards.values_mut() {
                     shard.ended.remove(&task);
--- a/src/core/node_jobs.rs
+++ b/src/core/node_jobs.rs
@@ -524,15 +524,13 @@
         &mut self,
         from: &NodeId,
         task: &TaskId,
-        outcome: Outcome,
+        (outcome, home): (Outcome, Option<ShardId>),
         now: Millis,
         out: &mut Out,
     ) {
         let task = task.clone();
         let Some(id) = self.shard_of_run(&task) else {
-            if self.shards.values().all(|s| s.jobs.loaded) {
-                out.send(from, Message::EndedNoted { task });
-            }
+            self.note_known_end(from, task, home);
             return;
         };
         let change = self.end_run(id, &task, outcome, now, out);
@@ -545,6 +543,22 @@
         }
     }
 
+    /// Acknowledges an end that is recorded already.
+    ///
+    /// Only the current home may do so, which a further write of its ledger proves.
+    fn note_known_end(&mut self, from: &NodeId, task: TaskId, home: Option<ShardId>) {
+        let owned = home.and_then(|id| self.shards.get_mut(&id));
+        let Some(shard) = owned.filter(|s| s.jobs.loaded) else {
+            return;
+        };
+        let change = shard.ledger.touch();
+        let waiter = Waiter::Ended {
+            to: from.clone(),
+            task,
+        };
+        shard.jobs.waiters.push((change, waiter));
+    }
+
     /// Records how a run ended; returns the change that makes it durable.
     fn end_run(
         &mut self,
--- a/src/core/node_workers.rs
+++ b/src/core/node_workers.rs
@@ -552,7 +552,15 @@
     fn send_ended(&self, home: ShardId, task: &TaskId, outcome: Outcome, out: &mut Out) {
         if let Some(owner) = self.cluster.table.owner(home) {
             let task = task.clone();
-            out.send(owner, Message::Ended { task, outcome });
+            let home = Some(home);
+            out.send(
+                owner,
+                Message::Ended {
+                    task,
+                    outcome,
+                    home,
+                },
+            );
         }
     }
 
@@ -856,7 +864,14 @@
         let Some((hosted, vm)) = self.book.task_mut(task) else {
             let outcome = self.settled.get(task).copied().unwrap_or(Outcome::NotRun);
             let task = task.clone();
-            out.send(from, Message::Ended { task, outcome });
+            out.send(
+                from,
+                Message::Ended {
+                    task,
+                    outcome,
+                    home: None,
+                },
+            );
             return;
         };
         if hosted.stage == HostedStage::Held {
@@ -909,11 +924,25 @@
         self.keep_settled(task, outcome, SETTLED_REQUEST_KEEP_MS, now);
         let task = task.clone();
         if self.shards.values().any(|s| s.ended.contains_key(&task)) {
-            out.send(from, Message::Ended { task, outcome });
+            out.send(
+                from,
+                Message::Ended {
+                    task,
+                    outcome,
+                    home: None,
+                },
+            );
             return;
         }
         out.send(from, Message::Released { task: task.clone() });
-        out.send(from, Message::Ended { task, outcome });
+        out.send(
+            from,
+            Message::Ended {
+                task,
+                outcome,
+                home: None,
+            },
+        );
     }
 
     /// Stops requests whose entry node is gone and held tasks whose gang did not begin.
@@ -1052,7 +1081,11 @@
             task,
             reason: RefuseReason::Deadline,
         },
-        (TaskKind::Job, _) => Message::Ended { task, outcome },
+        (TaskKind::Job, _) => Message::Ended {
+            task,
+            outcome,
+            home: None,
+        },
     };
     out.send(from, message);
 }
--- a/tests/chaos.rs
+++ b/tests/chaos.rs
@@ -39,3 +39,11 @@
         run(seed, Plan::ALL);
     }
 }
+
+/// Seeds that left an accepted job running for ever, until their causes were mended.
+#[test]
+fn seeds_that_once_failed() {
+    for seed in [1023, 1116, 1223, 1261, 1650, 1845] {
+        run(seed, Plan::ALL);
+    }
+}
