A refusal by a node that does not own the shard settles nothing; docs

A home repeated an ask; the first copy was accepted by the owner, the second reached the next node in the table, which answered NotOwner, and the home took that as proof that nothing ran. Ruled out: worker fencing (both starts were at valid fences) and lost ends. Change: NotOwner for a job's task is ignored; the next owner's report settles it. A node checks ownership before it answers that it is stopping, and does not remember NotOwner as the outcome of the id.

--- a/src/core/node.rs
+++ b/src/core/node.rs
@@ -494,7 +494,7 @@
             .drain(|w| w.ask.shard.is_some_and(|(s, _)| s == shard));
         for waiting in gone {
             self.settle(&waiting.ask.spec, Outcome::NotRun, now);
-            out.send(&waiting.from, refusal(&waiting, RefuseReason::NotOwner));
+            out.send(&waiting.from, refusal(&waiting, RefuseReason::Stopping));
         }
     }
 
--- a/src/core/node_jobs.rs
+++ b/src/core/node_jobs.rs
@@ -507,12 +507,21 @@
     }
 
     /// Takes a refusal; returns false if no job here marked the task.
-    pub(super) fn job_refused(&mut self, task: &TaskId, now: Millis, out: &mut Out) -> bool {
+    ///
+    /// A node that does not own the shard cannot say what its owner did with an earlier
+    /// copy of the ask; the owner's report will.
+    pub(super) fn job_refused(
+        &mut self,
+        task: &TaskId,
+        reason: RefuseReason,
+        now: Millis,
+        out: &mut Out,
+    ) -> bool {
         let Some(id) = self.shard_of_run(task) else {
             return false;
         };
         let phase = self.shards[&id].jobs.soft[task].phase;
-        if matches!(phase, SoftPhase::Marking(_)) {
+        if matches!(phase, SoftPhase::Marking(_)) || reason == RefuseReason::NotOwner {
             return true;
         }
         self.end_run(id, task, Outcome::NotRun, now, out);
--- a/src/core/node_requests.rs
+++ b/src/core/node_requests.rs
@@ -250,7 +250,7 @@
         now: Millis,
         out: &mut Out,
     ) {
-        if self.job_refused(task, now, out) {
+        if self.job_refused(task, reason, now, out) {
             return;
         }
         let Some(reply) = self.requests.by_task.get(task).copied() else {
--- a/src/core/node_workers.rs
+++ b/src/core/node_workers.rs
@@ -738,22 +738,24 @@
     }
 
     fn refuse_at_once(&self, ask: &PlaceAsk) -> Option<RefuseReason> {
-        if self.stopping() {
-            return Some(RefuseReason::Stopping);
-        }
         if let Some((id, epoch)) = ask.shard {
             let owned = self.shards.get(&id);
             if !owned.is_some_and(|s| s.epoch == epoch && s.fenced) {
                 return Some(RefuseReason::NotOwner);
             }
         }
+        if self.stopping() {
+            return Some(RefuseReason::Stopping);
+        }
         let shard = ask.shard.map(|(id, _)| id);
         let could = self.book.could_fit(&ask.spec.pool, &ask.spec.need, shard);
         (!could).then_some(RefuseReason::NeverFits)
     }
 
     fn refuse(&mut self, waiting: &Waiting, reason: RefuseReason, now: Millis, out: &mut Out) {
-        self.settle(&waiting.ask.spec, Outcome::NotRun, now);
+        if reason != RefuseReason::NotOwner {
+            self.settle(&waiting.ask.spec, Outcome::NotRun, now);
+        }
         out.send(&waiting.from, refusal(waiting, reason));
     }
 
--- /dev/null
+++ b/tests/docs.rs
@@ -0,0 +1,61 @@
+//! The tables of errors and events in the docs are complete.
+
+use {
+    dragonflyferry::{app::ErrorKind, core::LogEvent},
+    std::{fs, path::Path},
+};
+
+fn doc(name: &str) -> String {
+    let path = Path::new(env!("CARGO_MANIFEST_DIR"))
+        .join("docs")
+        .join(name);
+    fs::read_to_string(path).expect("page")
+}
+
+fn sources(folder: &Path, all: &mut String) {
+    for entry in fs::read_dir(folder).expect("folder").flatten() {
+        let path = entry.path();
+        if path.is_dir() {
+            sources(&path, all);
+        } else {
+            all.push_str(&fs::read_to_string(path).expect("source"));
+        }
+    }
+}
+
+/// Lists the four digits after each place where `mark` stands.
+fn codes_after(text: &str, mark: &str) -> Vec<String> {
+    let parts = text.split(mark).skip(1);
+    parts
+        .map(|p| p.trim_start().chars().take(4).collect::<String>())
+        .filter(|c| c.len() == 4 && c.chars().all(|d| d.is_ascii_digit()))
+        .collect()
+}
+
+#[test]
+fn every_error_is_listed() {
+    let page = doc("ERRORS.md");
+    for (kind, number, _, _) in ErrorKind::ALL {
+        let row = format!("| {number} | {kind:?} |");
+        assert!(page.contains(&row), "{row}");
+    }
+    let mut all = String::new();
+    sources(&Path::new(env!("CARGO_MANIFEST_DIR")).join("src"), &mut all);
+    for mark in ["\"E", "fault(", "Fault::new("] {
+        for code in codes_after(&all, mark) {
+            assert!(
+                page.contains(&format!("| {code} |")),
+                "{code} is not listed"
+            );
+        }
+    }
+}
+
+#[test]
+fn every_event_is_listed() {
+    let page = doc("EVENTS.md");
+    for event in LogEvent::ALL {
+        let row = format!("| {} | {} |", event.number(), event.name());
+        assert!(page.contains(&row), "{row}");
+    }
+}
