A balance raises an epoch once for each shard that moves

Ruled out: harm to fencing (epochs only rise); the cost was that a passed home, which must be of the epoch just before, was not used. Change: owners are settled first, epochs raised once at the end.

--- a/src/core/shard_table.rs
+++ b/src/core/shard_table.rs
@@ -91,13 +91,19 @@
             *load.entry(to).or_default() += weight(weights, shard);
             next.assign(shard, to);
         }
+        next.raise_epochs(self);
         (next.shards != self.shards).then_some(next)
     }
 
     fn assign(&mut self, shard: ShardId, to: &NodeId) {
-        let entry = &mut self.shards[usize::from(shard.0)];
-        entry.owner = Some(to.clone());
-        entry.epoch.0 += 1;
+        self.shards[usize::from(shard.0)].owner = Some(to.clone());
+    }
+
+    /// Raises the epoch of every shard whose owner differs from that in `old`.
+    fn raise_epochs(&mut self, old: &Self) {
+        for (new, old) in self.shards.iter_mut().zip(&old.shards) {
+            new.epoch.0 = old.epoch.0 + u64::from(new.owner != old.owner);
+        }
     }
 
     /// Finds a shard whose move from the heaviest to the lightest member narrows their gap.
