--- a/examples/measures/capacity.rs
+++ b/examples/measures/capacity.rs
@@ -16,8 +16,9 @@
 /// Part of the running tasks that are services.
 const SERVICES: u64 = 5;
 
-/// Slots of a worker at the target: 16,000 tasks do not fit into 8 slots each.
-const TARGET_SLOTS: u32 = 16;
+/// Slots of a worker at the target: 16,000 tasks do not fit into 8 slots each, and the
+/// measure loads one pool of two.
+const TARGET_SLOTS: u32 = 24;
 
 #[derive(Serialize)]
 struct Row {
@@ -32,7 +33,7 @@
     worker_calls_per_s: f64,
     store_reads_per_s: f64,
     store_writes_per_s: f64,
-    resident_mib_per_node: u64,
+    resident_mib: u64,
 }
 
 /// Measures four fleets and prints two rows each.
@@ -40,7 +41,7 @@
     if !json {
         println!(
             "nodes workers running  phase   core%  msg/s/node  B/s/node  worker calls/s/node  \
-             store reads/s  writes/s  MiB/node"
+             store reads/s  writes/s  process MiB"
         );
     }
     for (nodes, workers) in [
@@ -65,7 +66,7 @@
                 r.worker_calls_per_s,
                 r.store_reads_per_s,
                 r.store_writes_per_s,
-                r.resident_mib_per_node
+                r.resident_mib
             )
         });
     }
@@ -76,7 +77,6 @@
         (0..130).map(|n| (format!("team-{n}"), 1, 1_000)).collect();
     let teams: Vec<(&str, u32, u32)> = teams.iter().map(|(n, s, l)| (n.as_str(), *s, *l)).collect();
     let config = sample::config(sample::league_document(), &teams);
-    let before = resident_bytes();
     let mut records = sample::many_workers(workers);
     for record in &mut records {
         record.capacity.slots = TARGET_SLOTS;
@@ -89,7 +89,6 @@
         fleet.boot(&format!("zone-{}", n % 4));
     }
     fleet.run(15_000);
-    let empty = resident_bytes();
     let share = workers as u64 * 1_000 / TARGET_WORKERS;
     let running = TARGET_RUNNING * share / 1_000;
     let mut load = Load {
@@ -98,10 +97,10 @@
     };
     load.fill(&mut fleet, running);
     fleet.run(20_000);
-    let quiet = load.phase(&mut fleet, "quiet", 0, 20_000, (empty - before, nodes));
+    let quiet = load.phase(&mut fleet, "quiet", 0, 20_000, nodes);
     let peak = TARGET_STARTS_PER_S * share;
-    load.phase(&mut fleet, "warm", peak, 10_000, (0, nodes));
-    let busy = load.phase(&mut fleet, "peak", peak, 30_000, (empty - before, nodes));
+    load.phase(&mut fleet, "warm", peak, 10_000, nodes);
+    let busy = load.phase(&mut fleet, "peak", peak, 30_000, nodes);
     vec![quiet, busy]
 }
 
@@ -163,7 +162,7 @@
         phase: &'static str,
         starts_milli_per_s: u64,
         length_ms: u64,
-        (memory, nodes): (u64, usize),
+        nodes: usize,
     ) -> Row {
         for seat in fleet.seats.values_mut() {
             seat.busy = Duration::ZERO;
@@ -197,7 +196,7 @@
             worker_calls_per_s: per_node(fleet.worker_calls - calls),
             store_reads_per_s: per_s(fleet.store.reads - reads),
             store_writes_per_s: per_s(fleet.store.writes - writes),
-            resident_mib_per_node: (memory / nodes as u64) >> 20,
+            resident_mib: resident_bytes() >> 20,
         }
     }
 }
--- a/src/chart/charts.rs
+++ b/src/chart/charts.rs
@@ -2,7 +2,7 @@
 
 use {
     crate::{
-        chart::{Chart, ChartError},
+        chart::{ChartError, StateChart},
         core::{JobState, TaskStage, WorkerState},
     },
     serde::{Deserialize, Serialize},
@@ -75,23 +75,23 @@
     StopAsked,
 }
 
-static WORKER: LazyLock<Chart<WorkerState, WorkerEvent>> = LazyLock::new(|| {
-    loaded(Chart::from_yaml(include_str!(
+static WORKER: LazyLock<StateChart<WorkerState, WorkerEvent>> = LazyLock::new(|| {
+    loaded(StateChart::from_yaml(include_str!(
         "../../resources/charts/worker.yaml"
     )))
 });
-static JOB: LazyLock<Chart<JobState, JobEvent>> = LazyLock::new(|| {
-    loaded(Chart::from_yaml(include_str!(
+static JOB: LazyLock<StateChart<JobState, JobEvent>> = LazyLock::new(|| {
+    loaded(StateChart::from_yaml(include_str!(
         "../../resources/charts/job.yaml"
     )))
 });
-static TASK: LazyLock<Chart<TaskStage, TaskEvent>> = LazyLock::new(|| {
-    loaded(Chart::from_yaml(include_str!(
+static TASK: LazyLock<StateChart<TaskStage, TaskEvent>> = LazyLock::new(|| {
+    loaded(StateChart::from_yaml(include_str!(
         "../../resources/charts/task.yaml"
     )))
 });
-static NODE: LazyLock<Chart<NodeState, NodeEvent>> = LazyLock::new(|| {
-    loaded(Chart::from_yaml(include_str!(
+static NODE: LazyLock<StateChart<NodeState, NodeEvent>> = LazyLock::new(|| {
+    loaded(StateChart::from_yaml(include_str!(
         "../../resources/charts/node.yaml"
     )))
 });
@@ -102,21 +102,21 @@
 }
 
 /// Returns the chart of a worker's lease.
-pub fn worker() -> &'static Chart<WorkerState, WorkerEvent> {
+pub fn worker() -> &'static StateChart<WorkerState, WorkerEvent> {
     &WORKER
 }
 
 /// Returns the chart of a job.
-pub fn job() -> &'static Chart<JobState, JobEvent> {
+pub fn job() -> &'static StateChart<JobState, JobEvent> {
     &JOB
 }
 
 /// Returns the chart of a task.
-pub fn task() -> &'static Chart<TaskStage, TaskEvent> {
+pub fn task() -> &'static StateChart<TaskStage, TaskEvent> {
     &TASK
 }
 
 /// Returns the chart of a node.
-pub fn node() -> &'static Chart<NodeState, NodeEvent> {
+pub fn node() -> &'static StateChart<NodeState, NodeEvent> {
     &NODE
 }
--- a/src/chart/mod.rs
+++ b/src/chart/mod.rs
@@ -1,11 +1,11 @@
 //! State charts that are read from files and interpreted.
 
-mod chart;
 mod charts;
 mod errors;
+mod state_chart;
 
 pub use {
-    chart::Chart,
     charts::{JobEvent, NodeEvent, NodeState, TaskEvent, WorkerEvent, job, node, task, worker},
     errors::ChartError,
+    state_chart::StateChart,
 };
--- a/src/chart/chart.rs
+++ b/src/chart/state_chart.rs
@@ -29,13 +29,13 @@
 
 /// Transitions between states `S` on events `E`.
 #[derive(Clone, Debug)]
-pub struct Chart<S, E> {
+pub struct StateChart<S, E> {
     pub initial: S,
     /// At most one target for a state and an event.
     transitions: BTreeMap<(S, E), S>,
 }
 
-impl<S, E> Chart<S, E>
+impl<S, E> StateChart<S, E>
 where
     S: Copy + Debug + DeserializeOwned + Ord,
     E: Copy + Debug + DeserializeOwned + Ord,
--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -15,8 +15,16 @@
 mod ledger;
 mod message;
 mod node;
+mod node_calls;
+mod node_config;
+mod node_gangs;
+mod node_homes;
 mod node_jobs;
+mod node_marks;
+mod node_placement;
+mod node_reports;
 mod node_requests;
+mod node_tokens;
 mod node_workers;
 mod request_book;
 mod resources;
@@ -44,7 +52,7 @@
     ledger::{Intent, IntentState, Ledger, LedgerValue},
     message::{Beat, Message, PlaceAsk, Report, ShardFree},
     node::{Node, NodeView, Tuning},
-    node_jobs::summary,
+    node_calls::summary,
     request_book::RequestBook,
     resources::Resources,
     shard_table::{ShardOwner, ShardTable},
--- a/src/core/node.rs
+++ b/src/core/node.rs
@@ -4,11 +4,11 @@
     crate::{
         chart::{self, NodeEvent, NodeState},
         core::{
-            AdminCall, AdminReply, Allowance, CallId, Cluster, Config, ConfigChange, Effect, Epoch,
-            Event, HomeState, JobBook, Ledger, LogEvent, Message, Millis, NodeId, NodeRecord, Out,
-            Outcome, RefuseReason, ReplyId, Report, RequestBook, Resources, SHARD_COUNT, ShardFree,
-            ShardId, ShardTable, StoreAnswer, StoreFault, TaskId, TaskKind, TaskSpec, TeamName,
-            TokenHome, VmRecord, WaitQueue, WorkerBook, WorkerId, wait_queue::refusal,
+            Allowance, CallId, Cluster, Config, Effect, Epoch, Event, HomeState, JobBook, Ledger,
+            LogEvent, Message, Millis, NodeId, NodeRecord, Out, Outcome, RefuseReason, ReplyId,
+            Report, RequestBook, Resources, SHARD_COUNT, ShardFree, ShardId, ShardTable,
+            StoreAnswer, StoreFault, TaskId, TaskKind, TaskSpec, TeamName, TokenHome, VmRecord,
+            WaitQueue, WorkerBook, WorkerId, node_config::ConfigCall, wait_queue::refusal,
         },
     },
     rand::{Rng, SeedableRng, rngs::SmallRng},
@@ -90,28 +90,6 @@
     pub sent_at: Millis,
 }
 
-/// Why a store call outside [`Cluster`] and [`Ledger`] was made.
-#[derive(Debug)]
-enum ConfigCall {
-    Write {
-        reply: ReplyId,
-        config: Config,
-        /// The change to make again if another one came first.
-        again: Option<AdminCall>,
-    },
-    /// Reads back after a write whose answer was lost.
-    Settle {
-        reply: ReplyId,
-        config: Config,
-        tries: u32,
-    },
-    /// Reads the author of a racing change.
-    Conflict {
-        reply: ReplyId,
-        again: Option<AdminCall>,
-    },
-}
-
 /// Counts of a node, for operators and tests.
 #[derive(Clone, Debug, Default, Deserialize, Serialize)]
 #[allow(clippy::struct_excessive_bools)]
@@ -159,8 +137,8 @@
     /// States of homes passed to this node ahead of the table.
     passed_homes: BTreeMap<ShardId, HomeState>,
     pub(super) token_asked: BTreeMap<(TeamName, ShardId), Millis>,
-    config_calls: BTreeMap<CallId, ConfigCall>,
-    config_waiters: Vec<(Millis, ReplyId, u64)>,
+    pub(super) config_calls: BTreeMap<CallId, ConfigCall>,
+    pub(super) config_waiters: Vec<(Millis, ReplyId, u64)>,
     write_credit: u64,
     ledger_turn: u16,
     upkeep_at: Millis,
@@ -569,11 +547,11 @@
         self.cluster.beat(from, beat, now, out);
     }
 
-    fn take_config(&mut self, config: Arc<Config>, out: &mut Out) {
+    pub(super) fn take_config(&mut self, config: Arc<Config>, out: &mut Out) {
         self.cluster.adopt_config(config, out);
     }
 
-    fn revoke(&mut self, digest: &Arc<str>, out: &mut Out) {
+    pub(super) fn revoke(&mut self, digest: &Arc<str>, out: &mut Out) {
         if !self.cluster.revoke(digest.clone(), out) {
             return;
         }
@@ -622,190 +600,6 @@
         }
     }
 
-    fn admin_call(&mut self, reply: ReplyId, call: AdminCall, now: Millis, out: &mut Out) {
-        let again = call.clone();
-        let AdminCall::Change {
-            base,
-            author,
-            change,
-        } = call;
-        let current = self.cluster.config.clone();
-        if let ConfigChange::WithdrawKey { digest } = &change
-            && current.keys.contains_key(digest)
-        {
-            self.revoke(digest, out);
-        }
-        if base.is_some_and(|b| b != current.revision) {
-            let body = AdminReply::Conflict {
-                revision: current.revision,
-                author: current.author.clone(),
-            };
-            out.admin_reply(reply, body);
-            return;
-        }
-        if !self.cluster.store_ok(now) {
-            out.admin_reply(
-                reply,
-                AdminReply::StoreDown {
-                    maybe_written: false,
-                },
-            );
-            return;
-        }
-        let mut config = current.with(&change, &author);
-        config.write_id = self.rng.random();
-        let call = Cluster::write_config(&config, current.revision, out);
-        self.config_calls.insert(
-            call,
-            ConfigCall::Write {
-                reply,
-                config,
-                again: base.is_none().then_some(again),
-            },
-        );
-    }
-
-    fn config_answer(
-        &mut self,
-        call: ConfigCall,
-        result: Result<StoreAnswer, StoreFault>,
-        now: Millis,
-        out: &mut Out,
-    ) {
-        match (call, result) {
-            (
-                ConfigCall::Write {
-                    reply, mut config, ..
-                },
-                Ok(StoreAnswer::Written { version }),
-            ) => {
-                config.revision = version;
-                self.accept_config(reply, config, now, out);
-            }
-            (ConfigCall::Write { reply, again, .. }, Ok(StoreAnswer::Conflict { .. })) => {
-                let call = Cluster::reread_config(out);
-                self.config_calls
-                    .insert(call, ConfigCall::Conflict { reply, again });
-            }
-            (ConfigCall::Write { reply, config, .. }, _) => {
-                self.settle_config(reply, config, 0, out);
-            }
-            (
-                ConfigCall::Settle { reply, config, .. },
-                Ok(StoreAnswer::Value { version, value }),
-            ) => {
-                let stored: Config = serde_json::from_str(&value).unwrap_or_default();
-                if stored.write_id == config.write_id {
-                    self.accept_config(
-                        reply,
-                        Config {
-                            revision: version,
-                            ..stored
-                        },
-                        now,
-                        out,
-                    );
-                } else {
-                    out.admin_reply(
-                        reply,
-                        AdminReply::StoreDown {
-                            maybe_written: true,
-                        },
-                    );
-                }
-            }
-            (
-                ConfigCall::Settle {
-                    reply,
-                    config,
-                    tries,
-                },
-                _,
-            ) => {
-                self.settle_config(reply, config, tries + 1, out);
-            }
-            (ConfigCall::Conflict { reply, again }, Ok(StoreAnswer::Value { version, value })) => {
-                let stored: Config = serde_json::from_str(&value).unwrap_or_default();
-                let author = stored.author.clone();
-                self.take_config(
-                    Arc::new(Config {
-                        revision: version,
-                        ..stored
-                    }),
-                    out,
-                );
-                match again {
-                    Some(call) => self.admin_call(reply, call, now, out),
-                    None => out.admin_reply(
-                        reply,
-                        AdminReply::Conflict {
-                            revision: version,
-                            author,
-                        },
-                    ),
-                }
-            }
-            (ConfigCall::Conflict { reply, .. }, _) => {
-                let body = AdminReply::Conflict {
-                    revision: self.cluster.config.revision,
-                    author: self.cluster.config.author.clone(),
-                };
-                out.admin_reply(reply, body);
-            }
-        }
-    }
-
-    /// Reads back a write whose answer was lost, a few times.
-    fn settle_config(&mut self, reply: ReplyId, config: Config, tries: u32, out: &mut Out) {
-        const MOST_TRIES: u32 = 3;
-        if tries >= MOST_TRIES {
-            out.admin_reply(
-                reply,
-                AdminReply::StoreDown {
-                    maybe_written: true,
-                },
-            );
-            return;
-        }
-        let call = Cluster::reread_config(out);
-        let settle = ConfigCall::Settle {
-            reply,
-            config,
-            tries,
-        };
-        self.config_calls.insert(call, settle);
-    }
-
-    fn accept_config(&mut self, reply: ReplyId, config: Config, now: Millis, out: &mut Out) {
-        const WAIT_IN_FORCE_MS: Millis = 2_000;
-        let revision = config.revision;
-        let config = Arc::new(config);
-        self.take_config(config.clone(), out);
-        let others: Vec<NodeId> = self.cluster.others().cloned().collect();
-        for id in others {
-            out.send(&id, Message::Config(config.clone()));
-        }
-        self.config_waiters
-            .push((now + WAIT_IN_FORCE_MS, reply, revision));
-    }
-
-    fn finish_config_waits(&mut self, now: Millis, out: &mut Out) {
-        let cluster = &self.cluster;
-        let all = cluster.records().len();
-        self.config_waiters.retain(|(until, reply, revision)| {
-            let in_force = cluster.in_force(*revision);
-            let done = in_force.len() >= all || now >= *until;
-            if done {
-                let body = AdminReply::Accepted {
-                    revision: *revision,
-                    in_force,
-                };
-                out.admin_reply(*reply, body);
-            }
-            !done
-        });
-    }
-
     /// Summarises the node's state.
     pub fn view(&self, now: Millis) -> NodeView {
         let open = |w: &&crate::core::Worker| w.state == crate::core::WorkerState::Open;
--- /dev/null
+++ b/src/core/node_calls.rs
@@ -0,0 +1,303 @@
+//! The home role: calls about jobs and idempotency keys.
+
+use {
+    crate::{
+        chart::{self, JobEvent},
+        core::{
+            Intent, IntentState, JobCall, JobId, JobKind, JobRecord, JobReply, JobSpec, JobState,
+            Message, Millis, Node, NodeId, Out, Outcome, RefuseReason, ShardId, TaskId, TaskStage,
+            TeamName,
+            job_book::{JobSummary, SoftTask, Waiter, trim_intents},
+        },
+    },
+    std::{collections::BTreeMap, sync::Arc},
+};
+
+/// How long a refused call is remembered, so that a late repeat is not accepted, in ms.
+const CALL_KEEP_MS: Millis = 60_000;
+
+impl Node {
+    /// Answers a call to a job or key whose home is here.
+    pub(super) fn home_call(
+        &mut self,
+        from: &NodeId,
+        call: u64,
+        body: JobCall,
+        now: Millis,
+        out: &mut Out,
+    ) {
+        let id = body.home();
+        let store_ok = self.cluster.store_ok(now);
+        let stopping = self.stopping();
+        let call_key = TaskId::from(format!("call {call} of {from}"));
+        let Some(shard) = self.shards.get_mut(&id).filter(|s| s.ledger.ready()) else {
+            return;
+        };
+        let writes = !matches!(
+            body,
+            JobCall::Get { .. } | JobCall::List { cancel: false, .. }
+        );
+        if writes && (!store_ok || stopping || !shard.ledger.has_room()) {
+            let reason = match (store_ok, stopping) {
+                (false, _) => RefuseReason::StoreDown,
+                (true, true) => RefuseReason::Stopping,
+                (true, false) => RefuseReason::QueueFull,
+            };
+            if !already_known(&shard.ledger.value.jobs, &body) {
+                self.keep_settled(&call_key, Outcome::NotRun, CALL_KEEP_MS, now);
+                let body = JobReply::Refused(reason);
+                out.send(from, Message::Answer { call, body });
+            }
+            return;
+        }
+        if self.settled.contains_key(&call_key) {
+            return;
+        }
+        match body {
+            JobCall::Submit {
+                id: job,
+                team,
+                spec,
+            } => self.submit(from, call, job, team, spec),
+            JobCall::Get { id: job, team } => {
+                let body = find(&shard.ledger.value.jobs, &job, &team)
+                    .map_or(JobReply::NotFound, |j| {
+                        JobReply::Job(summary(j, &shard.jobs.soft))
+                    });
+                out.send(from, Message::Answer { call, body });
+            }
+            JobCall::Cancel { id: job, team } => {
+                if find(&shard.ledger.value.jobs, &job, &team).is_none() {
+                    let body = JobReply::NotFound;
+                    out.send(from, Message::Answer { call, body });
+                    return;
+                }
+                if !shard
+                    .jobs
+                    .cancels
+                    .iter()
+                    .any(|c| c.2 == call && c.1 == *from)
+                {
+                    shard.jobs.cancels.push((job.clone(), from.clone(), call));
+                }
+                self.cancel(id, &job, now, out);
+            }
+            JobCall::List {
+                team,
+                label,
+                cancel,
+                ..
+            } => {
+                self.list(from, call, id, &team, label.as_ref(), cancel, now, out);
+            }
+            JobCall::Claim { key, claim } => self.claim(from, call, id, key, claim, out),
+            JobCall::Settle { key, claim, status } => {
+                self.settle_key(from, call, id, &key, claim, status);
+            }
+        }
+        self.answer_waiters(id, out);
+    }
+
+    pub(super) fn submit(
+        &mut self,
+        from: &NodeId,
+        call: u64,
+        id: JobId,
+        team: TeamName,
+        spec: JobSpec,
+    ) {
+        let Some(shard) = self.shards.get_mut(&ShardId::of(id.as_str())) else {
+            return;
+        };
+        let change = shard.ledger.touch();
+        if !shard.ledger.value.jobs.contains_key(&id) {
+            let job = JobRecord::new(id.clone(), team, spec);
+            if job.spec.kind == JobKind::Gang {
+                shard.jobs.wait(&job, 0);
+            } else {
+                for index in 0..job.tasks.len() {
+                    shard.jobs.wait(&job, index);
+                }
+            }
+            shard.ledger.value.jobs.insert(id.clone(), job);
+        }
+        let body = JobReply::Accepted { id };
+        let waiter = Waiter::Call {
+            to: from.clone(),
+            call,
+            body,
+        };
+        shard.jobs.waiters.push((change, waiter));
+    }
+
+    /// Cancels a job: what waits ends at once, what may run is stopped first.
+    pub(super) fn cancel(&mut self, id: ShardId, job_id: &JobId, now: Millis, out: &mut Out) {
+        let Some(shard) = self.shards.get_mut(&id) else {
+            return;
+        };
+        let Some(job) = shard.ledger.value.jobs.get_mut(job_id) else {
+            return;
+        };
+        if job.state.ended() || job.state == JobState::Cancelling {
+            return;
+        }
+        chart::job().follow(&mut job.state, JobEvent::CancelAsked);
+        job.close_waiting();
+        if let Some(lane) = shard.jobs.waiting.get_mut(&job.team) {
+            lane.retain(|_, (waiting, _)| waiting != job_id);
+        }
+        shard.ledger.touch();
+        for task in shard.jobs.of_job(job_id) {
+            self.stop_run(id, &task, now, out);
+        }
+        self.finish_job(id, job_id);
+    }
+
+    #[allow(clippy::too_many_arguments)]
+    pub(super) fn list(
+        &mut self,
+        from: &NodeId,
+        call: u64,
+        id: ShardId,
+        team: &TeamName,
+        label: Option<&Arc<str>>,
+        cancel: bool,
+        now: Millis,
+        out: &mut Out,
+    ) {
+        let Some(shard) = self.shards.get(&id) else {
+            return;
+        };
+        let of = shard.ledger.value.jobs.values();
+        let chosen: Vec<JobId> = of
+            .filter(|j| j.team == *team && label.is_none_or(|l| j.spec.label == *l))
+            .map(|j| j.id.clone())
+            .collect();
+        if cancel {
+            for job in &chosen {
+                self.cancel(id, job, now, out);
+            }
+        }
+        let Some(shard) = self.shards.get_mut(&id) else {
+            return;
+        };
+        let jobs = &shard.ledger.value.jobs;
+        let found = chosen.iter().filter_map(|job| jobs.get(job));
+        let body = JobReply::Jobs(found.map(|j| summary(j, &shard.jobs.soft)).collect());
+        if cancel {
+            let change = shard.ledger.touch();
+            let waiter = Waiter::Call {
+                to: from.clone(),
+                call,
+                body,
+            };
+            shard.jobs.waiters.push((change, waiter));
+        } else {
+            out.send(from, Message::Answer { call, body });
+        }
+    }
+
+    pub(super) fn claim(
+        &mut self,
+        from: &NodeId,
+        call: u64,
+        id: ShardId,
+        key: TaskId,
+        claim: u64,
+        out: &mut Out,
+    ) {
+        let Some(shard) = self.shards.get_mut(&id) else {
+            return;
+        };
+        let known = shard.ledger.value.intents.get(&key);
+        if let Some(intent) = known.filter(|i| i.claim != claim) {
+            let body = JobReply::Used(intent.state);
+            out.send(from, Message::Answer { call, body });
+            return;
+        }
+        if known.is_none() {
+            let last = shard.ledger.value.intents.values().map(|i| i.number).max();
+            let number = last.unwrap_or(0) + 1;
+            let intent = Intent {
+                claim,
+                state: IntentState::Marked,
+                number,
+            };
+            shard.ledger.value.intents.insert(key, intent);
+            trim_intents(&mut shard.ledger.value.intents);
+        }
+        let change = shard.ledger.touch();
+        let waiter = Waiter::Call {
+            to: from.clone(),
+            call,
+            body: JobReply::Claimed,
+        };
+        shard.jobs.waiters.push((change, waiter));
+    }
+
+    pub(super) fn settle_key(
+        &mut self,
+        from: &NodeId,
+        call: u64,
+        id: ShardId,
+        key: &TaskId,
+        claim: u64,
+        status: Option<u16>,
+    ) {
+        let Some(shard) = self.shards.get_mut(&id) else {
+            return;
+        };
+        let intents = &mut shard.ledger.value.intents;
+        let own = intents.get(key).is_some_and(|i| i.claim == claim);
+        match status {
+            Some(status) if own => {
+                if let Some(intent) = intents.get_mut(key) {
+                    intent.state = IntentState::Ran(status);
+                }
+            }
+            None if own => {
+                intents.remove(key);
+            }
+            _ => {}
+        }
+        let change = shard.ledger.touch();
+        let waiter = Waiter::Call {
+            to: from.clone(),
+            call,
+            body: JobReply::Settled,
+        };
+        shard.jobs.waiters.push((change, waiter));
+    }
+}
+
+fn already_known(jobs: &BTreeMap<JobId, JobRecord>, call: &JobCall) -> bool {
+    matches!(call, JobCall::Submit { id, .. } if jobs.contains_key(id))
+}
+
+fn find<'a>(
+    jobs: &'a BTreeMap<JobId, JobRecord>,
+    id: &JobId,
+    team: &TeamName,
+) -> Option<&'a JobRecord> {
+    jobs.get(id).filter(|j| j.team == *team)
+}
+
+/// Describes a job for callers.
+pub fn summary(job: &JobRecord, soft: &BTreeMap<TaskId, SoftTask>) -> JobSummary {
+    let runs = job.tasks.iter().filter_map(|t| t.run.as_ref());
+    JobSummary {
+        id: job.id.clone(),
+        team: job.team.clone(),
+        queue: job.spec.queue.clone(),
+        label: job.spec.label.clone(),
+        state: job.state,
+        tasks: job.tasks.len(),
+        waiting: job.count(TaskStage::Waiting),
+        marked: job.count(TaskStage::Marked),
+        done: job.count(TaskStage::Done),
+        failed: job.count(TaskStage::Failed),
+        workers: runs
+            .filter_map(|r| soft.get(&r.id)?.worker.clone())
+            .collect(),
+    }
+}
--- /dev/null
+++ b/src/core/node_config.rs
@@ -0,0 +1,236 @@
+//! Operators' changes of the configuration.
+
+use {
+    crate::core::{
+        AdminCall, AdminReply, Cluster, Config, ConfigChange, Message, Millis, Node, NodeId, Out,
+        ReplyId, StoreAnswer, StoreFault,
+    },
+    rand::Rng,
+    std::sync::Arc,
+};
+
+/// Why a store call about the configuration was made.
+#[derive(Debug)]
+pub(super) enum ConfigCall {
+    Write {
+        reply: ReplyId,
+        config: Config,
+        /// The change to make again if another one came first.
+        again: Option<AdminCall>,
+    },
+    /// Reads back after a write whose answer was lost.
+    Settle {
+        reply: ReplyId,
+        config: Config,
+        tries: u32,
+    },
+    /// Reads the author of a racing change.
+    Conflict {
+        reply: ReplyId,
+        again: Option<AdminCall>,
+    },
+}
+
+impl Node {
+    pub(super) fn admin_call(
+        &mut self,
+        reply: ReplyId,
+        call: AdminCall,
+        now: Millis,
+        out: &mut Out,
+    ) {
+        let again = call.clone();
+        let AdminCall::Change {
+            base,
+            author,
+            change,
+        } = call;
+        let current = self.cluster.config.clone();
+        if let ConfigChange::WithdrawKey { digest } = &change
+            && current.keys.contains_key(digest)
+        {
+            self.revoke(digest, out);
+        }
+        if base.is_some_and(|b| b != current.revision) {
+            let body = AdminReply::Conflict {
+                revision: current.revision,
+                author: current.author.clone(),
+            };
+            out.admin_reply(reply, body);
+            return;
+        }
+        if !self.cluster.store_ok(now) {
+            out.admin_reply(
+                reply,
+                AdminReply::StoreDown {
+                    maybe_written: false,
+                },
+            );
+            return;
+        }
+        let mut config = current.with(&change, &author);
+        config.write_id = self.rng.random();
+        let call = Cluster::write_config(&config, current.revision, out);
+        self.config_calls.insert(
+            call,
+            ConfigCall::Write {
+                reply,
+                config,
+                again: base.is_none().then_some(again),
+            },
+        );
+    }
+
+    pub(super) fn config_answer(
+        &mut self,
+        call: ConfigCall,
+        result: Result<StoreAnswer, StoreFault>,
+        now: Millis,
+        out: &mut Out,
+    ) {
+        match (call, result) {
+            (
+                ConfigCall::Write {
+                    reply, mut config, ..
+                },
+                Ok(StoreAnswer::Written { version }),
+            ) => {
+                config.revision = version;
+                self.accept_config(reply, config, now, out);
+            }
+            (ConfigCall::Write { reply, again, .. }, Ok(StoreAnswer::Conflict { .. })) => {
+                let call = Cluster::reread_config(out);
+                self.config_calls
+                    .insert(call, ConfigCall::Conflict { reply, again });
+            }
+            (ConfigCall::Write { reply, config, .. }, _) => {
+                self.settle_config(reply, config, 0, out);
+            }
+            (
+                ConfigCall::Settle { reply, config, .. },
+                Ok(StoreAnswer::Value { version, value }),
+            ) => {
+                let stored: Config = serde_json::from_str(&value).unwrap_or_default();
+                if stored.write_id == config.write_id {
+                    self.accept_config(
+                        reply,
+                        Config {
+                            revision: version,
+                            ..stored
+                        },
+                        now,
+                        out,
+                    );
+                } else {
+                    out.admin_reply(
+                        reply,
+                        AdminReply::StoreDown {
+                            maybe_written: true,
+                        },
+                    );
+                }
+            }
+            (
+                ConfigCall::Settle {
+                    reply,
+                    config,
+                    tries,
+                },
+                _,
+            ) => {
+                self.settle_config(reply, config, tries + 1, out);
+            }
+            (ConfigCall::Conflict { reply, again }, Ok(StoreAnswer::Value { version, value })) => {
+                let stored: Config = serde_json::from_str(&value).unwrap_or_default();
+                let author = stored.author.clone();
+                self.take_config(
+                    Arc::new(Config {
+                        revision: version,
+                        ..stored
+                    }),
+                    out,
+                );
+                match again {
+                    Some(call) => self.admin_call(reply, call, now, out),
+                    None => out.admin_reply(
+                        reply,
+                        AdminReply::Conflict {
+                            revision: version,
+                            author,
+                        },
+                    ),
+                }
+            }
+            (ConfigCall::Conflict { reply, .. }, _) => {
+                let body = AdminReply::Conflict {
+                    revision: self.cluster.config.revision,
+                    author: self.cluster.config.author.clone(),
+                };
+                out.admin_reply(reply, body);
+            }
+        }
+    }
+
+    /// Reads back a write whose answer was lost, a few times.
+    pub(super) fn settle_config(
+        &mut self,
+        reply: ReplyId,
+        config: Config,
+        tries: u32,
+        out: &mut Out,
+    ) {
+        const MOST_TRIES: u32 = 3;
+        if tries >= MOST_TRIES {
+            out.admin_reply(
+                reply,
+                AdminReply::StoreDown {
+                    maybe_written: true,
+                },
+            );
+            return;
+        }
+        let call = Cluster::reread_config(out);
+        let settle = ConfigCall::Settle {
+            reply,
+            config,
+            tries,
+        };
+        self.config_calls.insert(call, settle);
+    }
+
+    pub(super) fn accept_config(
+        &mut self,
+        reply: ReplyId,
+        config: Config,
+        now: Millis,
+        out: &mut Out,
+    ) {
+        const WAIT_IN_FORCE_MS: Millis = 2_000;
+        let revision = config.revision;
+        let config = Arc::new(config);
+        self.take_config(config.clone(), out);
+        let others: Vec<NodeId> = self.cluster.others().cloned().collect();
+        for id in others {
+            out.send(&id, Message::Config(config.clone()));
+        }
+        self.config_waiters
+            .push((now + WAIT_IN_FORCE_MS, reply, revision));
+    }
+
+    pub(super) fn finish_config_waits(&mut self, now: Millis, out: &mut Out) {
+        let cluster = &self.cluster;
+        let all = cluster.records().len();
+        self.config_waiters.retain(|(until, reply, revision)| {
+            let in_force = cluster.in_force(*revision);
+            let done = in_force.len() >= all || now >= *until;
+            if done {
+                let body = AdminReply::Accepted {
+                    revision: *revision,
+                    in_force,
+                };
+                out.admin_reply(*reply, body);
+            }
+            !done
+        });
+    }
+}
--- /dev/null
+++ b/src/core/node_gangs.rs
@@ -0,0 +1,111 @@
+//! The home role: gangs, whose tasks start all together.
+
+use crate::{
+    chart::{self, TaskEvent},
+    core::{
+        JobId, JobKind, LogEvent, Millis, Node, Out, ShardId, TaskId, TaskStage,
+        job_book::SoftPhase,
+    },
+};
+
+/// How long a gang gathers its tasks, in ms.
+const GATHER_MS: Millis = 1_500;
+
+impl Node {
+    pub(super) fn gang_of(&self, id: ShardId, task: &TaskId) -> Option<JobId> {
+        let shard = self.shards.get(&id)?;
+        let job = shard
+            .ledger
+            .value
+            .jobs
+            .get(&shard.jobs.soft.get(task)?.job)?;
+        (job.spec.kind == JobKind::Gang).then(|| job.id.clone())
+    }
+
+    /// Starts a gang once all of its tasks are held.
+    pub(super) fn begin_gang(&mut self, id: ShardId, job: &JobId, now: Millis, out: &mut Out) {
+        let Some(shard) = self.shards.get(&id) else {
+            return;
+        };
+        let runs = shard.jobs.of_job(job);
+        let all = shard
+            .ledger
+            .value
+            .jobs
+            .get(job)
+            .map_or(0, |j| j.tasks.len());
+        let held = runs
+            .iter()
+            .all(|t| shard.jobs.soft[t].phase == SoftPhase::Held);
+        if !held || runs.len() < all {
+            return;
+        }
+        for task in runs {
+            if let Some(soft) = self.soft_mut(id, &task) {
+                soft.phase = SoftPhase::Beginning;
+            }
+            self.send_ask(id, &task, now, out);
+        }
+    }
+
+    pub(super) fn break_slow_gangs(&mut self, id: ShardId, now: Millis, out: &mut Out) {
+        let shard = &self.shards[&id];
+        let slow: Vec<JobId> = shard
+            .jobs
+            .soft
+            .values()
+            .filter(|s| matches!(s.phase, SoftPhase::Held | SoftPhase::Asked))
+            .filter(|s| now >= s.asked_at + GATHER_MS)
+            .filter(|s| {
+                let job = shard.ledger.value.jobs.get(&s.job);
+                job.is_some_and(|j| j.spec.kind == JobKind::Gang)
+            })
+            .map(|s| s.job.clone())
+            .collect();
+        for job in slow {
+            self.break_gang(id, &job, now, out);
+        }
+    }
+
+    /// Has all tasks of a gang given up, so that it starts again as a whole.
+    pub(super) fn break_gang(&mut self, id: ShardId, job: &JobId, now: Millis, out: &mut Out) {
+        let runs = self.shards[&id].jobs.of_job(job);
+        if !runs.is_empty() {
+            out.log(LogEvent::GangReleased, job.to_string());
+        }
+        self.pause(id, job, now);
+        for task in runs {
+            self.stop_run(id, &task, now, out);
+        }
+    }
+
+    /// Queues a gang again once none of its tasks is left anywhere.
+    ///
+    /// A gang that cannot run as a whole any more, because a task failed for good or ran
+    /// and must not run again, gets no further runs.
+    pub(super) fn regather(&mut self, id: ShardId, job: &JobId) {
+        let Some(shard) = self.shards.get_mut(&id) else {
+            return;
+        };
+        let Some(record) = shard.ledger.value.jobs.get_mut(job) else {
+            return;
+        };
+        let partly = record.count(TaskStage::Waiting) > 0;
+        if record.count(TaskStage::Marked) > 0 || !partly {
+            return;
+        }
+        let done = record.count(TaskStage::Done) > 0;
+        let ended = record.count(TaskStage::Failed) + record.count(TaskStage::Unknown) > 0;
+        if ended || (done && !record.spec.idempotent) {
+            record.close_waiting();
+            return;
+        }
+        for task in &mut record.tasks {
+            chart::task().follow(&mut task.stage, TaskEvent::Regathered);
+        }
+        let record = record.clone();
+        if !shard.jobs.is_waiting(&record) {
+            shard.jobs.wait(&record, 0);
+        }
+    }
+}
--- /dev/null
+++ b/src/core/node_marks.rs
@@ -0,0 +1,292 @@
+//! The home role: marks of tasks and asks for their placement.
+
+use {
+    crate::{
+        chart::{self, JobEvent, TaskEvent},
+        core::{
+            JobId, JobKind, JobRecord, JobState, Message, Millis, Node, NodeId, Out, PlaceAsk,
+            PoolName, Resources, ShardFree, ShardId, TaskId, TaskKind, TaskRun, TaskSpec,
+            TaskStage, TeamName,
+            job_book::{SoftPhase, SoftTask, WaitKey},
+            node_jobs::recovering,
+        },
+    },
+    rand::Rng,
+    std::collections::BTreeMap,
+};
+
+/// Most asks of one team that one home has with owners at a time.
+const MOST_ASKED: usize = 32;
+
+/// How long a task's ask waits at an owner, in ms.
+const ASK_WAIT_MS: Millis = 10_000;
+
+/// Period after which an unanswered ask is repeated, in ms.
+const REPEAT_MS: Millis = 1_000;
+
+/// Age at which the summary of the own workers is made anew, in ms.
+const SUMMARY_MS: Millis = 100;
+
+impl Node {
+    /// Asks owners for the tasks whose marks became durable.
+    pub(super) fn ask_marked(&mut self, id: ShardId, now: Millis, out: &mut Out) {
+        let Some(shard) = self.shards.get_mut(&id) else {
+            return;
+        };
+        let ledger = &shard.ledger;
+        let ready: Vec<TaskId> = shard
+            .jobs
+            .soft
+            .iter()
+            .filter(|(_, s)| matches!(s.phase, SoftPhase::Marking(c) if ledger.is_durable(c)))
+            .map(|(task, _)| task.clone())
+            .collect();
+        for task in ready {
+            if let Some(soft) = self.soft_mut(id, &task) {
+                soft.phase = SoftPhase::Asked;
+                soft.asked_at = now;
+            }
+            self.send_ask(id, &task, now, out);
+        }
+    }
+
+    /// Sends the message that a marked task's phase calls for.
+    pub(super) fn send_ask(&mut self, id: ShardId, task: &TaskId, now: Millis, out: &mut Out) {
+        let me = self.id().clone();
+        let table = &self.cluster.table;
+        let Some(shard) = self.shards.get_mut(&id) else {
+            return;
+        };
+        let Some(soft) = shard.jobs.soft.get_mut(task) else {
+            return;
+        };
+        let Some(job) = shard.ledger.value.jobs.get(&soft.job) else {
+            return;
+        };
+        let Some(owner) = table.owner(soft.shard) else {
+            return;
+        };
+        soft.sent_at = now;
+        let message = match soft.phase {
+            SoftPhase::Asked => Message::Place(PlaceAsk {
+                spec: task_spec(task, job, soft.index, me),
+                shard: Some((soft.shard, soft.epoch)),
+                hold: job.spec.kind == JobKind::Gang,
+                wait_ms: ASK_WAIT_MS,
+            }),
+            SoftPhase::Beginning => Message::Begin { task: task.clone() },
+            SoftPhase::Stopping => Message::Release {
+                task: task.clone(),
+                shard: Some(soft.shard),
+                finished: false,
+            },
+            SoftPhase::Marking(_)
+            | SoftPhase::Recovering
+            | SoftPhase::Held
+            | SoftPhase::Running => return,
+        };
+        out.send(owner, message);
+    }
+
+    pub(super) fn repeat_asks(&mut self, id: ShardId, now: Millis, out: &mut Out) {
+        let late: Vec<TaskId> = self.shards[&id]
+            .jobs
+            .soft
+            .iter()
+            .filter(|(_, s)| now >= s.sent_at + REPEAT_MS)
+            .map(|(task, _)| task.clone())
+            .collect();
+        for task in late {
+            self.send_ask(id, &task, now, out);
+        }
+    }
+
+    pub(super) fn refresh_summary(&mut self, now: Millis) {
+        if now >= self.summary_at + SUMMARY_MS {
+            self.summary_at = now;
+            self.summary = self.book.summary(now);
+        }
+    }
+
+    pub(super) fn mark_waiting(&mut self, id: ShardId, now: Millis) {
+        if self.shards[&id].jobs.waiting.is_empty() {
+            return;
+        }
+        let mut pending = self.pending_by_shard();
+        let teams: Vec<TeamName> = self.shards[&id].jobs.waiting.keys().cloned().collect();
+        for team in teams {
+            let shard = &self.shards[&id];
+            let asked = shard.jobs.asked(&shard.ledger.value.jobs, &team);
+            let room = MOST_ASKED.saturating_sub(asked);
+            if room == 0 {
+                continue;
+            }
+            let heads: Vec<(WaitKey, JobId, usize)> = shard.jobs.waiting[&team]
+                .iter()
+                .filter(|(_, (job, _))| shard.jobs.paused.get(job).is_none_or(|t| now >= *t))
+                .take(room)
+                .map(|(key, (job, index))| (*key, job.clone(), *index))
+                .collect();
+            for (place, job, index) in heads {
+                if self.mark(id, &job, index, &mut pending, now)
+                    && let Some(shard) = self.shards.get_mut(&id)
+                    && let Some(lane) = shard.jobs.waiting.get_mut(&team)
+                {
+                    lane.remove(&place);
+                }
+            }
+            if let Some(shard) = self.shards.get_mut(&id) {
+                shard.jobs.waiting.retain(|_, lane| !lane.is_empty());
+            }
+        }
+    }
+
+    /// Marks a task, or all tasks of a gang; returns whether its place in the order is used up.
+    pub(super) fn mark(
+        &mut self,
+        id: ShardId,
+        job_id: &JobId,
+        index: usize,
+        pending: &mut BTreeMap<ShardId, u32>,
+        now: Millis,
+    ) -> bool {
+        let Some(job) = self.shards[&id].ledger.value.jobs.get(job_id) else {
+            return true;
+        };
+        let gang = job.spec.kind == JobKind::Gang;
+        let indexes: Vec<usize> = if gang {
+            (0..job.tasks.len()).collect()
+        } else {
+            vec![index]
+        };
+        let all_waiting = indexes
+            .iter()
+            .all(|i| job.tasks[*i].stage == TaskStage::Waiting);
+        if job.state.ended() || job.state == JobState::Cancelling {
+            return true;
+        }
+        if !all_waiting {
+            return !gang;
+        }
+        let spec = job.spec.clone();
+        let mut targets = Vec::new();
+        for _ in &indexes {
+            let Some(target) = self.choose_shard(&spec.pool, &spec.need, pending, now) else {
+                self.pause(id, job_id, now);
+                return false;
+            };
+            *pending.entry(target).or_default() += 1;
+            targets.push(target);
+        }
+        self.write_marks(id, job_id, &indexes, &targets, now);
+        true
+    }
+
+    pub(super) fn write_marks(
+        &mut self,
+        id: ShardId,
+        job_id: &JobId,
+        indexes: &[usize],
+        targets: &[ShardId],
+        now: Millis,
+    ) {
+        let runs: Vec<TaskRun> = targets
+            .iter()
+            .map(|shard| TaskRun {
+                id: self.new_task_id(),
+                shard: *shard,
+                epoch: self.cluster.table.entry(*shard).epoch,
+            })
+            .collect();
+        let Some(shard) = self.shards.get_mut(&id) else {
+            return;
+        };
+        let change = shard.ledger.touch();
+        let Some(job) = shard.ledger.value.jobs.get_mut(job_id) else {
+            return;
+        };
+        chart::job().follow(&mut job.state, JobEvent::Marked);
+        for (index, run) in indexes.iter().zip(runs) {
+            let soft = SoftTask {
+                phase: SoftPhase::Marking(change),
+                sent_at: now,
+                ..recovering(job, *index, &run)
+            };
+            shard.jobs.soft.insert(run.id.clone(), soft);
+            chart::task().follow(&mut job.tasks[*index].stage, TaskEvent::Marked);
+            job.tasks[*index].run = Some(run);
+        }
+    }
+
+    pub(super) fn new_task_id(&mut self) -> TaskId {
+        let (a, b): (u64, u64) = (self.rng.random(), self.rng.random());
+        TaskId::from(format!("{a:016x}{b:016x}"))
+    }
+
+    /// Counts the asks that have not led to a placement yet, by shard.
+    pub(super) fn pending_by_shard(&self) -> BTreeMap<ShardId, u32> {
+        let mut pending = BTreeMap::new();
+        for soft in self.shards.values().flat_map(|s| s.jobs.soft.values()) {
+            if matches!(soft.phase, SoftPhase::Marking(_) | SoftPhase::Asked) {
+                *pending.entry(soft.shard).or_default() += 1;
+            }
+        }
+        pending
+    }
+
+    /// Chooses a shard for a task by the owners' summaries; `pending` counts against room.
+    pub(super) fn choose_shard(
+        &mut self,
+        pool: &PoolName,
+        need: &Resources,
+        pending: &BTreeMap<ShardId, u32>,
+        now: Millis,
+    ) -> Option<ShardId> {
+        self.refresh_summary(now);
+        let own = &self.summary;
+        let table = &self.cluster.table;
+        let me = &self.cluster.me.id;
+        let peers = self.cluster.peers.iter();
+        let theirs = peers.flat_map(|(id, v)| v.free.iter().map(move |f| (id, f)));
+        let all = own.iter().map(|f| (me, f)).chain(theirs);
+        let fitting: Vec<&ShardFree> = all
+            .filter(|(id, f)| table.owner(f.shard) == Some(*id))
+            .map(|(_, f)| f)
+            .filter(|f| f.pool == *pool && f.largest.holds(need))
+            .collect();
+        let weight = |f: &ShardFree| {
+            let used = pending.get(&f.shard).copied().unwrap_or(0);
+            let room = f.free_slots.saturating_sub(used * need.slots.max(1));
+            if f.best.holds(need) { 1 + 16 * room } else { 1 }
+        };
+        let total: u32 = fitting.iter().map(|f| weight(f)).sum();
+        if total == 0 {
+            return None;
+        }
+        let mut at = self.rng.random_range(0..total);
+        for f in fitting {
+            let w = weight(f);
+            if at < w {
+                return Some(f.shard);
+            }
+            at -= w;
+        }
+        None
+    }
+}
+
+fn task_spec(task: &TaskId, job: &JobRecord, index: usize, asker: NodeId) -> TaskSpec {
+    TaskSpec {
+        id: task.clone(),
+        team: job.team.clone(),
+        pool: job.spec.pool.clone(),
+        need: job.spec.need,
+        kind: TaskKind::Job,
+        priority: job.spec.priority,
+        job: Some(job.id.clone()),
+        part: u32::try_from(index).unwrap_or(u32::MAX),
+        run_ms: job.spec.run_ms,
+        pack: job.spec.pack,
+        asker,
+    }
+}
--- a/src/core/node_workers.rs
+++ b/src/core/node_workers.rs
@@ -1,21 +1,15 @@
-//! The owner role: worker leases, placement and the allowances of owned shards.
+//! The owner role: leases of the workers of owned shards.
 
 use {
     crate::{
         chart::{self, WorkerEvent},
         core::{
-            Allowance, CallId, EndedTask, Epoch, Fence, Hosted, HostedStage, JobId, LogEvent,
-            Message, Millis, Node, NodeId, Out, Outcome, PlaceAsk, RefuseReason, Report, Resources,
-            ShardId, TaskId, TaskKind, TaskSpec, TeamName, TokenKey, TokenStand, VmRecord,
-            WorkerAnswer, WorkerId, WorkerOp, WorkerState,
-            node::{EndedNote, SETTLED_REQUEST_KEEP_MS, SentReport},
-            wait_queue::{Waiting, refusal},
+            CallId, EndedTask, Fence, Hosted, HostedStage, LogEvent, Millis, Node, Out, Outcome,
+            ShardId, TaskId, TaskKind, TaskSpec, VmRecord, WorkerAnswer, WorkerId, WorkerOp,
+            WorkerState,
         },
     },
-    std::{
-        collections::{BTreeMap, BTreeSet},
-        sync::Arc,
-    },
+    std::{collections::BTreeSet, sync::Arc},
 };
 
 /// Pause after a worker call without an answer, and between repeats, in ms.
@@ -24,18 +18,6 @@
 /// Allowance for clocks that run at different speeds, in ms.
 const CLOCK_MARGIN_MS: Millis = 2_000;
 
-/// How long a held task waits for its gang, in ms.
-const HOLD_MS: Millis = 3_000;
-
-/// Shortest time between two asks for tokens of one team on one shard, in ms.
-const TOKEN_ASK_MS: Millis = 100;
-
-/// How many asks of a lane are tried before the next lane.
-const LANE_HEADS: usize = 4;
-
-/// Most tokens asked for beyond what runs.
-const TOKEN_AHEAD: u32 = 16;
-
 impl Node {
     /// Brings the durable rosters in line with the VM list.
     pub(super) fn match_roster(&mut self, now: Millis, out: &mut Out) {
@@ -63,7 +45,7 @@
     }
 
     /// Drops workers that the list no longer shows and that no call has reached since.
-    fn drop_gone(&mut self, listed: &BTreeSet<&WorkerId>, now: Millis, out: &mut Out) {
+    pub(super) fn drop_gone(&mut self, listed: &BTreeSet<&WorkerId>, now: Millis, out: &mut Out) {
         let wait = self.tuning.worker_ttl_ms + CLOCK_MARGIN_MS;
         let ids: Vec<WorkerId> = self.book.iter().map(|w| w.record.id.clone()).collect();
         for id in ids {
@@ -85,7 +67,7 @@
         }
     }
 
-    fn worker_gone(&mut self, id: &WorkerId, now: Millis, out: &mut Out) {
+    pub(super) fn worker_gone(&mut self, id: &WorkerId, now: Millis, out: &mut Out) {
         out.log(LogEvent::WorkerGone, id.to_string());
         self.lose_tasks(id, now, out);
         let Some(worker) = self.book.remove(id) else {
@@ -99,7 +81,7 @@
     }
 
     /// Ends all tasks of a worker that surely runs nothing.
-    fn lose_tasks(&mut self, id: &WorkerId, now: Millis, out: &mut Out) {
+    pub(super) fn lose_tasks(&mut self, id: &WorkerId, now: Millis, out: &mut Out) {
         let Some(worker) = self.book.get(id) else {
             return;
         };
@@ -143,7 +125,7 @@
     }
 
     /// Notes that no earlier owner can start anything on a shard, and reports it.
-    fn check_fenced(&mut self, id: ShardId, out: &mut Out) {
+    pub(super) fn check_fenced(&mut self, id: ShardId, out: &mut Out) {
         let opening = self.book.iter().any(|w| {
             w.shard == id && matches!(w.state, WorkerState::Opening | WorkerState::Listed)
         });
@@ -169,7 +151,7 @@
         }
     }
 
-    fn check_lapse(&mut self, id: &WorkerId, now: Millis, out: &mut Out) {
+    pub(super) fn check_lapse(&mut self, id: &WorkerId, now: Millis, out: &mut Out) {
         let Some(worker) = self.book.get_mut(id) else {
             return;
         };
@@ -182,7 +164,7 @@
         self.lose_tasks(id, now, out);
     }
 
-    fn pump_lease(&mut self, id: &WorkerId, now: Millis, out: &mut Out) {
+    pub(super) fn pump_lease(&mut self, id: &WorkerId, now: Millis, out: &mut Out) {
         let ttl_ms = self.tuning.worker_ttl_ms;
         let hold_ms = self.tuning.renew_hold_ms;
         let Some(worker) = self.book.get_mut(id) else {
@@ -228,7 +210,7 @@
         self.worker_calls.insert(call, (id.clone(), None));
     }
 
-    fn pump_tasks(&mut self, id: &WorkerId, now: Millis, out: &mut Out) {
+    pub(super) fn pump_tasks(&mut self, id: &WorkerId, now: Millis, out: &mut Out) {
         let Some(worker) = self.book.get_mut(id) else {
             return;
         };
@@ -277,7 +259,7 @@
         self.queue_dirty = true;
     }
 
-    fn task_answer(
+    pub(super) fn task_answer(
         &mut self,
         id: &WorkerId,
         task: &TaskId,
@@ -306,14 +288,14 @@
     }
 
     /// Has a lapsed lease opened anew, which settles what the worker ran.
-    fn reopen(&mut self, id: &WorkerId) {
+    pub(super) fn reopen(&mut self, id: &WorkerId) {
         if let Some(worker) = self.book.get_mut(id) {
             chart::worker().follow(&mut worker.state, WorkerEvent::AnsweredLapsed);
             worker.silent = true;
         }
     }
 
-    fn lease_answer(
+    pub(super) fn lease_answer(
         &mut self,
         id: &WorkerId,
         answer: Option<WorkerAnswer>,
@@ -365,7 +347,7 @@
     }
 
     /// Compares what an opened worker runs with what is known.
-    fn opened(
+    pub(super) fn opened(
         &mut self,
         id: &WorkerId,
         running: Vec<TaskSpec>,
@@ -412,14 +394,14 @@
         self.pump_lease(id, now, out);
     }
 
-    fn refence(&mut self, task: &TaskId, fence: Fence) {
+    pub(super) fn refence(&mut self, task: &TaskId, fence: Fence) {
         if let Some((hosted, _)) = self.book.task_mut(task) {
             hosted.fence = fence;
         }
     }
 
     /// Counts a running task that an earlier owner or lease started.
-    fn inherit(
+    pub(super) fn inherit(
         &mut self,
         id: &WorkerId,
         shard: ShardId,
@@ -452,7 +434,13 @@
         self.book.commit(id, hosted);
     }
 
-    fn tasks_ended(&mut self, shard: ShardId, ended: &[EndedTask], now: Millis, out: &mut Out) {
+    pub(super) fn tasks_ended(
+        &mut self,
+        shard: ShardId,
+        ended: &[EndedTask],
+        now: Millis,
+        out: &mut Out,
+    ) {
         for end in ended {
             if self.book.host_of(&end.task).is_some() {
                 self.free_task(&end.task, end.outcome, now, out);
@@ -463,7 +451,7 @@
     }
 
     /// Lets the worker forget ended tasks once their homes have noted them.
-    fn note_acked(&mut self, id: &WorkerId) {
+    pub(super) fn note_acked(&mut self, id: &WorkerId) {
         let Some(worker) = self.book.get_mut(id) else {
             return;
         };
@@ -473,100 +461,7 @@
         }
     }
 
-    pub(super) fn allowance_mut(&mut self, id: ShardId, team: &TeamName) -> Option<&mut Allowance> {
-        let home_epoch = self.home_epoch(team);
-        let shard = self.shards.get_mut(&id)?;
-        Some(
-            shard
-                .allowances
-                .entry(team.clone())
-                .or_insert_with(|| Allowance {
-                    home_epoch,
-                    ..Allowance::default()
-                }),
-        )
-    }
-
-    fn home_epoch(&self, team: &TeamName) -> Epoch {
-        self.cluster.table.entry(ShardId::of(team.as_str())).epoch
-    }
-
-    fn count(&mut self, team: &TeamName, need: &Resources) {
-        self.team_use.entry(team.clone()).or_default().add(need);
-    }
-
-    pub(super) fn uncount(&mut self, team: &TeamName, need: &Resources) {
-        if let Some(used) = self.team_use.get_mut(team) {
-            *used = used.minus(need);
-        }
-    }
-
-    /// Frees what a task holds and tells its asker how it ended.
-    pub(super) fn free_task(
-        &mut self,
-        task: &TaskId,
-        outcome: Outcome,
-        now: Millis,
-        out: &mut Out,
-    ) {
-        let health_of = self.book.host_of(task).map(|w| w.record.id.clone());
-        let Some((hosted, shard)) = self.book.release(task) else {
-            return;
-        };
-        let spec = hosted.spec;
-        self.queue_dirty = true;
-        self.uncount(&spec.team, &spec.need);
-        self.settle(&spec, outcome, now);
-        self.give_back_token(shard, &spec.team, out);
-        if let Some(worker) = health_of {
-            self.judge(&worker, &spec, outcome, now, out);
-        }
-        match (&spec.job, spec.kind) {
-            (Some(job), TaskKind::Job) => {
-                self.note_ended(shard, job, &spec.id, outcome, now, out);
-            }
-            _ => out.send(&spec.asker, Message::Released { task: spec.id }),
-        }
-    }
-
-    /// Tells the home of a job that a task ended, until it is acknowledged.
-    fn note_ended(
-        &mut self,
-        shard: ShardId,
-        job: &JobId,
-        task: &TaskId,
-        outcome: Outcome,
-        now: Millis,
-        out: &mut Out,
-    ) {
-        let home = ShardId::of(job.as_str());
-        let note = EndedNote {
-            home,
-            outcome,
-            sent_at: now,
-        };
-        if let Some(shard) = self.shards.get_mut(&shard) {
-            shard.ended.insert(task.clone(), note);
-        }
-        self.send_ended(home, task, outcome, out);
-    }
-
-    fn send_ended(&self, home: ShardId, task: &TaskId, outcome: Outcome, out: &mut Out) {
-        if let Some(owner) = self.cluster.table.owner(home) {
-            let task = task.clone();
-            let home = Some(home);
-            out.send(
-                owner,
-                Message::Ended {
-                    task,
-                    outcome,
-                    home,
-                },
-            );
-        }
-    }
-
-    fn judge(
+    pub(super) fn judge(
         &mut self,
         id: &WorkerId,
         spec: &TaskSpec,
@@ -589,507 +484,8 @@
         }
     }
 
-    fn give_back_token(&mut self, shard: ShardId, team: &TeamName, out: &mut Out) {
-        let Some(allowance) = self.allowance_mut(shard, team) else {
-            return;
-        };
-        let used = allowance.used;
-        allowance.used = used.saturating_sub(1);
-        let above = used > allowance.amount;
-        out.invariant(used > 0, || format!("token of {team} given back twice"));
-        if above {
-            self.send_stand(shard, team, out);
-        }
-    }
-
-    fn send_stand(&mut self, shard: ShardId, team: &TeamName, out: &mut Out) {
-        let Some(owned) = self.shards.get(&shard).filter(|s| s.fenced) else {
-            return;
-        };
-        let Some(allowance) = owned.allowances.get(team) else {
-            return;
-        };
-        let key = TokenKey {
-            team: team.clone(),
-            shard,
-        };
-        let stand = TokenStand {
-            key,
-            version: allowance.version,
-            ceiling: allowance.ceiling(),
-        };
-        let home = ShardId::of(team.as_str());
-        if let Some(owner) = self.cluster.table.owner(home) {
-            let message = Message::TokenStand {
-                epoch: owned.epoch,
-                home_epoch: allowance.home_epoch,
-                stand,
-            };
-            out.send(owner, message);
-        }
-    }
-
-    /// Restarts version counting for allowances whose home has a new owner.
-    pub(super) fn reset_allowances(&mut self) {
-        let table = &self.cluster.table;
-        for shard in self.shards.values_mut() {
-            for (team, allowance) in &mut shard.allowances {
-                let epoch = table.entry(ShardId::of(team.as_str())).epoch;
-                if allowance.home_epoch != epoch {
-                    allowance.home_epoch = epoch;
-                    allowance.version = 0;
-                }
-            }
-        }
-    }
-
-    pub(super) fn token_allow(
-        &mut self,
-        team: &TeamName,
-        (id, epoch): (ShardId, Epoch),
-        home_epoch: Epoch,
-        (version, amount): (u64, u32),
-        out: &mut Out,
-    ) {
-        let current = self.home_epoch(team) == home_epoch;
-        let fenced = self
-            .shards
-            .get(&id)
-            .is_some_and(|s| s.epoch == epoch && s.fenced);
-        if !current || !fenced {
-            return;
-        }
-        if let Some(allowance) = self.allowance_mut(id, team) {
-            allowance.adopt(version, amount);
-        }
-        self.queue_dirty = true;
-        self.send_stand(id, team, out);
-    }
-
-    fn ask_tokens(
-        &mut self,
-        id: ShardId,
-        team: &TeamName,
-        waiting: usize,
-        now: Millis,
-        out: &mut Out,
-    ) {
-        let key = (team.clone(), id);
-        let asked = self.token_asked.get(&key);
-        if asked.is_some_and(|at| now < at + TOKEN_ASK_MS) {
-            return;
-        }
-        self.token_asked.insert(key, now);
-        let home_epoch = self.home_epoch(team);
-        let ahead = u32::try_from(waiting)
-            .unwrap_or(TOKEN_AHEAD)
-            .clamp(1, TOKEN_AHEAD);
-        let Some(shard) = self.shards.get(&id) else {
-            return;
-        };
-        let used = shard.allowances.get(team).map_or(0, |a| a.used);
-        let home = ShardId::of(team.as_str());
-        if let Some(owner) = self.cluster.table.owner(home) {
-            let message = Message::TokenAsk {
-                team: team.clone(),
-                shard: id,
-                epoch: shard.epoch,
-                home_epoch,
-                wish: used + ahead,
-            };
-            out.send(owner, message);
-        }
-    }
-
-    /// Handles an ask for placement.
-    pub(super) fn place(&mut self, from: &NodeId, ask: PlaceAsk, now: Millis, out: &mut Out) {
-        let task = ask.spec.id.clone();
-        if let Some((hosted, _)) = self.book.task_mut(&task) {
-            hosted.spec.asker = ask.spec.asker;
-            self.send_placed(&task, out);
-            return;
-        }
-        if self.queue.contains(&task) {
-            return;
-        }
-        if let Some(outcome) = self.settled.get(&task).copied() {
-            answer_settled(from, &ask, outcome, out);
-            return;
-        }
-        let refuse = self.refuse_at_once(&ask);
-        let waiting = Waiting {
-            from: from.clone(),
-            since: now,
-            expires_at: now + ask.wait_ms,
-            ask,
-        };
-        if let Some(reason) = refuse {
-            self.refuse(&waiting, reason, now, out);
-            return;
-        }
-        if waiting.ask.hold {
-            if let Err(reason) = self.try_place(&waiting.ask, now, out) {
-                self.refuse(&waiting, reason, now, out);
-            }
-            return;
-        }
-        if !self.queue.push(waiting.clone()) {
-            self.refuse(&waiting, RefuseReason::QueueFull, now, out);
-        }
-        self.queue_dirty = true;
-    }
-
-    fn refuse_at_once(&self, ask: &PlaceAsk) -> Option<RefuseReason> {
-        if let Some((id, epoch)) = ask.shard {
-            let owned = self.shards.get(&id);
-            if !owned.is_some_and(|s| s.epoch == epoch && s.fenced) {
-                return Some(RefuseReason::NotOwner);
-            }
-        }
-        if self.stopping() {
-            return Some(RefuseReason::Stopping);
-        }
-        let shard = ask.shard.map(|(id, _)| id);
-        let could = self.book.could_fit(&ask.spec.pool, &ask.spec.need, shard);
-        (!could).then_some(RefuseReason::NeverFits)
-    }
-
-    fn refuse(&mut self, waiting: &Waiting, reason: RefuseReason, now: Millis, out: &mut Out) {
-        if reason != RefuseReason::NotOwner {
-            self.settle(&waiting.ask.spec, Outcome::NotRun, now);
-        }
-        out.send(&waiting.from, refusal(waiting, reason));
-    }
-
-    /// Refuses asks whose wait has ended.
-    pub(super) fn expire_asks(&mut self, now: Millis, out: &mut Out) {
-        for waiting in self.queue.expired(now) {
-            self.refuse(&waiting, RefuseReason::Deadline, now, out);
-        }
-    }
-
-    /// Places waiting asks while room and tokens last.
-    pub(super) fn drain_queue(&mut self, now: Millis, out: &mut Out) {
-        if !self.queue_dirty {
-            return;
-        }
-        self.queue_dirty = false;
-        while !self.queue.is_empty() && self.place_next(now, out) {}
-    }
-
-    fn place_next(&mut self, now: Millis, out: &mut Out) -> bool {
-        let capacity = self.capacity;
-        let (uses, config) = (&self.team_use, &self.cluster.config);
-        let order = self.queue.order(|team| {
-            let amount = uses.get(team).copied().unwrap_or_default();
-            amount.dominant_fraction(&capacity) / f64::from(config.share(team))
-        });
-        for lane in order {
-            for task in self.queue.heads(&lane, LANE_HEADS) {
-                let Some(ask) = self.queue.get(&task).map(|w| w.ask.clone()) else {
-                    continue;
-                };
-                if self.try_place(&ask, now, out).is_ok() {
-                    self.queue.remove(&task);
-                    return true;
-                }
-            }
-        }
-        false
-    }
-
-    /// Commits a worker and a token to a task, or says what is missing.
-    fn try_place(
-        &mut self,
-        ask: &PlaceAsk,
-        now: Millis,
-        out: &mut Out,
-    ) -> Result<(), RefuseReason> {
-        let spec = &ask.spec;
-        let only = ask.shard.map(|(id, _)| id);
-        let shards = &self.shards;
-        let fenced =
-            |id: ShardId| only.is_none_or(|o| o == id) && shards.get(&id).is_some_and(|s| s.fenced);
-        let lent = |id: ShardId| {
-            let allowance = shards.get(&id).and_then(|s| s.allowances.get(&spec.team));
-            fenced(id) && allowance.is_some_and(|a| a.used < a.amount)
-        };
-        let fit = self.book.fit(&spec.pool, &spec.need, spec.pack, now, lent);
-        let Some(worker) = fit else {
-            let room = self
-                .book
-                .fit(&spec.pool, &spec.need, spec.pack, now, fenced);
-            let shard = room.map(|w| w.shard).ok_or(RefuseReason::NoRoom)?;
-            let waiting = self.queue.counts().get(&spec.team).copied().unwrap_or(1);
-            self.ask_tokens(shard, &spec.team, waiting, now, out);
-            return Err(RefuseReason::TeamLimit);
-        };
-        let (id, shard, fence) = (worker.record.id.clone(), worker.shard, worker.fence);
-        let taken = self
-            .allowance_mut(shard, &spec.team)
-            .is_some_and(Allowance::take);
-        out.invariant(taken, || format!("{} placed without a token", spec.id));
-        let stage = match (ask.hold, spec.kind) {
-            (true, _) => HostedStage::Held,
-            (false, TaskKind::Job) => HostedStage::Starting,
-            (false, TaskKind::Request) => HostedStage::Granted,
-        };
-        self.count(&spec.team, &spec.need);
-        let hosted = Hosted {
-            spec: spec.clone(),
-            stage,
-            since: now,
-            fence,
-            sent_at: 0,
-        };
-        self.book.commit(&id, hosted);
-        self.pump_tasks(&id, now, out);
-        self.send_placed(&spec.id, out);
-        Ok(())
-    }
-
-    fn send_placed(&mut self, task: &TaskId, out: &mut Out) {
-        let Some(worker) = self.book.host_of(task) else {
-            return;
-        };
-        let hosted = &worker.tasks[task];
-        let message = Message::Placed {
-            task: task.clone(),
-            shard: worker.shard,
-            worker: worker.record.id.clone(),
-            address: worker.record.address.clone(),
-            fence: hosted.fence,
-        };
-        out.send(&hosted.spec.asker, message);
-    }
-
-    /// Starts a held task.
-    pub(super) fn begin(&mut self, from: &NodeId, task: &TaskId, now: Millis, out: &mut Out) {
-        let Some((hosted, vm)) = self.book.task_mut(task) else {
-            let outcome = self.settled.get(task).copied().unwrap_or(Outcome::NotRun);
-            let task = task.clone();
-            out.send(
-                from,
-                Message::Ended {
-                    task,
-                    outcome,
-                    home: None,
-                },
-            );
-            return;
-        };
-        if hosted.stage == HostedStage::Held {
-            hosted.stage = HostedStage::Starting;
-            hosted.sent_at = 0;
-            let id = vm.id.clone();
-            self.pump_tasks(&id, now, out);
-        }
-        self.send_placed(task, out);
-    }
-
-    /// Gives a task up for its asker.
-    pub(super) fn release_asked(
-        &mut self,
-        from: &NodeId,
-        task: &TaskId,
-        shard: Option<ShardId>,
-        finished: bool,
-        now: Millis,
-        out: &mut Out,
-    ) {
-        if let Some(waiting) = self.queue.remove(task) {
-            self.refuse(&waiting, RefuseReason::Deadline, now, out);
-            out.send(from, Message::Released { task: task.clone() });
-            return;
-        }
-        if shard.is_some_and(|id| !self.shards.get(&id).is_some_and(|s| s.fenced)) {
-            return;
-        }
-        let Some((hosted, vm)) = self.book.task_mut(task) else {
-            self.release_unknown(from, task, now, out);
-            return;
-        };
-        let id = vm.id.clone();
-        match hosted.stage {
-            HostedStage::Held => self.free_task(task, Outcome::NotRun, now, out),
-            HostedStage::Granted if finished => self.free_task(task, Outcome::Done, now, out),
-            HostedStage::Stopping => {}
-            HostedStage::Granted | HostedStage::Starting | HostedStage::Running => {
-                hosted.stage = HostedStage::Stopping;
-                hosted.sent_at = 0;
-                self.pump_tasks(&id, now, out);
-            }
-        }
-    }
-
-    /// Answers a release of a task that holds nothing here and never will.
-    fn release_unknown(&mut self, from: &NodeId, task: &TaskId, now: Millis, out: &mut Out) {
-        let outcome = self.settled.get(task).copied().unwrap_or(Outcome::NotRun);
-        self.keep_settled(task, outcome, SETTLED_REQUEST_KEEP_MS, now);
-        let task = task.clone();
-        if self.shards.values().any(|s| s.ended.contains_key(&task)) {
-            out.send(
-                from,
-                Message::Ended {
-                    task,
-                    outcome,
-                    home: None,
-                },
-            );
-            return;
-        }
-        out.send(from, Message::Released { task: task.clone() });
-        out.send(
-            from,
-            Message::Ended {
-                task,
-                outcome,
-                home: None,
-            },
-        );
-    }
-
-    /// Stops requests whose entry node is gone and held tasks whose gang did not begin.
-    pub(super) fn stop_orphans(&mut self, now: Millis, out: &mut Out) {
-        let mut orphans = Vec::new();
-        for hosted in self.book.iter().flat_map(|w| w.tasks.values()) {
-            let old = now >= hosted.since + HOLD_MS;
-            let orphan = match hosted.stage {
-                HostedStage::Held => old,
-                HostedStage::Granted => old && !self.cluster.alive(&hosted.spec.asker, now),
-                _ => false,
-            };
-            if orphan {
-                orphans.push(hosted.spec.id.clone());
-            }
-        }
-        for task in orphans {
-            let me = self.id().clone();
-            self.release_asked(&me, &task, None, false, now, out);
-        }
-    }
-
-    /// Sends reports that are due and repeats what was not acknowledged.
-    pub(super) fn pump_reports(&mut self, now: Millis, out: &mut Out) {
-        if self.reports_due {
-            self.reports_due = false;
-            self.send_reports(now, out);
-        }
-        let late: Vec<u64> = self
-            .reports
-            .iter()
-            .filter(|(_, r)| now >= r.sent_at + RETRY_MS)
-            .map(|(n, _)| *n)
-            .collect();
-        for number in late {
-            if let Some(sent) = self.reports.get_mut(&number) {
-                sent.sent_at = now;
-                let report = sent.report.clone();
-                out.send(&sent.to, Message::Report { number, report });
-            }
-        }
-        let mut again = Vec::new();
-        for shard in self.shards.values_mut() {
-            for (task, note) in &mut shard.ended {
-                if now >= note.sent_at + RETRY_MS {
-                    note.sent_at = now;
-                    again.push((note.home, task.clone(), note.outcome));
-                }
-            }
-        }
-        for (home, task, outcome) in again {
-            self.send_ended(home, &task, outcome, out);
-        }
-    }
-
-    fn send_reports(&mut self, now: Millis, out: &mut Out) {
-        let mut homes: BTreeMap<NodeId, Vec<(ShardId, Epoch)>> = BTreeMap::new();
-        for id in ShardId::all() {
-            let entry = self.cluster.table.entry(id);
-            if let Some(owner) = &entry.owner {
-                homes
-                    .entry(owner.clone())
-                    .or_default()
-                    .push((id, entry.epoch));
-            }
-        }
-        self.reports.clear();
-        for (to, homes) in homes {
-            let report = self.build_report(homes);
-            if report.shards.is_empty() {
-                continue;
-            }
-            self.last_number += 1;
-            let number = self.last_number;
-            let message = Message::Report {
-                number,
-                report: report.clone(),
-            };
-            out.send(&to, message);
-            self.reports.insert(
-                number,
-                SentReport {
-                    to,
-                    report,
-                    sent_at: now,
-                },
-            );
-        }
-    }
-
-    fn build_report(&self, homes: Vec<(ShardId, Epoch)>) -> Report {
-        let addressed: BTreeSet<ShardId> = homes.iter().map(|(id, _)| *id).collect();
-        let mut report = Report {
-            homes,
-            ..Report::default()
-        };
-        for (id, shard) in self.shards.iter().filter(|(_, s)| s.fenced) {
-            report.shards.push((*id, shard.epoch));
-            for (team, allowance) in &shard.allowances {
-                if !addressed.contains(&ShardId::of(team.as_str())) {
-                    continue;
-                }
-                report.stands.push(TokenStand {
-                    key: TokenKey {
-                        team: team.clone(),
-                        shard: *id,
-                    },
-                    version: allowance.version,
-                    ceiling: allowance.ceiling(),
-                });
-            }
-            let ended = shard.ended.iter();
-            let ended = ended.filter(|(_, n)| addressed.contains(&n.home));
-            report.tasks.extend(ended.map(|(task, _)| task.clone()));
-        }
-        for hosted in self.book.iter().flat_map(|w| w.tasks.values()) {
-            let home = hosted.spec.job.as_ref().map(|j| ShardId::of(j.as_str()));
-            if home.is_some_and(|h| addressed.contains(&h)) {
-                report.tasks.push(hosted.spec.id.clone());
-            }
-        }
-        report
-    }
-
     /// Returns the address of a worker of an owned shard.
     pub fn worker_address(&self, id: &WorkerId) -> Option<Arc<str>> {
         self.book.get(id).map(|w| w.record.address.clone())
     }
 }
-
-/// Repeats the outcome of a task id that was settled before.
-fn answer_settled(from: &NodeId, ask: &PlaceAsk, outcome: Outcome, out: &mut Out) {
-    let task = ask.spec.id.clone();
-    let message = match (ask.spec.kind, outcome) {
-        (TaskKind::Job, Outcome::NotRun) | (TaskKind::Request, _) => Message::Refused {
-            task,
-            reason: RefuseReason::Deadline,
-        },
-        (TaskKind::Job, _) => Message::Ended {
-            task,
-            outcome,
-            home: None,
-        },
-    };
-    out.send(from, message);
-}
--- a/tests/charts.rs
+++ b/tests/charts.rs
@@ -3,7 +3,7 @@
 use {
     assert_matches::assert_matches,
     dragonflyferry::{
-        chart::{self, Chart, ChartError, NodeEvent, NodeState, WorkerEvent},
+        chart::{self, ChartError, NodeEvent, NodeState, StateChart, WorkerEvent},
         core::{JobState, TaskStage, WorkerState},
     },
 };
@@ -26,7 +26,7 @@
 #[test]
 fn faulty_charts_are_refused() {
     let unreachable = "chart: c\ninitial: joining\nstates: [joining, serving]\ntransitions: []\n";
-    let read = |text: &str| Chart::<NodeState, NodeEvent>::from_yaml(text);
+    let read = |text: &str| StateChart::<NodeState, NodeEvent>::from_yaml(text);
     assert_matches!(read(unreachable), Err(ChartError::Unreachable { .. }));
     let twice = "chart: c\ninitial: joining\nstates: [joining]\ntransitions:\n  \
                  - {from: [joining, joining], on: stop_asked, to: leaving}\n";
