Help of each command; tests of a leaving worker and of cut-off nodes

Change: help of the named command; drain listed like the others; two fleet tests; two log events that nothing wrote are gone from the catalogue.

--- a/src/cli/command.rs
+++ b/src/cli/command.rs
@@ -16,7 +16,7 @@
 }
 
 /// All commands.
-pub const COMMANDS: [Command; 14] = [
+pub const COMMANDS: [Command; 15] = [
     Command {
         name: "team",
         words: "list | set NAME --share N --limit N | remove NAME",
@@ -101,6 +101,12 @@
         about: "Reports service-level burn",
         example: "dragonflyferry report burn --html burn.html",
     },
+    Command {
+        name: "drain",
+        words: "ADMIN-ADDRESS",
+        about: "Stops a node gracefully",
+        example: "dragonflyferry drain 10.0.0.11:8081",
+    },
 ];
 
 /// Returns the help text.
@@ -123,8 +129,7 @@
         let _ = writeln!(text, "  {:<9} {}", command.name, command.about);
     }
     text.push_str(
-        "  drain     Stops a node gracefully: drain ADMIN-ADDRESS\n\n\
-         Exit codes: 0 done, 1 refused, 2 wrong arguments, 3 no node answered,\n\
+        "\nExit codes: 0 done, 1 refused, 2 wrong arguments, 3 no node answered,\n\
          4 document refused, 5 another change came first, 6 some nodes missing.\n",
     );
     text
@@ -149,11 +154,14 @@
     }
     let mut args = Args::parse(rest)?;
     let name = args.rest.subcommand()?;
-    let Some(name) = name.filter(|_| !wants_help) else {
-        let name = args.rest.subcommand().ok().flatten();
-        print!("{}", command_help(&name.unwrap_or_default()));
+    let Some(name) = name else {
+        print!("{}", help());
         return Ok(ExitKind::Done);
     };
+    if wants_help {
+        print!("{}", command_help(&name));
+        return Ok(ExitKind::Done);
+    }
     match name.as_str() {
         "team" => changes::team(args).await,
         "key" => changes::key(args).await,
--- a/src/cli/views.rs
+++ b/src/cli/views.rs
@@ -246,7 +246,11 @@
     ];
     let mut table = Table::new(&heading);
     for r in &report.rows {
-        let objective = format!("{}% in {} ms", r.objective_percent, r.within_ms);
+        let objective = if r.within_ms == 0 {
+            "none".to_owned()
+        } else {
+            format!("{}% in {} ms", r.objective_percent, r.within_ms)
+        };
         let left = format!("{:.1}%", r.budget_left_percent);
         let (short, long) = (
             format!("{:.2}", r.burn_short),
--- a/src/core/effect.rs
+++ b/src/core/effect.rs
@@ -32,13 +32,11 @@
     ConfigAdopted,
     KeyRevoked,
     GangReleased,
-    PeerUnreachable,
-    BadMessage,
 }
 
 impl LogEvent {
     /// All events, in the order of their numbers.
-    pub const ALL: [Self; 23] = [
+    pub const ALL: [Self; 21] = [
         Self::DaemonStarted,
         Self::DaemonStopping,
         Self::DaemonStopped,
@@ -60,8 +58,6 @@
         Self::ConfigAdopted,
         Self::KeyRevoked,
         Self::GangReleased,
-        Self::PeerUnreachable,
-        Self::BadMessage,
     ];
 
     /// Returns the number under which the event is catalogued.
--- a/tests/fleet.rs
+++ b/tests/fleet.rs
@@ -2,8 +2,8 @@
 
 use {
     dragonflyferry::core::{
-        Config, Event, JobCall, JobId, JobReply, JobState, NodeId, QueueName, RequestAsk, TeamName,
-        WorkerId,
+        Config, Event, JobCall, JobId, JobReply, JobState, NodeId, QueueName, RefuseReason,
+        RequestAsk, RequestReply, TeamName, WorkerId,
     },
     standins::{
         fleet::{Answer, Fleet},
@@ -356,3 +356,59 @@
     let failed = fleet.workers[&broken].started.len();
     assert!(failed <= 24, "the broken worker was given {failed} tasks");
 }
+
+#[test]
+fn a_leaving_worker_gets_no_new_work_after_a_few_seconds() {
+    let (mut fleet, nodes) = start(13);
+    let leaving = WorkerId::from("scorekeeper-3");
+    for vm in &mut fleet.vm_list {
+        vm.leaving = vm.id == leaving;
+    }
+    fleet.run(3_000);
+    let before = fleet.workers[&leaving].started.len();
+    for n in 0..120 {
+        fleet.request(&nodes[n % 6], ask("score-check", "laurentide"));
+        submit(
+            &mut fleet,
+            &nodes[n % 6],
+            &format!("job-{n}"),
+            "standings",
+            1,
+            500,
+        );
+        fleet.run(50);
+    }
+    assert_eq!(fleet.workers[&leaving].started.len(), before);
+    assert_eq!(fleet.violations, Vec::<String>::new());
+}
+
+#[test]
+fn a_node_cut_from_store_and_peers_refuses_and_one_cut_from_either_serves() {
+    let (mut fleet, nodes) = start(14);
+    let cut = |fleet: &mut Fleet, node: &NodeId, store: bool, peers: bool| {
+        if let Some(seat) = fleet.seats.get_mut(node) {
+            seat.cut_store = store;
+            seat.cut_peers = peers;
+        }
+    };
+    cut(&mut fleet, &nodes[0], true, true);
+    cut(&mut fleet, &nodes[1], true, false);
+    fleet.run(6_500);
+    let replies: Vec<_> = nodes[..2]
+        .iter()
+        .map(|n| fleet.request(n, ask("score-check", "laurentide")))
+        .collect();
+    fleet.run(3_000);
+    let refused = fleet.answers.get(&replies[0]);
+    assert!(
+        matches!(
+            refused,
+            Some(Answer::Request(RequestReply::Refused {
+                reason: RefuseReason::Isolated,
+                ..
+            }))
+        ),
+        "{refused:?}"
+    );
+    assert_eq!(fleet.answers.get(&replies[1]), Some(&Answer::Ran));
+}
