--- a/examples/measures/decision.rs
+++ b/examples/measures/decision.rs
@@ -118,6 +118,7 @@
         let message = Message::Release {
             task: task.clone(),
             shard: None,
+            epoch: None,
             finished: true,
         };
         fleet.deliver(
