--- a/src/app/api_error.rs
+++ b/src/app/api_error.rs
@@ -49,7 +49,7 @@
 }
 
 impl ErrorKind {
-    /// All kinds with their numbers, names' order, HTTP status and run state.
+    /// All kinds with their numbers, HTTP status and run state.
     pub const ALL: [(Self, u16, StatusCode, RunState); 24] = [
         (
             Self::KeyMissing,
--- a/src/app/forward.rs
+++ b/src/app/forward.rs
@@ -384,7 +384,6 @@
         let now = self.shared.now();
         let end = Ended {
             wait_ms: self.granted_at.unwrap_or(now) - self.began,
-            total_ms: now - self.began,
             objective_ms: self.objective_ms,
             attempts: self.attempts,
             status,
--- a/src/app/meter.rs
+++ b/src/app/meter.rs
@@ -86,7 +86,6 @@
 #[derive(Clone, Copy, Debug)]
 pub struct Ended {
     pub wait_ms: Millis,
-    pub total_ms: Millis,
     pub objective_ms: Option<Millis>,
     pub attempts: u32,
     /// Status of the upstream; `None` if there was no answer.
--- a/src/core/node.rs
+++ b/src/core/node.rs
@@ -563,14 +563,6 @@
         }
     }
 
-    /// Returns the team of a key, unless the key was withdrawn.
-    pub fn team_of_key(&self, digest: &str) -> Option<TeamName> {
-        if self.cluster.revoked.contains(digest) {
-            return None;
-        }
-        self.cluster.config.keys.get(digest).map(|g| g.team.clone())
-    }
-
     /// Notes the final outcome of a task id, so that a late repeat is not run.
     pub(super) fn settle(&mut self, spec: &TaskSpec, outcome: Outcome, now: Millis) {
         let keep = match spec.kind {
--- a/src/core/node_placement.rs
+++ b/src/core/node_placement.rs
@@ -32,7 +32,6 @@
         let refuse = self.refuse_at_once(&ask);
         let waiting = Waiting {
             from: from.clone(),
-            since: now,
             expires_at: now + ask.wait_ms,
             ask,
         };
@@ -187,15 +186,7 @@
     pub(super) fn begin(&mut self, from: &NodeId, task: &TaskId, now: Millis, out: &mut Out) {
         let Some((hosted, vm)) = self.book.task_mut(task) else {
             if let Some(outcome) = self.settled.get(task).copied() {
-                let (task, home) = (task.clone(), None);
-                out.send(
-                    from,
-                    Message::Ended {
-                        task,
-                        outcome,
-                        home,
-                    },
-                );
+                out.send(from, ended(task, outcome));
             }
             return;
         };
@@ -263,19 +254,10 @@
         }
         let outcome = known.unwrap_or(Outcome::NotRun);
         self.keep_settled(task, outcome, SETTLED_REQUEST_KEEP_MS, now);
-        let task = task.clone();
         if marked.is_some() {
-            let home = None;
-            out.send(
-                from,
-                Message::Ended {
-                    task,
-                    outcome,
-                    home,
-                },
-            );
+            out.send(from, ended(task, outcome));
         } else {
-            out.send(from, Message::Released { task });
+            out.send(from, Message::Released { task: task.clone() });
         }
     }
 
@@ -340,17 +322,22 @@
 
 /// Repeats the outcome of a task id that was settled before.
 fn answer_settled(from: &NodeId, ask: &PlaceAsk, outcome: Outcome, out: &mut Out) {
-    let task = ask.spec.id.clone();
+    let task = &ask.spec.id;
     let message = match (ask.spec.kind, outcome) {
         (TaskKind::Job, Outcome::NotRun) | (TaskKind::Request, _) => Message::Refused {
-            task,
+            task: task.clone(),
             reason: RefuseReason::Deadline,
         },
-        (TaskKind::Job, _) => Message::Ended {
-            task,
-            outcome,
-            home: None,
-        },
+        (TaskKind::Job, _) => ended(task, outcome),
     };
     out.send(from, message);
 }
+
+/// Tells a home directly how a task ended; such an answer is not acknowledged.
+fn ended(task: &TaskId, outcome: Outcome) -> Message {
+    Message::Ended {
+        task: task.clone(),
+        outcome,
+        home: None,
+    }
+}
--- a/src/core/node_workers.rs
+++ b/src/core/node_workers.rs
@@ -9,7 +9,7 @@
             WorkerState,
         },
     },
-    std::{collections::BTreeSet, sync::Arc},
+    std::collections::BTreeSet,
 };
 
 /// Pause after a worker call without an answer, and between repeats, in ms.
@@ -483,9 +483,4 @@
             Outcome::Lost | Outcome::Stopped | Outcome::NotRun => {}
         }
     }
-
-    /// Returns the address of a worker of an owned shard.
-    pub fn worker_address(&self, id: &WorkerId) -> Option<Arc<str>> {
-        self.book.get(id).map(|w| w.record.address.clone())
-    }
 }
--- a/src/core/wait_queue.rs
+++ b/src/core/wait_queue.rs
@@ -13,7 +13,6 @@
 pub struct Waiting {
     pub ask: PlaceAsk,
     pub from: NodeId,
-    pub since: Millis,
     pub expires_at: Millis,
 }
 
--- a/standins/src/fleet.rs
+++ b/standins/src/fleet.rs
@@ -136,8 +136,7 @@
     boots: u64,
     next_vm_list: Millis,
     pub violations: Vec<String>,
-    /// Parts of jobs that are not idempotent, with how often each was started.
-    starts: BTreeMap<(JobId, u32), u32>,
+    /// Jobs whose parts may be started once.
     once: BTreeSet<JobId>,
 }
 
@@ -184,7 +183,6 @@
             boots: 0,
             next_vm_list: 0,
             violations: Vec::new(),
-            starts: BTreeMap::new(),
             once: BTreeSet::new(),
         }
     }
@@ -593,7 +591,6 @@
                 task.part
             ));
         }
-        self.starts.insert((job, task.part), count);
     }
 
     fn answer_worker(
