--- a/src/dragonflyferryd.rs
+++ b/src/dragonflyferryd.rs
@@ -5,6 +5,7 @@
         app::{Daemon, logger},
         conf::Settings,
         core::Tuning,
+        entry::{self, EntryError},
     },
     std::{path::PathBuf, process::ExitCode},
     tokio::signal::unix::{SignalKind, signal},
@@ -14,9 +15,11 @@
 dragonflyferryd - the daemon of the cluster scheduler
 
 Usage: dragonflyferryd --settings FILE [--check-settings]
+       dragonflyferryd --platform [--check-settings]
 
 Options:
   --settings FILE    settings of this VM, in YAML
+  --platform         run on the users' platform; the environment names the settings file
   --check-settings   check the settings and exit
   -h, --help         print this help
   -V, --version      print the version
@@ -32,7 +35,7 @@
 const EXIT_USAGE: u8 = 2;
 const EXIT_SETTINGS: u8 = 3;
 
-#[tokio::main]
+#[tokio::main(flavor = "current_thread")]
 async fn main() -> ExitCode {
     let mut args = pico_args::Arguments::from_env();
     if args.contains(["-h", "--help"]) {
@@ -44,6 +47,9 @@
         return ExitCode::SUCCESS;
     }
     let check = args.contains("--check-settings");
+    if args.contains("--platform") {
+        return on_platform(check).await;
+    }
     let path: Result<PathBuf, _> = args.value_from_str("--settings");
     let Ok(path) = path else {
         eprintln!("E4001 name the settings: dragonflyferryd --settings FILE");
@@ -62,6 +68,25 @@
     }
 }
 
+async fn on_platform(check: bool) -> ExitCode {
+    let outcome = if check {
+        entry::check_settings().map(|()| println!("settings are good"))
+    } else {
+        entry::run().await
+    };
+    match outcome {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(e @ (EntryError::NoSettings | EntryError::Platform { .. })) => {
+            eprintln!("{e}");
+            ExitCode::from(EXIT_SETTINGS)
+        }
+        Err(e) => {
+            eprintln!("{e}");
+            ExitCode::from(EXIT_FAILED)
+        }
+    }
+}
+
 async fn run(settings: Settings) -> ExitCode {
     let log = logger(settings.log_json, &settings.name);
     let signals = (
--- /dev/null
+++ b/src/entry/clock.rs
@@ -0,0 +1,29 @@
+//! Clocks of the node.
+
+use {
+    crate::{core::Millis, fleet::Now},
+    rustix::time::{ClockId, clock_gettime},
+    std::time::{SystemTime, UNIX_EPOCH},
+};
+
+/// Returns the time since boot, suspended time included, in ms.
+pub fn mono() -> Millis {
+    let t = clock_gettime(ClockId::Boottime);
+    let seconds = u64::try_from(t.tv_sec).unwrap_or(0);
+    let nanos = u64::try_from(t.tv_nsec).unwrap_or(0);
+    seconds * 1000 + nanos / 1_000_000
+}
+
+/// Returns the time of day, in Unix ms.
+pub fn unix() -> Millis {
+    let since = SystemTime::now().duration_since(UNIX_EPOCH);
+    since.map_or(0, |d| u64::try_from(d.as_millis()).unwrap_or(u64::MAX))
+}
+
+/// Returns both.
+pub fn now() -> Now {
+    Now {
+        mono: mono(),
+        unix: unix(),
+    }
+}
--- /dev/null
+++ b/src/entry/committer.rs
@@ -0,0 +1,146 @@
+//! Writes the cell's records, one transaction at a time, under the owner's token.
+//!
+//! Every transaction rewrites the epoch key under its last known revision. A transaction
+//! whose answer was lost can therefore not be carried out after a later one, and none after
+//! a newer owner has claimed.
+
+use {
+    crate::{
+        core::CallId,
+        entry::{EntryError, OwnerInput, Shared, store_keys as keys},
+        fleet::{CellEvent, EpochRecord, FleetEvent, Write},
+        platform::{StoreFault, Transaction},
+    },
+    std::{sync::Arc, time::Duration},
+    tokio::sync::mpsc,
+};
+
+/// Time until an unanswered write counts as lost; the store answers in 4 ms, slow in 260.
+const WRITE_TIMEOUT: Duration = Duration::from_millis(1_000);
+
+/// One commit of the cell.
+#[derive(Debug)]
+pub struct Commit {
+    pub call: CallId,
+    pub writes: Vec<Write>,
+}
+
+/// Why commits end.
+enum Outcome {
+    Done,
+    Retry,
+    Deposed,
+}
+
+struct Committer {
+    shared: Arc<Shared>,
+    epoch: EpochRecord,
+    /// Revision of the epoch key; none after a write whose outcome is not known.
+    revision: Option<u64>,
+}
+
+/// Carries out commits until the cell ends or a newer owner is found.
+pub async fn run(
+    shared: Arc<Shared>,
+    epoch: EpochRecord,
+    revision: u64,
+    mut rx: mpsc::UnboundedReceiver<Commit>,
+    owner: mpsc::UnboundedSender<OwnerInput>,
+) {
+    let mut committer = Committer {
+        shared,
+        epoch,
+        revision: Some(revision),
+    };
+    while let Some(commit) = rx.recv().await {
+        let input = match committer.commit(&commit.writes).await {
+            Outcome::Deposed => OwnerInput::Deposed,
+            outcome => OwnerInput::Cell(CellEvent::Committed {
+                call: commit.call,
+                ok: matches!(outcome, Outcome::Done),
+            }),
+        };
+        if owner.send(input).is_err() {
+            return;
+        }
+    }
+}
+
+impl Committer {
+    async fn commit(&mut self, writes: &[Write]) -> Outcome {
+        let revision = match self.revision {
+            Some(revision) => revision,
+            None => match self.reread().await {
+                Ok(revision) => revision,
+                Err(outcome) => return outcome,
+            },
+        };
+        let txn = match self.transaction(writes, revision) {
+            Ok(txn) => txn,
+            Err(e) => {
+                self.shared.event(FleetEvent::CommitFailed, &e.to_string());
+                return Outcome::Retry;
+            }
+        };
+        match self.shared.store.commit(&txn, WRITE_TIMEOUT).await {
+            Ok(revision) => {
+                self.shared.store_answered();
+                self.revision = Some(revision);
+                Outcome::Done
+            }
+            Err(StoreFault::Busy) => {
+                self.shared.store_failed();
+                Outcome::Retry
+            }
+            Err(_) => {
+                self.shared.store_failed();
+                self.revision = None;
+                Outcome::Retry
+            }
+        }
+    }
+
+    /// Reads the epoch key again after a write whose outcome is not known.
+    async fn reread(&mut self) -> Result<u64, Outcome> {
+        let item = self.shared.store.get(keys::EPOCH, WRITE_TIMEOUT).await;
+        let Ok(Some(item)) = item else {
+            self.shared.store_failed();
+            return Err(Outcome::Retry);
+        };
+        self.shared.store_answered();
+        let record = keys::decode::<EpochRecord>(&item.key, &item.value);
+        if record.is_ok_and(|r| r == self.epoch) {
+            self.revision = Some(item.revision);
+            return Ok(item.revision);
+        }
+        Err(Outcome::Deposed)
+    }
+
+    fn transaction(&self, writes: &[Write], revision: u64) -> Result<Transaction, EntryError> {
+        let mut txn = Transaction::default();
+        txn.expect.push((keys::EPOCH.to_owned(), revision));
+        let epoch = keys::encode(&self.epoch)?;
+        txn.set.push((keys::EPOCH.to_owned(), epoch, 0));
+        for write in writes {
+            match write {
+                Write::Progress { job, progress } => {
+                    let value = keys::encode(progress)?;
+                    txn.set.push((keys::progress(*job), value, 0));
+                }
+                Write::Ended { job, record } => {
+                    txn.set.push((keys::job(*job), keys::encode(record)?, 0));
+                    txn.remove.push(keys::progress(*job));
+                }
+                Write::Forget { job } => {
+                    txn.remove.push(keys::job(*job));
+                    txn.remove.push(keys::cancel(*job));
+                }
+                Write::Roster(roster) => {
+                    txn.set
+                        .push((keys::ROSTER.to_owned(), keys::encode(roster)?, 0));
+                }
+            }
+        }
+        Ok(txn)
+    }
+}
--- /dev/null
+++ b/src/entry/config_watch.rs
@@ -0,0 +1,94 @@
+//! Keeps the configuration in force and knows how old that knowledge is.
+
+use {
+    crate::{
+        entry::{Shared, clock},
+        fleet::FleetEvent,
+        platform::{CONFIG_KEY, StoreChange, StoreItem, config_from_bytes},
+    },
+    std::{sync::Arc, time::Duration},
+};
+
+/// Wait of one watch; its answer confirms the configuration, so this bounds its age.
+const WATCH_WAIT: Duration = Duration::from_millis(1_200);
+
+/// Time beyond the wait until a watch counts as lost.
+const ANSWER_TIMEOUT: Duration = Duration::from_millis(900);
+
+/// Time between attempts while the store does not answer.
+const PAUSE: Duration = Duration::from_millis(150);
+
+/// Follows the configuration until the node ends.
+pub async fn run(shared: Arc<Shared>) {
+    let mut revision = None;
+    loop {
+        let sent = clock::mono();
+        match revision {
+            None => match shared.store.get(CONFIG_KEY, ANSWER_TIMEOUT).await {
+                Ok(Some(item)) => {
+                    shared.store_answered();
+                    revision = Some(item.revision);
+                    adopt(&shared, &item);
+                    shared.config_confirmed(sent);
+                }
+                Ok(None) => {
+                    shared.store_answered();
+                    tokio::time::sleep(PAUSE).await;
+                }
+                Err(_) => {
+                    shared.store_failed();
+                    tokio::time::sleep(PAUSE).await;
+                }
+            },
+            Some(after) => {
+                let timeout = WATCH_WAIT + ANSWER_TIMEOUT;
+                let answer = shared
+                    .store
+                    .watch(CONFIG_KEY, after, WATCH_WAIT, timeout)
+                    .await;
+                match answer {
+                    Ok((changes, next)) => {
+                        shared.store_answered();
+                        revision = Some(next);
+                        for change in changes {
+                            if let StoreChange::Set(item) = change {
+                                adopt(&shared, &item);
+                            }
+                        }
+                        shared.config_confirmed(sent);
+                    }
+                    Err(_) => {
+                        shared.store_failed();
+                        revision = None;
+                    }
+                }
+            }
+        }
+    }
+}
+
+/// Puts a configuration in force unless a newer one already is.
+fn adopt(shared: &Shared, item: &StoreItem) {
+    if item.key != CONFIG_KEY {
+        return;
+    }
+    let config = match config_from_bytes(&item.value) {
+        Ok(config) => Arc::new(config),
+        Err(e) => {
+            shared.event(FleetEvent::BadEntry, &e.to_string());
+            return;
+        }
+    };
+    let version = config.version;
+    let newer = shared.config.send_if_modified(|old| {
+        let newer = old.as_ref().is_none_or(|o| o.version < config.version);
+        if newer {
+            *old = Some(config);
+        }
+        newer
+    });
+    if newer {
+        let detail = format!("version={version} revision={}", item.revision);
+        shared.event(FleetEvent::ConfigInForce, &detail);
+    }
+}
--- /dev/null
+++ b/src/entry/daemon.rs
@@ -0,0 +1,123 @@
+//! Starts and stops a node on the platform.
+
+use {
+    crate::{
+        entry::{EntryError, Shared, config_watch, front, membership, owner_link, peer_server},
+        fleet::FleetEvent,
+        platform::{NodeSettings, SETTINGS_VARIABLE},
+    },
+    axum::Router,
+    slog::{Drain, Logger, o},
+    std::{net::SocketAddr, path::PathBuf, sync::Arc, time::Duration},
+    tokio::{
+        net::TcpListener,
+        signal::unix::{SignalKind, signal},
+        sync::watch,
+    },
+};
+
+/// Time in which the balancer notices that the node is not ready: two looks, one a second.
+const LEAVE_ROTATION: Duration = Duration::from_millis(2_500);
+
+/// Time kept between the end of the graceful stop and the platform's kill.
+const STOP_MARGIN: Duration = Duration::from_millis(700);
+
+/// Log lines that wait for a slow reader; further ones are dropped and counted.
+const LOG_QUEUE: usize = 4_096;
+
+/// Runs a node until it is asked to stop.
+pub async fn run() -> Result<(), EntryError> {
+    let settings = read_settings()?;
+    let node: Arc<str> = Arc::from(format!("{}-{:08x}", settings.vm, rand::random::<u32>()));
+    let log = logger(&node);
+    let callers = listen(settings.callers).await?;
+    let readiness = listen(settings.readiness).await?;
+    let peers = listen(settings.peers).await?;
+    let shared = Arc::new(Shared::new(settings, node, log));
+    shared.event(
+        FleetEvent::NodeStarted,
+        &format!("zone={}", shared.settings.zone),
+    );
+    let (lease_tx, lease_rx) = watch::channel(None);
+    tokio::spawn(config_watch::run(shared.clone()));
+    tokio::spawn(membership::keep_lease(shared.clone(), lease_tx));
+    tokio::spawn(membership::watch_members(shared.clone()));
+    tokio::spawn(peer_server::run(shared.clone(), peers));
+    tokio::spawn(owner_link::run(shared.clone()));
+    let owner = tokio::spawn(membership::own(shared.clone(), lease_rx));
+    tokio::spawn(serve(readiness, front::ready_router(shared.clone())));
+    let (stop_tx, stop_rx) = watch::channel(false);
+    let served = tokio::spawn(serve_until(callers, front::router(shared.clone()), stop_rx));
+    until_stopped(&shared).await?;
+    shared.drain();
+    shared.event(FleetEvent::NodeStopping, "");
+    tokio::time::sleep(LEAVE_ROTATION).await;
+    stop_tx.send_replace(true);
+    let limit = Duration::from_millis(shared.settings.bounds.stop_ms);
+    let left = limit.saturating_sub(LEAVE_ROTATION + STOP_MARGIN);
+    // At the limit the process ends with whatever is still open.
+    let _ = tokio::time::timeout(left, served).await;
+    owner.abort();
+    Ok(())
+}
+
+/// Checks the settings file that the environment names.
+pub fn check_settings() -> Result<(), EntryError> {
+    read_settings().map(|_| ())
+}
+
+fn read_settings() -> Result<NodeSettings, EntryError> {
+    let path = std::env::var_os(SETTINGS_VARIABLE).ok_or(EntryError::NoSettings)?;
+    NodeSettings::read(&PathBuf::from(path)).map_err(|source| EntryError::Platform { source })
+}
+
+/// Waits for SIGTERM; SIGHUP reads the settings again and logs what they say.
+async fn until_stopped(shared: &Shared) -> Result<(), EntryError> {
+    let signals = |source| EntryError::Signals { source };
+    let mut term = signal(SignalKind::terminate()).map_err(signals)?;
+    let mut hup = signal(SignalKind::hangup()).map_err(signals)?;
+    loop {
+        tokio::select! {
+            _ = term.recv() => return Ok(()),
+            _ = hup.recv() => {
+                let detail = match read_settings() {
+                    Ok(_) => "read; addresses and bounds hold until the next start".to_owned(),
+                    Err(e) => e.to_string(),
+                };
+                shared.event(FleetEvent::SettingsReloaded, &detail);
+            }
+        }
+    }
+}
+
+async fn listen(address: SocketAddr) -> Result<TcpListener, EntryError> {
+    TcpListener::bind(address)
+        .await
+        .map_err(|source| EntryError::Bind { address, source })
+}
+
+async fn serve(listener: TcpListener, router: Router) {
+    // Ends only with the process.
+    let _ = axum::serve(listener, router).await;
+}
+
+async fn serve_until(listener: TcpListener, router: Router, mut stop: watch::Receiver<bool>) {
+    let stopped = async move {
+        // A closed channel means that the node ends too.
+        let _ = stop.wait_for(|s| *s).await;
+    };
+    let _ = axum::serve(listener, router)
+        .with_graceful_shutdown(stopped)
+        .await;
+}
+
+/// Writes JSON lines to standard output; drops lines rather than wait for a slow reader.
+fn logger(node: &str) -> Logger {
+    let drain = slog_json::Json::default(std::io::stdout()).fuse();
+    let drain = slog_async::Async::new(drain)
+        .chan_size(LOG_QUEUE)
+        .overflow_strategy(slog_async::OverflowStrategy::DropAndReport)
+        .build()
+        .fuse();
+    Logger::root(drain, o!("node" => node.to_owned()))
+}
--- /dev/null
+++ b/src/entry/errors.rs
@@ -0,0 +1,23 @@
+//! Errors of a node on the platform; the numbers are in docs/ERRORS.md.
+
+use {crate::platform::PlatformError, snafu::Snafu, std::net::SocketAddr};
+
+/// Why a node could not start or a record not be used.
+#[derive(Debug, Snafu)]
+pub enum EntryError {
+    #[snafu(display("E5010 cannot listen on {address}: {source}"))]
+    Bind {
+        address: SocketAddr,
+        source: std::io::Error,
+    },
+    #[snafu(display("E5011 record of the store not understood: {message}"))]
+    Record { message: String },
+    #[snafu(display("E5012 {SETTINGS} is not set; it must name the settings file"))]
+    NoSettings,
+    #[snafu(display("E5013 cannot listen for signals: {source}"))]
+    Signals { source: std::io::Error },
+    #[snafu(display("{source}"))]
+    Platform { source: PlatformError },
+}
+
+const SETTINGS: &str = crate::platform::SETTINGS_VARIABLE;
--- /dev/null
+++ b/src/entry/mod.rs
@@ -0,0 +1,26 @@
+//! A node on the platform: callers' interface, membership, and the cell while it is owner.
+
+mod advice;
+mod clock;
+mod committer;
+mod config_watch;
+mod daemon;
+mod errors;
+mod front;
+mod membership;
+mod owner;
+mod owner_link;
+mod peer_message;
+mod peer_server;
+mod shared;
+mod store_keys;
+
+pub use {
+    committer::Commit,
+    daemon::{check_settings, run},
+    errors::EntryError,
+    owner::{Claim, OwnerInput},
+    owner_link::OwnerLink,
+    peer_message::PeerMessage,
+    shared::Shared,
+};
--- /dev/null
+++ b/src/entry/owner.rs
@@ -0,0 +1,526 @@
+//! Runs the cell while this node is the owner.
+
+use {
+    crate::{
+        core::{CallId, Millis},
+        entry::{
+            Commit, EntryError, PeerMessage, Shared, advice, clock, committer, store_keys as keys,
+        },
+        fleet::{
+            Advised, Cell, CellBounds, CellEffect, CellEvent, EpochRecord, ExecutorId, FleetEvent,
+            Inheritance, JobId, JobProgress, JobRecord, JobView, Now, OLD_OWNER_MS, Order, Roster,
+            Submission,
+        },
+        platform::{EXECUTORS_PREFIX, StoreChange, StoreFault, StoreItem, executor_from_entry},
+    },
+    std::{collections::HashMap, sync::Arc, time::Duration},
+    tokio::{
+        sync::{mpsc, oneshot},
+        task::JoinSet,
+    },
+};
+
+/// Time between looks at what time alone changes.
+const TICK: Duration = Duration::from_millis(100);
+
+/// Events taken in before the next decisions.
+const BATCH: usize = 256;
+
+/// Time until an unanswered start, stop or pace order counts as lost; executors answer at once.
+const ORDER_TIMEOUT: Duration = Duration::from_millis(300);
+
+/// Time beyond its own wait until an unanswered renewal counts as lost.
+const HOLD_TIMEOUT: Duration = Duration::from_millis(500);
+
+/// Time beyond the service's own until a call for advice counts as lost, in ms.
+const ADVICE_TIMEOUT_MS: Millis = 2_000;
+
+/// Time until an unanswered read of the store counts as lost.
+const READ_TIMEOUT: Duration = Duration::from_millis(2_000);
+
+/// Longest wait of a watch; short, as a connection may go silent unnoticed.
+const WATCH_WAIT: Duration = Duration::from_millis(2_000);
+
+/// Time between reads of the watch of accepted jobs: it only finds what a lost message hid.
+const WORK_WATCH_PAUSE: Duration = Duration::from_millis(700);
+
+/// Time between attempts after a failed watch.
+const WATCH_PAUSE: Duration = Duration::from_millis(200);
+
+/// One input of the owner's task.
+#[derive(Debug)]
+pub enum OwnerInput {
+    Cell(CellEvent),
+    Submitted(Box<Submission>),
+    Cancelled(JobId),
+    AskState {
+        job: JobId,
+        tx: oneshot::Sender<Option<JobView>>,
+    },
+    AskWaiting {
+        queue: Arc<str>,
+        tx: oneshot::Sender<u64>,
+    },
+    PeerUp {
+        node: Arc<str>,
+        tx: mpsc::Sender<PeerMessage>,
+    },
+    PeerDown {
+        node: Arc<str>,
+    },
+    Advice {
+        call: CallId,
+        good: Option<Vec<Advised>>,
+        valid_ms: Millis,
+    },
+    /// A newer owner exists.
+    Deposed,
+}
+
+/// Proof of ownership: the epoch key as this node wrote it.
+#[derive(Clone, Debug)]
+pub struct Claim {
+    pub epoch: EpochRecord,
+    pub revision: u64,
+}
+
+struct OwnerTask {
+    shared: Arc<Shared>,
+    cell: Cell,
+    tx: mpsc::UnboundedSender<OwnerInput>,
+    commits: mpsc::UnboundedSender<Commit>,
+    peers: HashMap<Arc<str>, mpsc::Sender<PeerMessage>>,
+    deposed: bool,
+    tasks: JoinSet<()>,
+}
+
+/// Takes over and runs the cell until a newer owner exists or the sender side closes.
+pub async fn run(
+    shared: Arc<Shared>,
+    claim: Claim,
+    tx: mpsc::UnboundedSender<OwnerInput>,
+    mut rx: mpsc::UnboundedReceiver<OwnerInput>,
+) -> Result<(), StoreFault> {
+    let inherited = inherit(&shared).await?;
+    let bounds = CellBounds {
+        lease_ms: shared.settings.bounds.lease_ms,
+        kill_grace_ms: shared.settings.bounds.kill_grace_ms,
+        keep_ended_ms: shared.settings.bounds.keep_ended_ms,
+    };
+    let config = shared.config.borrow().clone().unwrap_or_default();
+    let token = claim.epoch.token;
+    let now = clock::now();
+    let cell = Cell::new(token, bounds, config, inherited.old, now);
+    let (commits, commit_rx) = mpsc::unbounded_channel();
+    let mut task = OwnerTask {
+        shared: shared.clone(),
+        cell,
+        tx: tx.clone(),
+        commits,
+        peers: HashMap::new(),
+        deposed: false,
+        tasks: JoinSet::new(),
+    };
+    let commit = committer::run(
+        shared.clone(),
+        claim.epoch,
+        claim.revision,
+        commit_rx,
+        tx.clone(),
+    );
+    task.tasks.spawn(commit);
+    for event in inherited.executors {
+        task.cell.step(event, now);
+    }
+    let servers = watch_executors(shared.clone(), tx.clone(), inherited.executors_revision);
+    task.tasks.spawn(servers);
+    let work = watch_work(shared.clone(), tx.clone(), inherited.work_revision);
+    task.tasks.spawn(work);
+    task.tasks.spawn(watch_config(shared.clone(), tx.clone()));
+    task.set_lanes(now);
+    shared.set_local_owner(Some(tx));
+    shared.event(FleetEvent::OwnerClaimed, &format!("token={token}"));
+    task.serve(&mut rx).await;
+    shared.set_local_owner(None);
+    shared.event(FleetEvent::OwnerLost, &format!("token={token}"));
+    task.tasks.shutdown().await;
+    Ok(())
+}
+
+impl OwnerTask {
+    async fn serve(&mut self, rx: &mut mpsc::UnboundedReceiver<OwnerInput>) {
+        let mut tick = tokio::time::interval(TICK);
+        tick.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
+        let mut batch = Vec::with_capacity(BATCH);
+        while !self.deposed {
+            tokio::select! {
+                count = rx.recv_many(&mut batch, BATCH) => {
+                    if count == 0 { return }
+                    let now = clock::now();
+                    for input in batch.drain(..) {
+                        self.take(input, now);
+                    }
+                }
+                _ = tick.tick() => self.cell.step(CellEvent::Tick, clock::now()),
+            }
+            let now = clock::now();
+            if !self.alone() {
+                self.cell.plan(now);
+            }
+            for effect in self.cell.take_effects() {
+                self.carry_out(effect);
+            }
+            while self.tasks.try_join_next().is_some() {}
+        }
+    }
+
+    /// Tells whether another node may own the cell without this one hearing of it: neither
+    /// the store nor half of the other nodes can be reached.
+    fn alone(&self) -> bool {
+        let others = self.shared.nodes().len().saturating_sub(1);
+        let heard = self.peers.len();
+        self.shared.store_age() > OLD_OWNER_MS && heard * 2 < others.max(1)
+    }
+
+    fn take(&mut self, input: OwnerInput, now: Now) {
+        match input {
+            OwnerInput::Cell(event) => self.cell.step(event, now),
+            OwnerInput::Submitted(submission) => {
+                self.cell.step(CellEvent::Submitted(submission), now);
+            }
+            OwnerInput::Cancelled(job) => self.cell.step(CellEvent::Cancelled(job), now),
+            OwnerInput::AskState { job, tx } => {
+                let _ = tx.send(self.cell.view(job));
+            }
+            OwnerInput::AskWaiting { queue, tx } => {
+                let _ = tx.send(self.cell.waiting(&queue) as u64);
+            }
+            OwnerInput::PeerUp { node, tx } => {
+                self.peers.insert(node, tx);
+                self.set_lanes(now);
+            }
+            OwnerInput::PeerDown { node } => {
+                if self.peers.get(&node).is_some_and(mpsc::Sender::is_closed) {
+                    self.peers.remove(&node);
+                }
+                self.set_lanes(now);
+            }
+            OwnerInput::Advice {
+                call,
+                good,
+                valid_ms,
+            } => {
+                let event = CellEvent::Advice {
+                    call,
+                    good,
+                    valid_ms,
+                };
+                self.cell.step(event, now);
+            }
+            OwnerInput::Deposed => self.deposed = true,
+        }
+    }
+
+    fn set_lanes(&mut self, now: Now) {
+        let mut lanes: Vec<Arc<str>> = self.peers.keys().cloned().collect();
+        lanes.push(self.shared.node.clone());
+        self.cell.step(CellEvent::Lanes(lanes), now);
+    }
+
+    fn carry_out(&mut self, effect: CellEffect) {
+        match effect {
+            CellEffect::Order {
+                call,
+                executor,
+                address,
+                order,
+                fresh,
+            } => self.order(call, executor, address, order, fresh),
+            CellEffect::Advise {
+                call,
+                lane,
+                step,
+                executors,
+            } => self.ask_advice(call, &lane, step, executors),
+            CellEffect::Commit { call, writes } => {
+                if self.commits.send(Commit { call, writes }).is_err() {
+                    self.deposed = true;
+                }
+            }
+            CellEffect::Log { event, detail } => self.shared.event(event, &detail),
+            CellEffect::Deposed => self.deposed = true,
+        }
+    }
+
+    fn order(
+        &mut self,
+        call: CallId,
+        executor: ExecutorId,
+        address: Arc<str>,
+        order: Order,
+        fresh: bool,
+    ) {
+        let (client, tx) = (self.shared.executors.clone(), self.tx.clone());
+        let timeout = match &order {
+            Order::Hold(hold) => HOLD_TIMEOUT + Duration::from_millis(hold.wait_ms),
+            _ => ORDER_TIMEOUT,
+        };
+        self.tasks.spawn(async move {
+            let result = client
+                .order(&executor, &address, &order, timeout, fresh)
+                .await;
+            let event = CellEvent::Answer {
+                call,
+                executor,
+                result,
+            };
+            let _ = tx.send(OwnerInput::Cell(event));
+        });
+    }
+
+    fn ask_advice(
+        &mut self,
+        call: CallId,
+        lane: &Arc<str>,
+        step: crate::fleet::StepId,
+        executors: Vec<ExecutorId>,
+    ) {
+        let timeout_ms = ADVICE_TIMEOUT_MS;
+        if *lane == self.shared.node {
+            let (shared, tx) = (self.shared.clone(), self.tx.clone());
+            self.tasks.spawn(async move {
+                let (good, valid_ms) = advice::ask(&shared, step, &executors, timeout_ms).await;
+                let input = OwnerInput::Advice {
+                    call,
+                    good,
+                    valid_ms,
+                };
+                let _ = tx.send(input);
+            });
+            return;
+        }
+        let message = PeerMessage::AskAdvice {
+            call,
+            step,
+            executors,
+            timeout_ms,
+        };
+        let sent = self
+            .peers
+            .get(lane)
+            .is_some_and(|tx| tx.try_send(message).is_ok());
+        if !sent {
+            let input = OwnerInput::Advice {
+                call,
+                good: None,
+                valid_ms: 0,
+            };
+            let _ = self.tx.send(input);
+        }
+    }
+}
+
+/// What the store holds at a takeover.
+struct Inherited {
+    old: Inheritance,
+    work_revision: u64,
+    executors: Vec<CellEvent>,
+    executors_revision: u64,
+}
+
+/// Reads jobs, progress, roster and executors; the claim came first, so no earlier owner can
+/// change them any more.
+async fn inherit(shared: &Shared) -> Result<Inherited, StoreFault> {
+    let store = &shared.store;
+    let (work, work_revision) = store.range(keys::WORK, READ_TIMEOUT).await?;
+    let (progress, _) = store.range(keys::PROGRESS, READ_TIMEOUT).await?;
+    let roster = store.get(keys::ROSTER, READ_TIMEOUT).await?;
+    let (servers, executors_revision) = store.range(EXECUTORS_PREFIX, READ_TIMEOUT).await?;
+    shared.store_answered();
+    let mut done: HashMap<JobId, JobProgress> = HashMap::new();
+    for item in &progress {
+        let id = item.key.trim_start_matches(keys::PROGRESS).parse();
+        if let (Ok(id), Some(record)) = (id, readable(shared, keys::decode(&item.key, &item.value)))
+        {
+            done.insert(id, record);
+        }
+    }
+    let mut old = Inheritance::default();
+    for item in &work {
+        if let Some(id) = item.key.strip_prefix(keys::CANCELS) {
+            old.cancelled.extend(id.parse::<JobId>());
+        } else if let Some(id) = item.key.strip_prefix(keys::JOBS)
+            && let Ok(id) = id.parse::<JobId>()
+            && let Some(record) =
+                readable(shared, keys::decode::<JobRecord>(&item.key, &item.value))
+        {
+            old.jobs.push((id, record, done.remove(&id)));
+        }
+    }
+    if let Some(item) = roster
+        && let Some(roster) = readable(shared, keys::decode::<Roster>(&item.key, &item.value))
+    {
+        old.roster = roster.executors;
+    }
+    let executors = servers.iter().filter_map(|i| listed(shared, i)).collect();
+    Ok(Inherited {
+        old,
+        work_revision,
+        executors,
+        executors_revision,
+    })
+}
+
+/// Logs a record that cannot be read.
+fn readable<T>(shared: &Shared, record: Result<T, EntryError>) -> Option<T> {
+    match record {
+        Ok(record) => Some(record),
+        Err(e) => {
+            shared.event(FleetEvent::BadEntry, &e.to_string());
+            None
+        }
+    }
+}
+
+fn listed(shared: &Shared, item: &StoreItem) -> Option<CellEvent> {
+    match executor_from_entry(&item.key, &item.value) {
+        Ok(info) => Some(CellEvent::Listed(info)),
+        Err(e) => {
+            shared.event(FleetEvent::BadEntry, &e.to_string());
+            None
+        }
+    }
+}
+
+/// Follows the list of executors.
+async fn watch_executors(
+    shared: Arc<Shared>,
+    tx: mpsc::UnboundedSender<OwnerInput>,
+    mut revision: u64,
+) {
+    let mut known: Vec<String> = Vec::new();
+    loop {
+        let timeout = WATCH_WAIT + READ_TIMEOUT;
+        let answer = shared
+            .store
+            .watch(EXECUTORS_PREFIX, revision, WATCH_WAIT, timeout)
+            .await;
+        match answer {
+            Ok((changes, next)) => {
+                shared.store_answered();
+                revision = next;
+                for change in changes {
+                    executor_changed(&shared, &tx, change);
+                }
+            }
+            Err(fault) => {
+                shared.store_failed();
+                tokio::time::sleep(WATCH_PAUSE).await;
+                if matches!(fault, StoreFault::Busy) {
+                    continue;
+                }
+                if let Ok((items, next)) = shared.store.range(EXECUTORS_PREFIX, READ_TIMEOUT).await
+                {
+                    shared.store_answered();
+                    revision = next;
+                    relist(&shared, &tx, &items, &mut known);
+                }
+            }
+        }
+    }
+}
+
+fn executor_changed(shared: &Shared, tx: &mpsc::UnboundedSender<OwnerInput>, change: StoreChange) {
+    let event = match change {
+        StoreChange::Set(item) => listed(shared, &item),
+        StoreChange::Removed(key) => {
+            let id = key.strip_prefix(EXECUTORS_PREFIX).unwrap_or(&key);
+            Some(CellEvent::Unlisted(Arc::from(id)))
+        }
+    };
+    if let Some(event) = event {
+        let _ = tx.send(OwnerInput::Cell(event));
+    }
+}
+
+/// Takes in the whole list after a gap in the watch.
+fn relist(
+    shared: &Shared,
+    tx: &mpsc::UnboundedSender<OwnerInput>,
+    items: &[StoreItem],
+    known: &mut Vec<String>,
+) {
+    let now: Vec<String> = items.iter().map(|i| i.key.clone()).collect();
+    for key in known.iter().filter(|k| !now.contains(k)) {
+        executor_changed(shared, tx, StoreChange::Removed(key.clone()));
+    }
+    for item in items {
+        executor_changed(shared, tx, StoreChange::Set(item.clone()));
+    }
+    *known = now;
+}
+
+/// Finds jobs and cancellations whose message was lost.
+async fn watch_work(shared: Arc<Shared>, tx: mpsc::UnboundedSender<OwnerInput>, mut revision: u64) {
+    loop {
+        tokio::time::sleep(WORK_WATCH_PAUSE).await;
+        let timeout = WATCH_WAIT + READ_TIMEOUT;
+        let answer = shared
+            .store
+            .watch(keys::WORK, revision, WATCH_WAIT, timeout)
+            .await;
+        match answer {
+            Ok((changes, next)) => {
+                shared.store_answered();
+                revision = next;
+                for change in changes {
+                    if let StoreChange::Set(item) = change {
+                        work_found(&shared, &tx, &item);
+                    }
+                }
+            }
+            Err(StoreFault::Busy) => shared.store_failed(),
+            Err(_) => {
+                shared.store_failed();
+                if let Ok((items, next)) = shared.store.range(keys::WORK, READ_TIMEOUT).await {
+                    shared.store_answered();
+                    revision = next;
+                    for item in &items {
+                        work_found(&shared, &tx, item);
+                    }
+                }
+            }
+        }
+    }
+}
+
+fn work_found(shared: &Shared, tx: &mpsc::UnboundedSender<OwnerInput>, item: &StoreItem) {
+    if let Some(id) = item.key.strip_prefix(keys::CANCELS) {
+        if let Ok(job) = id.parse() {
+            let _ = tx.send(OwnerInput::Cancelled(job));
+        }
+        return;
+    }
+    let record = readable(shared, keys::decode::<JobRecord>(&item.key, &item.value));
+    if let Some(JobRecord::Open(submission)) = record {
+        let _ = tx.send(OwnerInput::Submitted(Box::new(submission)));
+    }
+}
+
+/// Passes new configurations to the cell.
+async fn watch_config(shared: Arc<Shared>, tx: mpsc::UnboundedSender<OwnerInput>) {
+    let mut config = shared.config.subscribe();
+    loop {
+        let newest = config.borrow_and_update().clone();
+        if let Some(newest) = newest
+            && tx
+                .send(OwnerInput::Cell(CellEvent::Config(newest)))
+                .is_err()
+        {
+            return;
+        }
+        if config.changed().await.is_err() {
+            return;
+        }
+    }
+}
--- /dev/null
+++ b/src/entry/owner_link.rs
@@ -0,0 +1,237 @@
+//! An entry node's way to the owner: the cell in the same process or a connection.
+
+use {
+    crate::{
+        core::Millis,
+        entry::{OwnerInput, PeerMessage, Shared, advice, clock, peer_message::framing},
+        fleet::{FleetEvent, JobId, JobView, OwnerRecord, Submission},
+    },
+    futures_util::{SinkExt, StreamExt},
+    std::{
+        collections::HashMap,
+        sync::{Arc, Mutex, MutexGuard, PoisonError},
+        time::Duration,
+    },
+    tokio::{
+        net::TcpStream,
+        sync::{mpsc, oneshot},
+    },
+    tokio_util::codec::Framed,
+};
+
+/// Time to establish a connection to the owner.
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
+
+/// Time between attempts to reach the owner.
+const RECONNECT_PAUSE: Duration = Duration::from_millis(100);
+
+/// Time between messages that show the connection alive.
+const PING_INTERVAL: Duration = Duration::from_millis(300);
+
+/// Time without any message after which a connection is given up, in ms: four pings.
+const SILENT_MS: Millis = 1_200;
+
+/// Time until a question to the owner counts as unanswered.
+const ASK_TIMEOUT: Duration = Duration::from_millis(400);
+
+/// Messages that wait for a connection that does not read.
+const QUEUE: usize = 4_096;
+
+#[derive(Debug)]
+enum Reply {
+    State(Option<JobView>),
+    Waiting(u64),
+}
+
+/// The connection to the owner, and questions that wait for its answers.
+#[derive(Debug, Default)]
+pub struct OwnerLink {
+    inner: Mutex<Inner>,
+}
+
+#[derive(Debug, Default)]
+struct Inner {
+    tx: Option<mpsc::Sender<PeerMessage>>,
+    last_call: u64,
+    asked: HashMap<u64, oneshot::Sender<Reply>>,
+}
+
+impl OwnerLink {
+    fn inner(&self) -> MutexGuard<'_, Inner> {
+        self.inner.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    fn tell(&self, message: PeerMessage) {
+        let tx = self.inner().tx.clone();
+        if let Some(tx) = tx {
+            // A full queue loses the note; the owner finds the job by its watch.
+            let _ = tx.try_send(message);
+        }
+    }
+
+    async fn ask(&self, message: impl FnOnce(u64) -> PeerMessage) -> Option<Reply> {
+        let (tx, rx) = oneshot::channel();
+        let call = {
+            let mut inner = self.inner();
+            let link = inner.tx.clone()?;
+            inner.last_call += 1;
+            let call = inner.last_call;
+            link.try_send(message(call)).ok()?;
+            inner.asked.insert(call, tx);
+            call
+        };
+        let reply = tokio::time::timeout(ASK_TIMEOUT, rx).await;
+        self.inner().asked.remove(&call);
+        reply.ok()?.ok()
+    }
+
+    fn answer(&self, call: u64, reply: Reply) {
+        if let Some(tx) = self.inner().asked.remove(&call) {
+            let _ = tx.send(reply);
+        }
+    }
+
+    fn connected(&self, tx: Option<mpsc::Sender<PeerMessage>>) {
+        let mut inner = self.inner();
+        inner.tx = tx;
+        inner.asked.clear();
+    }
+}
+
+impl Shared {
+    /// Tells the owner of an accepted job.
+    pub fn tell_submitted(&self, submission: Submission) {
+        let submission = Box::new(submission);
+        match self.local_owner() {
+            Some(tx) => {
+                let _ = tx.send(OwnerInput::Submitted(submission));
+            }
+            None => self.link.tell(PeerMessage::Submitted(submission)),
+        }
+    }
+
+    /// Tells the owner of a cancelled job.
+    pub fn tell_cancelled(&self, job: JobId) {
+        match self.local_owner() {
+            Some(tx) => {
+                let _ = tx.send(OwnerInput::Cancelled(job));
+            }
+            None => self.link.tell(PeerMessage::Cancelled(job)),
+        }
+    }
+
+    /// Asks the owner for a job's state; the outer `None` means that it did not answer.
+    pub async fn ask_state(&self, job: JobId) -> Option<Option<JobView>> {
+        if let Some(owner) = self.local_owner() {
+            let (tx, rx) = oneshot::channel();
+            owner.send(OwnerInput::AskState { job, tx }).ok()?;
+            return tokio::time::timeout(ASK_TIMEOUT, rx).await.ok()?.ok();
+        }
+        let ask = |call| PeerMessage::AskState { call, job };
+        match self.link.ask(ask).await? {
+            Reply::State(view) => Some(view),
+            Reply::Waiting(_) => None,
+        }
+    }
+
+    /// Asks the owner how many jobs of a queue wait.
+    pub async fn ask_waiting(&self, queue: Arc<str>) -> Option<u64> {
+        if let Some(owner) = self.local_owner() {
+            let (tx, rx) = oneshot::channel();
+            owner.send(OwnerInput::AskWaiting { queue, tx }).ok()?;
+            return tokio::time::timeout(ASK_TIMEOUT, rx).await.ok()?.ok();
+        }
+        let ask = |call| PeerMessage::AskWaiting { call, queue };
+        match self.link.ask(ask).await? {
+            Reply::Waiting(count) => Some(count),
+            Reply::State(_) => None,
+        }
+    }
+}
+
+/// Keeps a connection to whichever node is the owner.
+pub async fn run(shared: Arc<Shared>) {
+    let mut owner = shared.owner.subscribe();
+    loop {
+        let record = owner.borrow_and_update().clone();
+        let Some(record) = record.filter(|r| r.node != shared.node) else {
+            if owner.changed().await.is_err() {
+                return;
+            }
+            continue;
+        };
+        tokio::select! {
+            () = connect(&shared, &record) => {}
+            changed = owner.changed() => if changed.is_err() { return },
+        }
+        shared.link.connected(None);
+        tokio::time::sleep(RECONNECT_PAUSE).await;
+    }
+}
+
+/// Connects and serves one connection until it breaks or goes silent.
+async fn connect(shared: &Arc<Shared>, record: &OwnerRecord) {
+    let dial = TcpStream::connect(&*record.address);
+    let Ok(Ok(stream)) = tokio::time::timeout(CONNECT_TIMEOUT, dial).await else {
+        return;
+    };
+    if stream.set_nodelay(true).is_err() {
+        return;
+    }
+    let (mut sink, mut source) = Framed::new(stream, framing()).split();
+    let (tx, mut rx) = mpsc::channel(QUEUE);
+    let node = shared.node.clone();
+    if tx.send(PeerMessage::Hello { node }).await.is_err() {
+        return;
+    }
+    shared.link.connected(Some(tx.clone()));
+    shared.event(FleetEvent::PeerConnected, &format!("owner={}", record.node));
+    let mut ping = tokio::time::interval(PING_INTERVAL);
+    let mut heard = clock::mono();
+    loop {
+        tokio::select! {
+            Some(message) = rx.recv() => {
+                let Some(frame) = PeerMessage::encode(&message) else { continue };
+                let sent = tokio::time::timeout(CONNECT_TIMEOUT, sink.send(frame)).await;
+                if !matches!(sent, Ok(Ok(()))) { break }
+            }
+            frame = source.next() => {
+                let Some(Ok(frame)) = frame else { break };
+                heard = clock::mono();
+                received(shared, &tx, &frame);
+            }
+            _ = ping.tick() => {
+                if clock::mono() > heard + SILENT_MS { break }
+                let _ = tx.try_send(PeerMessage::Ping);
+            }
+        }
+    }
+    shared.event(FleetEvent::PeerLost, &format!("owner={}", record.node));
+}
+
+fn received(shared: &Arc<Shared>, tx: &mpsc::Sender<PeerMessage>, frame: &[u8]) {
+    match PeerMessage::decode(frame) {
+        Some(PeerMessage::State { call, view }) => shared.link.answer(call, Reply::State(view)),
+        Some(PeerMessage::Waiting { call, count }) => {
+            shared.link.answer(call, Reply::Waiting(count));
+        }
+        Some(PeerMessage::AskAdvice {
+            call,
+            step,
+            executors,
+            timeout_ms,
+        }) => {
+            let (shared, tx) = (shared.clone(), tx.clone());
+            tokio::spawn(async move {
+                let (good, valid_ms) = advice::ask(&shared, step, &executors, timeout_ms).await;
+                let message = PeerMessage::Advice {
+                    call,
+                    good,
+                    valid_ms,
+                };
+                let _ = tx.send(message).await;
+            });
+        }
+        _ => {}
+    }
+}
--- /dev/null
+++ b/src/entry/shared.rs
@@ -0,0 +1,158 @@
+//! What the tasks of one node share.
+
+use {
+    crate::{
+        core::Millis,
+        entry::{OwnerInput, OwnerLink, clock},
+        fleet::{FleetConfig, FleetEvent, NodeRecord, OwnerRecord},
+        platform::{ExecutorClient, NodeSettings, StoreClient},
+    },
+    slog::{Logger, info},
+    std::sync::{Arc, Mutex, MutexGuard, PoisonError},
+    tokio::sync::{mpsc, watch},
+};
+
+/// Time without a successful call to the store after which the node takes no new work, in
+/// ms: the platform counts a request as not owed after 0.6 of its 5 s for withdrawn keys.
+const STORE_AWAY_MS: Millis = 2_500;
+
+/// Time that a hidden change of the configuration may add to its age, in ms: a watch can
+/// miss changes for a second before its history is dropped.
+const HIDDEN_CHANGE_MS: Millis = 1_500;
+
+/// State of one node.
+#[derive(Debug)]
+pub struct Shared {
+    /// Name of this life of the node.
+    pub node: Arc<str>,
+    pub settings: NodeSettings,
+    pub log: Logger,
+    pub store: StoreClient,
+    pub executors: ExecutorClient,
+    /// Connection to the owner, if it is another node.
+    pub link: OwnerLink,
+    /// The owner as the store names it.
+    pub owner: watch::Sender<Option<OwnerRecord>>,
+    /// Configuration in force here.
+    pub config: watch::Sender<Option<Arc<FleetConfig>>>,
+    state: Mutex<State>,
+}
+
+#[derive(Debug, Default)]
+struct State {
+    /// Sent at this time, a read confirmed the configuration.
+    config_at: Millis,
+    store_at: Millis,
+    /// Whether the loss of the store was logged.
+    store_lost: bool,
+    draining: bool,
+    local_owner: Option<mpsc::UnboundedSender<OwnerInput>>,
+    nodes: Vec<NodeRecord>,
+}
+
+impl Shared {
+    /// Creates the state of a node that has not read anything yet.
+    pub fn new(settings: NodeSettings, node: Arc<str>, log: Logger) -> Self {
+        Self {
+            node,
+            store: StoreClient::new(settings.store),
+            executors: ExecutorClient::default(),
+            link: OwnerLink::default(),
+            owner: watch::channel(None).0,
+            config: watch::channel(None).0,
+            state: Mutex::new(State::default()),
+            settings,
+            log,
+        }
+    }
+
+    fn state(&self) -> MutexGuard<'_, State> {
+        self.state.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Notes a successful call to the store.
+    pub fn store_answered(&self) {
+        let mut state = self.state();
+        state.store_at = clock::mono();
+        if std::mem::take(&mut state.store_lost) {
+            drop(state);
+            self.event(FleetEvent::StoreRegained, "");
+        }
+    }
+
+    /// Notes a failed call to the store.
+    pub fn store_failed(&self) {
+        let mut state = self.state();
+        let age = clock::mono().saturating_sub(state.store_at);
+        if age > STORE_AWAY_MS && !state.store_lost {
+            state.store_lost = true;
+            drop(state);
+            self.event(FleetEvent::StoreLost, &format!("age_ms={age}"));
+        }
+    }
+
+    /// Returns how long ago the store last answered, in ms.
+    pub fn store_age(&self) -> Millis {
+        clock::mono().saturating_sub(self.state().store_at)
+    }
+
+    /// Notes that a read sent at `sent` confirmed the configuration.
+    pub fn config_confirmed(&self, sent: Millis) {
+        let mut state = self.state();
+        state.config_at = state.config_at.max(sent);
+    }
+
+    /// Returns the configuration in force unless it is too old to tell which keys hold.
+    pub fn fresh_config(&self) -> Option<Arc<FleetConfig>> {
+        let limit = self
+            .settings
+            .bounds
+            .revoke_ms
+            .saturating_sub(HIDDEN_CHANGE_MS);
+        let age = clock::mono().saturating_sub(self.state().config_at);
+        if age > limit {
+            return None;
+        }
+        self.config.borrow().clone()
+    }
+
+    /// Tells whether the balancer may send connections.
+    pub fn ready(&self) -> bool {
+        !self.state().draining && self.store_age() < STORE_AWAY_MS && self.fresh_config().is_some()
+    }
+
+    /// Begins a graceful stop.
+    pub fn drain(&self) {
+        self.state().draining = true;
+    }
+
+    /// Tells whether a graceful stop began.
+    pub fn draining(&self) -> bool {
+        self.state().draining
+    }
+
+    /// Sets the way to the cell, if this node owns it.
+    pub fn set_local_owner(&self, tx: Option<mpsc::UnboundedSender<OwnerInput>>) {
+        self.state().local_owner = tx;
+    }
+
+    /// Returns the way to the cell, if this node owns it.
+    pub fn local_owner(&self) -> Option<mpsc::UnboundedSender<OwnerInput>> {
+        self.state().local_owner.clone()
+    }
+
+    /// Sets the live nodes.
+    pub fn set_nodes(&self, nodes: Vec<NodeRecord>) {
+        self.state().nodes = nodes;
+    }
+
+    /// Returns the live nodes, by name.
+    pub fn nodes(&self) -> Vec<NodeRecord> {
+        self.state().nodes.clone()
+    }
+
+    /// Logs a numbered event.
+    pub fn event(&self, event: FleetEvent, detail: &str) {
+        info!(self.log, "{:?}", event; "event" => event.number(), "detail" => detail);
+    }
+}
--- /dev/null
+++ b/src/fleet/cell_advice.rs
@@ -0,0 +1,150 @@
+//! Advice of the cell: which executors may run a step, asked through the lanes of all nodes.
+
+use {
+    crate::{
+        core::{CallId, Millis},
+        fleet::{
+            Advised, Cell, CellEffect, ExecutorId, FleetEvent, Now, StepId,
+            cell_plan::{Candidate, eligible},
+            job::Ticket,
+        },
+    },
+    std::collections::HashSet,
+};
+
+/// Most executors named in one call; the platform takes 100.
+const ADVICE_EXECUTORS: usize = 100;
+
+/// Executors named when only tickets must be renewed.
+const RENEWED_EXECUTORS: usize = 8;
+
+/// Time before a ticket's end from which it is not used, in ms: answer and order are on
+/// their way meanwhile.
+const TICKET_MARGIN_MS: Millis = 150;
+
+/// Time until a refused call is tried again, in ms.
+const ADVICE_RETRY_MS: Millis = 300;
+
+/// Time beyond the service's own until a call counts as lost, in ms.
+const ADVICE_LOST_MS: Millis = 2_500;
+
+impl Cell {
+    /// Asks for advice where it is needed, the most urgent first.
+    pub(super) fn ask_advice(&mut self, candidates: &[Candidate], now: Now) {
+        for candidate in candidates {
+            self.ask_for(candidate.step, now);
+        }
+    }
+
+    fn ask_for(&mut self, id: StepId, now: Now) {
+        let Some((job, spec, step)) = self.lookup(&id) else {
+            return;
+        };
+        let rule = self.rule(job);
+        let Some(advice) = rule.advice else { return };
+        if step.advice.asking || now.mono < step.advice.not_before || !step.has_waiting() {
+            return;
+        }
+        let need = spec.counted();
+        let mut unknown: Vec<ExecutorId> = Vec::new();
+        let mut stale: Vec<ExecutorId> = Vec::new();
+        let mut valid_room = false;
+        for (name, executor) in &self.executors {
+            if !executor.usable(now.mono) || !eligible(executor, &rule.pool, spec) {
+                continue;
+            }
+            let room = executor.free().holds(&need);
+            match step.advice.good.get(name) {
+                Some(ticket) if ticket.until > now.mono => valid_room |= room,
+                Some(_) if room => stale.push(name.clone()),
+                Some(_) => {}
+                None if !step.advice.bad.contains(name) => unknown.push(name.clone()),
+                None => {}
+            }
+        }
+        if valid_room {
+            return;
+        }
+        let first = step.advice.good.is_empty();
+        let executors: Vec<ExecutorId> = if first || stale.is_empty() {
+            unknown.into_iter().take(ADVICE_EXECUTORS).collect()
+        } else {
+            stale.into_iter().take(RENEWED_EXECUTORS).collect()
+        };
+        if executors.is_empty() {
+            return;
+        }
+        let cost_ms = advice.cost_ms(executors.len());
+        let Some(lane) = self.lanes.free(cost_ms) else {
+            return;
+        };
+        let call = self.next_call();
+        self.lanes.occupy(&lane, call);
+        let lost_at = now.mono + cost_ms + ADVICE_LOST_MS;
+        self.advice_calls
+            .insert(call, (id, executors.clone(), lost_at));
+        self.set_asking(&id, true, 0);
+        self.effects.push(CellEffect::Advise {
+            call,
+            lane,
+            step: id,
+            executors,
+        });
+    }
+
+    fn set_asking(&mut self, id: &StepId, asking: bool, not_before: Millis) {
+        let job = self.jobs.get_mut(&id.job);
+        if let Some(step) = job.and_then(|j| j.steps.get_mut(&(id.occurrence, id.step))) {
+            step.advice.asking = asking;
+            step.advice.not_before = not_before;
+        }
+    }
+
+    /// Takes in the advice service's answer.
+    pub(super) fn advised(
+        &mut self,
+        call: CallId,
+        good: Option<Vec<Advised>>,
+        valid_ms: Millis,
+        now: Now,
+    ) {
+        self.lanes.release(call);
+        let Some((id, asked, _)) = self.advice_calls.remove(&call) else {
+            return;
+        };
+        let Some(good) = good else {
+            self.set_asking(&id, false, now.mono + ADVICE_RETRY_MS);
+            self.log(FleetEvent::AdviceFailed, format!("step={id}; tried again"));
+            return;
+        };
+        self.set_asking(&id, false, 0);
+        let job = self.jobs.get_mut(&id.job);
+        let Some(step) = job.and_then(|j| j.steps.get_mut(&(id.occurrence, id.step))) else {
+            return;
+        };
+        let named: HashSet<&ExecutorId> = good.iter().map(|a| &a.executor).collect();
+        for executor in asked.iter().filter(|e| !named.contains(e)) {
+            step.advice.good.remove(executor);
+            step.advice.bad.insert(executor.clone());
+        }
+        let until = now.mono + valid_ms.saturating_sub(TICKET_MARGIN_MS);
+        for advised in good {
+            let ticket = Ticket {
+                ticket: advised.ticket,
+                until,
+            };
+            step.advice.good.insert(advised.executor, ticket);
+        }
+    }
+
+    /// Gives up calls that got no answer.
+    pub(super) fn expire_advice(&mut self, now: Now) {
+        let lost = |(call, (_, _, at)): (&CallId, &(StepId, Vec<ExecutorId>, Millis))| {
+            (*at <= now.mono).then_some(*call)
+        };
+        let lost: Vec<CallId> = self.advice_calls.iter().filter_map(lost).collect();
+        for call in lost {
+            self.advised(call, None, 0, now);
+        }
+    }
+}
--- /dev/null
+++ b/src/fleet/cell_executors.rs
@@ -0,0 +1,473 @@
+//! Executors of the cell: listed, opened under the own token, silent, lapsed.
+
+use {
+    crate::{
+        core::{CallId, Millis, Resources},
+        fleet::{
+            CallFault, Cell, CellEffect, Contact, Executor, ExecutorId, ExecutorInfo, FleetEvent,
+            HoldAnswer, HoldOrder, JobId, Now, Order, OrderAnswer, RosterEntry, Run, RunStage,
+            RunningRow, TaskId, executor::ClockReading, policy,
+        },
+    },
+    std::sync::Arc,
+};
+
+/// Longest time that a renewal waits for an end, in ms; the platform allows 2,000.
+const HOLD_WAIT_MS: Millis = 1_000;
+
+/// The same where a filler runs beside a serving task: its tail must be watched.
+const HOLD_WAIT_PACED_MS: Millis = 400;
+
+/// Time between renewals while ends cannot be made durable, in ms.
+const HOLD_UNACKED_MS: Millis = 250;
+
+/// Time between attempts to reach an executor that does not answer, in ms.
+const HOLD_RETRY_MS: Millis = 300;
+
+/// Calls without an answer after which an executor counts as silent.
+const SILENT_MISSES: u32 = 2;
+
+/// Longest time that a run of an unknown job is left alone, in ms: its submission may be on
+/// its way from an entry node.
+pub(super) const FOREIGN_MS: Millis = 3_000;
+
+/// Time after which an unlisted, empty executor is dropped, in ms.
+const UNLISTED_MS: Millis = 15_000;
+
+impl Cell {
+    pub(super) fn add_from_roster(&mut self, entry: &RosterEntry, now: Now) {
+        let info = ExecutorInfo {
+            id: entry.id.clone(),
+            pool: entry.pool.clone(),
+            address: entry.address.clone(),
+            zone: Arc::from(""),
+            labels: Vec::new(),
+            capacity: Resources::default(),
+            draining: false,
+            born: None,
+        };
+        let executor = Executor::new(info, false, now.mono);
+        self.executors.insert(entry.id.clone(), executor);
+    }
+
+    /// Takes in an executor that the platform lists.
+    pub(super) fn listed(&mut self, info: ExecutorInfo, now: Now) {
+        let id = info.id.clone();
+        if let Some(known) = self.executors.get_mut(&id) {
+            let restarted = matches!((known.born, info.born), (Some(a), Some(b)) if a < b);
+            known.listed = true;
+            known.info = info;
+            if restarted {
+                self.restarted(&id, now);
+            }
+            return;
+        }
+        let executor = Executor::new(info, true, now.mono);
+        self.executors.insert(id, executor);
+        self.commits.roster = true;
+    }
+
+    /// Takes in that the platform lists an executor no more; its lease may still run.
+    pub(super) fn unlisted(&mut self, id: &ExecutorId) {
+        if let Some(executor) = self.executors.get_mut(id) {
+            executor.listed = false;
+        }
+    }
+
+    /// Forgets a life of an executor that has surely ended; its tasks may run elsewhere.
+    pub(super) fn restarted(&mut self, id: &ExecutorId, now: Now) {
+        let Some(executor) = self.executors.get_mut(id) else {
+            return;
+        };
+        executor.born = executor.info.born.max(executor.born);
+        let runs = executor.reset(now.mono);
+        self.log(
+            FleetEvent::ExecutorRestarted,
+            format!("executor={id} lost_runs={}", runs.len()),
+        );
+        for (task, run) in runs {
+            self.run_lost(id, task, &run, now);
+        }
+        for job in self.jobs.values_mut() {
+            for step in job.steps.values_mut() {
+                step.advice.good.remove(id);
+                step.advice.bad.remove(id);
+            }
+        }
+        self.unsettled.remove(id);
+    }
+
+    /// Takes in the answer to any order.
+    pub(super) fn answered(
+        &mut self,
+        call: CallId,
+        id: &ExecutorId,
+        result: Result<OrderAnswer, CallFault>,
+        now: Now,
+    ) {
+        let Some(executor) = self.executors.get_mut(id) else {
+            return;
+        };
+        match result {
+            Err(CallFault::Fenced) => {
+                self.effects.push(CellEffect::Deposed);
+                return;
+            }
+            Err(CallFault::OtherLife) => {
+                self.other_life(id, now);
+                return;
+            }
+            Err(CallFault::Unknown) => {}
+            _ => executor.heard_at = now.mono,
+        }
+        let hold = executor.hold.filter(|(c, _)| *c == call);
+        if let Some((_, sent)) = hold {
+            executor.hold = None;
+            match result {
+                Ok(OrderAnswer::Held(answer)) => self.held(id, sent, answer, now),
+                Ok(OrderAnswer::Accepted) => {}
+                Err(_) => self.hold_failed(id, now),
+            }
+            return;
+        }
+        self.order_answered(call, id, result.map(|_| ()), now);
+    }
+
+    /// The address belongs to another life: the one that was known is gone.
+    fn other_life(&mut self, id: &ExecutorId, now: Now) {
+        self.restarted(id, now);
+        let Some(executor) = self.executors.get_mut(id) else {
+            return;
+        };
+        executor.hold = None;
+        executor.listed = false;
+        executor.hold_due = now.mono + UNLISTED_MS;
+        executor.heard_at = now.mono.saturating_sub(UNLISTED_MS);
+    }
+
+    fn hold_failed(&mut self, id: &ExecutorId, now: Now) {
+        let Some(executor) = self.executors.get_mut(id) else {
+            return;
+        };
+        executor.misses += 1;
+        executor.hold_due = now.mono + HOLD_RETRY_MS;
+        if executor.misses == SILENT_MISSES && executor.contact == Contact::Open {
+            executor.contact = Contact::Silent;
+            let runs = executor.runs.len();
+            self.log(
+                FleetEvent::ExecutorSilent,
+                format!("executor={id} runs={runs}"),
+            );
+        }
+    }
+
+    /// Takes in an executor's lists.
+    fn held(&mut self, id: &ExecutorId, sent: Millis, answer: HoldAnswer, now: Now) {
+        let Some(executor) = self.executors.get_mut(id) else {
+            return;
+        };
+        let restarted = matches!((executor.born, answer.born), (Some(a), Some(b)) if a != b);
+        if restarted {
+            executor.born = answer.born;
+            executor.info.born = answer.born;
+            self.restarted(id, now);
+            return;
+        }
+        executor.born = answer.born.or(executor.born);
+        executor.misses = 0;
+        executor.clock = Some(ClockReading {
+            clock_ms: answer.clock_ms,
+            at: now.mono,
+        });
+        if executor.contact != Contact::Open {
+            executor.contact = Contact::Open;
+            self.log(
+                FleetEvent::ExecutorOpened,
+                format!("executor={id} running={}", answer.running.len()),
+            );
+        }
+        for row in &answer.ended {
+            if !self.ended_row(id, row, now) {
+                break;
+            }
+        }
+        for row in &answer.running {
+            self.running_row(id, row, sent, now);
+        }
+        self.missing_runs(id, sent, &answer.running, now);
+        self.drop_foreign(id, &answer.running, now);
+        self.unsettled.remove(id);
+        if let Some(executor) = self.executors.get_mut(id) {
+            executor.hold_due = if executor.unacked.is_empty() {
+                now.mono
+            } else {
+                now.mono + HOLD_UNACKED_MS
+            };
+        }
+        self.adjust_pace(id, now);
+    }
+
+    fn running_row(&mut self, id: &ExecutorId, row: &RunningRow, sent: Millis, now: Now) {
+        let Some(executor) = self.executors.get_mut(id) else {
+            return;
+        };
+        let Some(run) = executor.runs.get_mut(&row.task) else {
+            self.unexpected_row(id, row, now);
+            return;
+        };
+        if run.number != row.run {
+            return;
+        }
+        if run.stage == RunStage::Ordered {
+            run.stage = RunStage::Confirmed;
+            run.stage_at = now.mono;
+        }
+        if run.percent != row.percent {
+            run.percent = row.percent;
+            run.moved_at = now.mono;
+        }
+        run.load = row.load;
+        let again = run.stage == RunStage::Stopped && run.stage_at < sent;
+        self.note_checkpoint(row.task, &row.checkpoint);
+        if again {
+            self.stop_run(id, row.task, now);
+        }
+    }
+
+    /// A run that this owner did not order: adopted if its job is known, else left or stopped.
+    fn unexpected_row(&mut self, id: &ExecutorId, row: &RunningRow, now: Now) {
+        let known = self.jobs.contains_key(&row.task.step.job);
+        let ended = self.ended.contains_key(&row.task.step.job);
+        if known && self.adopt(id, row.task, row.run, now) {
+            self.note_checkpoint(row.task, &row.checkpoint);
+            return;
+        }
+        let Some(executor) = self.executors.get_mut(id) else {
+            return;
+        };
+        let (_, since) = *executor
+            .foreign
+            .entry(row.task)
+            .or_insert((row.run, now.mono));
+        if ended || known || now.mono > since + FOREIGN_MS {
+            self.order_stop(id, row.task, row.run, now);
+        }
+    }
+
+    /// Drops runs that were confirmed and are in neither list.
+    fn missing_runs(&mut self, id: &ExecutorId, sent: Millis, rows: &[RunningRow], now: Now) {
+        let Some(executor) = self.executors.get(id) else {
+            return;
+        };
+        let gone = |(task, run): (&TaskId, &Run)| {
+            let there = rows.iter().any(|r| r.task == *task && r.run == run.number);
+            let told = run.stage != RunStage::Ordered && run.stage != RunStage::Stopping;
+            (told && run.stage_at < sent && !there).then_some(*task)
+        };
+        let gone: Vec<TaskId> = executor.runs.iter().filter_map(gone).collect();
+        for task in gone {
+            let Some(executor) = self.executors.get_mut(id) else {
+                return;
+            };
+            if let Some(run) = executor.remove_run(&task) {
+                self.run_lost(id, task, &run, now);
+            }
+        }
+    }
+
+    fn drop_foreign(&mut self, id: &ExecutorId, rows: &[RunningRow], _now: Now) {
+        if let Some(executor) = self.executors.get_mut(id) {
+            executor
+                .foreign
+                .retain(|task, _| rows.iter().any(|r| r.task == *task));
+        }
+    }
+
+    /// Adopts runs of a job that arrived after its runs were seen.
+    pub(super) fn adopt_foreign(&mut self, job: JobId, now: Now) {
+        let found: Vec<_> = self
+            .executors
+            .iter()
+            .flat_map(|(id, e)| {
+                let mine = e.foreign.iter().filter(|(t, _)| t.step.job == job);
+                mine.map(|(t, (run, _))| (id.clone(), *t, *run))
+            })
+            .collect();
+        for (id, task, run) in found {
+            if self.adopt(&id, task, run, now)
+                && let Some(executor) = self.executors.get_mut(&id)
+            {
+                executor.foreign.remove(&task);
+            }
+        }
+    }
+
+    /// Renews leases that are due.
+    pub(super) fn send_holds(&mut self, now: Now) {
+        let due = |(id, e): (&ExecutorId, &Executor)| {
+            (e.hold.is_none() && e.hold_due <= now.mono).then(|| id.clone())
+        };
+        let due: Vec<ExecutorId> = self.executors.iter().filter_map(due).collect();
+        for id in due {
+            self.send_hold(&id, now);
+        }
+    }
+
+    fn send_hold(&mut self, id: &ExecutorId, now: Now) {
+        let call = self.next_call();
+        let lease_ms = self.bounds.lease_ms;
+        let token = self.token;
+        let roster_known = self.roster.contains(id);
+        let ack = self.acked(id);
+        let Some(executor) = self.executors.get_mut(id) else {
+            return;
+        };
+        let open = executor.contact == Contact::Open && executor.misses == 0;
+        let deadline_ms = if roster_known && executor.contact == Contact::Open {
+            executor.clock_at(now.mono).map(|c| c + lease_ms)
+        } else {
+            None
+        };
+        let wait_ms = match () {
+            () if !open || !executor.unacked.is_empty() => 0,
+            () if executor.paced() => HOLD_WAIT_PACED_MS,
+            () => HOLD_WAIT_MS,
+        };
+        executor.granted_ms = executor.granted_ms.max(deadline_ms.unwrap_or(0));
+        executor.hold = Some((call, now.mono));
+        let order = HoldOrder {
+            token,
+            deadline_ms,
+            ack,
+            wait_ms,
+        };
+        let address = executor.info.address.clone();
+        let fresh = executor.misses > 0;
+        self.effects.push(CellEffect::Order {
+            call,
+            executor: id.clone(),
+            address,
+            order: Order::Hold(order),
+            fresh,
+        });
+    }
+
+    /// Returns the number up to which ends can be forgotten there.
+    fn acked(&mut self, id: &ExecutorId) -> u64 {
+        let commits = &self.commits;
+        let Some(executor) = self.executors.get_mut(id) else {
+            return 0;
+        };
+        // A restart at the same address would take an old number for its own ends.
+        if executor.contact != Contact::Open || executor.misses > 0 {
+            return 0;
+        }
+        while let Some(first) = executor.unacked.first_entry() {
+            let durable = first.get().is_none_or(|job| commits.durable(job));
+            if !durable {
+                break;
+            }
+            first.remove();
+        }
+        match executor.unacked.first_key_value() {
+            Some((number, _)) => number - 1,
+            None => executor.seen,
+        }
+    }
+
+    /// Renews at once where ends have become durable.
+    pub(super) fn release_holds(&mut self, now: Now) {
+        let commits = &self.commits;
+        for executor in self.executors.values_mut() {
+            let first = executor.unacked.values().next();
+            if first.is_some_and(|j| j.is_none_or(|job| commits.durable(job))) {
+                executor.hold_due = executor.hold_due.min(now.mono);
+            }
+        }
+    }
+
+    /// Drops runs whose lease has expired, and executors that are gone.
+    pub(super) fn expire_silent(&mut self, now: Now) {
+        let grace = self.bounds.kill_grace_ms;
+        let mut lost = Vec::new();
+        let mut gone = Vec::new();
+        for (id, executor) in &mut self.executors {
+            if executor.misses > 0 && !executor.runs.is_empty() && executor.lapsed(now.mono, grace)
+            {
+                lost.push(id.clone());
+            }
+            let quiet = executor.heard_at + UNLISTED_MS <= now.mono;
+            if !executor.listed && executor.runs.is_empty() && quiet && now.mono > self.quiet_at {
+                gone.push(id.clone());
+            }
+        }
+        for id in lost {
+            self.lapse(&id, now);
+        }
+        for id in gone {
+            self.executors.remove(&id);
+            self.unsettled.remove(&id);
+            self.commits.roster = true;
+        }
+    }
+
+    fn lapse(&mut self, id: &ExecutorId, now: Now) {
+        let Some(executor) = self.executors.get_mut(id) else {
+            return;
+        };
+        executor.contact = Contact::Silent;
+        let tasks: Vec<TaskId> = executor.runs.keys().copied().collect();
+        self.log(
+            FleetEvent::ExecutorSilent,
+            format!("executor={id} lease expired; lost_runs={}", tasks.len()),
+        );
+        for task in tasks {
+            let Some(executor) = self.executors.get_mut(id) else {
+                return;
+            };
+            if let Some(run) = executor.remove_run(&task) {
+                self.run_lost(id, task, &run, now);
+            }
+        }
+    }
+
+    /// Slows or speeds up the fillers beside serving tasks.
+    fn adjust_pace(&mut self, id: &ExecutorId, now: Now) {
+        let Some(executor) = self.executors.get_mut(id) else {
+            return;
+        };
+        if !executor.paced() {
+            return;
+        }
+        let serving = executor.runs.values().filter(|r| r.target_ms > 0);
+        let worst = serving.max_by_key(|r| r.load * 1000 / r.target_ms);
+        let Some((tail, target)) = worst.map(|r| (r.load, r.target_ms)) else {
+            return;
+        };
+        let mut orders = Vec::new();
+        for (task, run) in &mut executor.runs {
+            let share = policy::pace(run.pace, tail, target);
+            if run.fills && run.stage == RunStage::Confirmed && share != run.pace {
+                run.pace = share;
+                orders.push((*task, run.number, share));
+            }
+        }
+        for (task, run, percent) in orders {
+            let order = Order::Pace {
+                task,
+                run,
+                percent,
+                token: self.token,
+            };
+            self.send_order(id, order, now);
+        }
+    }
+}
+
+impl Executor {
+    /// Tells whether a filler runs beside a task with a bound on its tail.
+    fn paced(&self) -> bool {
+        let serving = self.runs.values().any(|r| r.target_ms > 0);
+        serving && self.runs.values().any(|r| r.fills)
+    }
+}
--- /dev/null
+++ b/src/fleet/cell_jobs.rs
@@ -0,0 +1,235 @@
+//! Jobs of the cell: accepted, cancelled, ended, written to the store.
+
+use {
+    crate::{
+        core::{CallId, Millis},
+        fleet::{
+            Cell, CellEffect, FleetEvent, Job, JobEnd, JobId, JobProgress, JobRecord, Now, Roster,
+            RosterEntry, Submission, TaskId, Write,
+        },
+    },
+    std::sync::Arc,
+};
+
+/// Seconds of its rate that an organisation may send at once and still be served in turn.
+const RATE_BURST_S: u64 = 2;
+
+impl Cell {
+    /// Adds an accepted job.
+    pub(super) fn add_job(
+        &mut self,
+        submission: Submission,
+        progress: Option<&JobProgress>,
+        inherited: bool,
+        now: Now,
+    ) {
+        let id = submission.id;
+        if self.jobs.contains_key(&id) || self.ended.contains_key(&id) {
+            return;
+        }
+        let mut job = Job::new(submission, progress, now.unix);
+        let foreign = self
+            .executors
+            .values()
+            .any(|e| e.foreign.keys().any(|t| t.step.job == id));
+        job.inherited = inherited || foreign;
+        job.excess = self.exceeds_rate(job.submission.tenant.as_ref(), now.mono);
+        job.due = now.mono + objective(&job);
+        self.jobs.insert(id, job);
+        if foreign {
+            self.adopt_foreign(id, now);
+        }
+        if self.early_cancels.remove(&id).is_some() {
+            self.cancel(id, now);
+        }
+    }
+
+    /// Tells whether a job exceeds what its organisation is owed a second.
+    fn exceeds_rate(&mut self, tenant: Option<&Arc<str>>, now: Millis) -> bool {
+        let Some(tenant) = tenant else { return false };
+        let Some(rule) = self.config.tenants.get(tenant) else {
+            return false;
+        };
+        let rate = u64::from(rule.weight.max(1));
+        let full = rate * RATE_BURST_S * 1000;
+        let entry = self.tenant_rate.entry(tenant.clone());
+        let (tokens, at) = entry.or_insert((full, now));
+        *tokens = full.min(*tokens + now.saturating_sub(*at) * rate);
+        *at = now;
+        if *tokens < 1000 {
+            return true;
+        }
+        *tokens -= 1000;
+        false
+    }
+
+    /// Cancels a job: nothing of it starts, what runs is stopped.
+    pub(super) fn cancel(&mut self, id: JobId, now: Now) {
+        if self.ended.contains_key(&id) {
+            return;
+        }
+        if !self.jobs.contains_key(&id) {
+            self.early_cancels.insert(id, now.mono);
+            return;
+        }
+        self.log(FleetEvent::JobCancelled, format!("job={id}"));
+        self.end_job(id, JobEnd::Cancelled, now);
+    }
+
+    /// Decides a job's outcome and stops what still runs of it.
+    pub(super) fn end_job(&mut self, id: JobId, end: JobEnd, now: Now) {
+        let Some(job) = self.jobs.get_mut(&id) else {
+            return;
+        };
+        if job.end.is_some() {
+            return;
+        }
+        job.end = Some(end);
+        self.commits.mark(id);
+        self.stop_all(id, now);
+    }
+
+    /// Orders a stop of every run of a job.
+    fn stop_all(&mut self, id: JobId, now: Now) {
+        let mine = |t: &&TaskId| t.step.job == id;
+        let runs: Vec<_> = self
+            .executors
+            .iter()
+            .flat_map(|(e, x)| x.runs.keys().filter(mine).map(|t| (e.clone(), *t)))
+            .collect();
+        for (executor, task) in runs {
+            self.stop_run(&executor, task, now);
+        }
+    }
+
+    /// Ends a job when its last task is done, or drops it when nothing is left to do.
+    pub(super) fn settle_job(&mut self, id: JobId, now: Now) {
+        let Some(job) = self.jobs.get(&id) else {
+            return;
+        };
+        if job.end.is_none() {
+            if job.complete() {
+                self.end_job(id, JobEnd::Completed, now);
+            }
+            return;
+        }
+        if job.end_durable && !job.has_runs() {
+            self.jobs.remove(&id);
+        }
+    }
+
+    /// Sends the next commit if there is something to write.
+    pub(super) fn send_commit(&mut self, now: Now) {
+        let jobs = &self.jobs;
+        let ended = &self.ended;
+        let entries = |id: JobId| {
+            let ends = jobs.get(&id).is_none_or(|j| j.end.is_some());
+            1 + usize::from(ends || ended.contains_key(&id))
+        };
+        let Some(taken) = self.commits.take(now.mono, entries) else {
+            return;
+        };
+        let mut writes: Vec<Write> = taken
+            .iter()
+            .filter_map(|id| self.write_of(*id, now))
+            .collect();
+        if self.commits.roster_in_flight {
+            writes.push(self.roster_write());
+        }
+        let call = self.next_call();
+        self.commits.sent(call, taken);
+        self.effects.push(CellEffect::Commit { call, writes });
+    }
+
+    fn write_of(&self, id: JobId, now: Now) -> Option<Write> {
+        let Some(job) = self.jobs.get(&id) else {
+            return (!self.ended.contains_key(&id)).then_some(Write::Forget { job: id });
+        };
+        let Some(end) = job.end else {
+            let progress = job.progress();
+            return Some(Write::Progress { job: id, progress });
+        };
+        let record = JobRecord::Ended {
+            end,
+            queue: job.submission.queue.name.clone(),
+            tenant: job.submission.tenant.clone(),
+            ended_unix_ms: now.unix,
+        };
+        Some(Write::Ended { job: id, record })
+    }
+
+    fn roster_write(&mut self) -> Write {
+        self.roster_sent = self.executors.keys().cloned().collect();
+        let entry = |e: &crate::fleet::Executor| RosterEntry {
+            id: e.info.id.clone(),
+            address: e.info.address.clone(),
+            pool: e.info.pool.clone(),
+        };
+        Write::Roster(Roster {
+            executors: self.executors.values().map(entry).collect(),
+        })
+    }
+
+    /// Takes in the outcome of a commit.
+    pub(super) fn committed(&mut self, call: CallId, ok: bool, now: Now) {
+        let Some((jobs, roster)) = self.commits.answered(call, ok, now.mono) else {
+            if !ok {
+                self.log(
+                    FleetEvent::CommitFailed,
+                    format!("call={call}; tried again"),
+                );
+            }
+            return;
+        };
+        if roster {
+            self.roster = std::mem::take(&mut self.roster_sent).into_iter().collect();
+        }
+        for id in jobs {
+            let Some(job) = self.jobs.get_mut(&id) else {
+                continue;
+            };
+            let Some(end) = job.end else {
+                job.has_progress = true;
+                continue;
+            };
+            if !self.commits.durable(id) || job.end_durable {
+                continue;
+            }
+            job.end_durable = true;
+            let queue = job.submission.queue.name.clone();
+            let tenant = job.submission.tenant.clone();
+            self.ended.insert(id, (end, queue, tenant, now.mono));
+            self.log(FleetEvent::JobEnded, format!("job={id} end={end:?}"));
+            self.settle_job(id, now);
+        }
+        self.release_holds(now);
+    }
+
+    /// Forgets ended jobs whose state need not be kept any longer.
+    pub(super) fn forget_ended(&mut self, now: Now) {
+        let keep = self.bounds.keep_ended_ms;
+        let old = |(id, e): (&JobId, &(JobEnd, Arc<str>, Option<Arc<str>>, Millis))| {
+            (now.mono > e.3 + keep).then_some(*id)
+        };
+        let old: Vec<JobId> = self.ended.iter().filter_map(old).collect();
+        for id in old {
+            if !self.jobs.contains_key(&id) {
+                self.ended.remove(&id);
+                self.commits.mark(id);
+            }
+        }
+    }
+}
+
+/// Returns how long a job may take by its objective, in ms, as far as estimates tell.
+fn objective(job: &Job) -> Millis {
+    let rule = &job.submission.queue;
+    let mut chain: Vec<Millis> = Vec::new();
+    for step in &job.submission.spec.steps {
+        let before = step.after.iter().map(|s| chain.get(usize::from(*s)));
+        let longest = before.flatten().max().copied().unwrap_or(0);
+        chain.push(longest + step.estimate_ms);
+    }
+    let longest = chain.into_iter().max().unwrap_or(0);
+    rule.objective_ms + longest * rule.stretch_milli / 1000
+}
--- /dev/null
+++ b/src/fleet/cell_plan.rs
@@ -0,0 +1,343 @@
+//! What the cell starts next, and where.
+
+use {
+    crate::{
+        core::{Millis, Resources},
+        fleet::{
+            Cell, Contact, Executor, ExecutorId, Job, Now, RunNumber, Step, StepId, StepSpec, Task,
+            TaskId,
+            policy::{self, Rank, Room},
+        },
+    },
+    std::{collections::HashSet, sync::Arc},
+};
+
+/// Times the objective after which a job earns its callers nothing, so others go first.
+const HOPELESS_TIMES: Millis = 3;
+
+/// Part of a pool, as a divisor, that may be kept for large tasks that do not fit yet.
+const RESERVED_DIVISOR: usize = 3;
+
+/// Part of an executor, as a divisor, above which a task counts as large: it only fits if
+/// small tasks are kept away.
+const LARGE_DIVISOR: u32 = 4;
+
+/// A waiting step with its place in the order.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct Candidate {
+    pub rank: Rank,
+    pub step: StepId,
+}
+
+impl Cell {
+    /// Decides what to start, ask, write and renew; call after a batch of events.
+    pub fn plan(&mut self, now: Now) {
+        self.repeat_orders(now);
+        let candidates = self.candidates(now);
+        let mut reserved = HashSet::new();
+        for candidate in &candidates {
+            self.place_step(candidate.step, &mut reserved, now);
+        }
+        self.ask_advice(&candidates, now);
+        self.send_commit(now);
+        self.send_holds(now);
+    }
+
+    /// Lists the steps whose turn has come and that have waiting tasks, in order.
+    fn candidates(&self, now: Now) -> Vec<Candidate> {
+        let mut list = Vec::new();
+        for job in self.jobs.values().filter(|j| j.end.is_none()) {
+            let budget = job.due.saturating_sub(self.arrival(job));
+            let rank = Rank {
+                hopeless: now.mono > job.due + budget * (HOPELESS_TIMES - 1),
+                priority: self.rule(job).priority,
+                excess: job.excess,
+                due: job.due,
+            };
+            for (key, step) in &job.steps {
+                if step.has_waiting() && job.turn_has_come(key.0, key.1) {
+                    let step = job.step_id(*key);
+                    list.push(Candidate { rank, step });
+                }
+            }
+        }
+        list.sort_by_key(|c| (c.rank, c.step));
+        list
+    }
+
+    fn arrival(&self, job: &Job) -> Millis {
+        job.due.saturating_sub(self.rule(job).objective_ms)
+    }
+
+    fn place_step(&mut self, id: StepId, reserved: &mut HashSet<ExecutorId>, now: Now) {
+        let Some((job, spec, step)) = self.lookup(&id) else {
+            return;
+        };
+        if job.inherited && !spec.duplicates && self.pool_unsettled(&self.rule(job).pool) {
+            return;
+        }
+        let spec = spec.clone();
+        let waiting: Vec<u32> = waiting_tasks(step, now.mono);
+        let placed = if spec.gang {
+            let whole = waiting.len() == step.tasks.len();
+            whole && self.place_gang(id, &spec, reserved, now)
+        } else {
+            self.place_each(id, &spec, &waiting, reserved, now)
+        };
+        if !placed && !waiting.is_empty() {
+            self.reserve(id, &spec, reserved);
+        }
+    }
+
+    /// Tells whether runs of an earlier owner may exist that have not been seen.
+    fn pool_unsettled(&self, pool: &str) -> bool {
+        let in_pool = |id: &ExecutorId| {
+            let executor = self.executors.get(id);
+            executor.is_some_and(|e| &*e.info.pool == pool)
+        };
+        self.unsettled.iter().any(in_pool)
+    }
+
+    pub(super) fn lookup(&self, id: &StepId) -> Option<(&Job, &StepSpec, &Step)> {
+        let job = self.jobs.get(&id.job)?;
+        let spec = job.spec(id.step)?;
+        let step = job.steps.get(&(id.occurrence, id.step))?;
+        Some((job, spec, step))
+    }
+
+    /// Lists the executors that may run a step now.
+    pub(super) fn rooms(
+        &self,
+        id: &StepId,
+        reserved: &HashSet<ExecutorId>,
+        now: Now,
+    ) -> (Vec<ExecutorId>, Vec<Room>) {
+        let mut ids = Vec::new();
+        let mut rooms = Vec::new();
+        let Some((job, spec, step)) = self.lookup(id) else {
+            return (ids, rooms);
+        };
+        let rule = self.rule(job);
+        for (name, executor) in &self.executors {
+            let allowed = executor.usable(now.mono)
+                && self.roster.contains(name)
+                && !reserved.contains(name)
+                && eligible(executor, &rule.pool, spec);
+            let ticketed = rule.advice.is_none()
+                || step
+                    .advice
+                    .good
+                    .get(name)
+                    .is_some_and(|t| t.until > now.mono);
+            let same_step = executor.count_step(id);
+            let full = spec.max_per_executor > 0 && same_step >= spec.max_per_executor;
+            if allowed && ticketed && !full {
+                ids.push(name.clone());
+                rooms.push(Room {
+                    free: executor.free(),
+                    capacity: executor.info.capacity,
+                    doubtful: executor.doubtful(),
+                    near: spec.data_rack.is_none() || spec.data_rack.as_ref() == executor.rack(),
+                    same_step,
+                });
+            }
+        }
+        (ids, rooms)
+    }
+
+    /// Places single tasks; false if one found no room.
+    fn place_each(
+        &mut self,
+        id: StepId,
+        spec: &StepSpec,
+        waiting: &[u32],
+        reserved: &HashSet<ExecutorId>,
+        now: Now,
+    ) -> bool {
+        let need = spec.counted();
+        let (ids, mut rooms) = self.rooms(&id, reserved, now);
+        for index in waiting {
+            if !self.within_cap(&id, &need) {
+                return true;
+            }
+            let failed_on = self.failed_on(&id, *index);
+            let seen: Vec<Room> = rooms
+                .iter()
+                .zip(&ids)
+                .map(|(room, e)| Room {
+                    doubtful: room.doubtful || failed_on.contains(e),
+                    ..*room
+                })
+                .collect();
+            let chosen = if spec.persistent {
+                policy::choose_spread(&need, seen.iter())
+            } else {
+                policy::choose(&need, seen.iter())
+            };
+            let Some(chosen) = chosen else {
+                return false;
+            };
+            let room = &mut rooms[chosen];
+            room.free = room.free.minus(&need);
+            room.same_step += 1;
+            if spec.max_per_executor > 0 && room.same_step >= spec.max_per_executor {
+                room.free = Resources::default();
+                room.capacity = Resources::default();
+            }
+            let number = self.next_run(&id, &[*index]);
+            self.start(&ids[chosen], id, *index, number, now);
+        }
+        true
+    }
+
+    /// Places all members of a gang or none.
+    fn place_gang(
+        &mut self,
+        id: StepId,
+        spec: &StepSpec,
+        reserved: &HashSet<ExecutorId>,
+        now: Now,
+    ) -> bool {
+        let need = spec.counted();
+        let mut all = Resources::default();
+        (0..spec.count).for_each(|_| all.add(&need));
+        if !self.within_cap(&id, &all) {
+            return true;
+        }
+        let (ids, rooms) = self.rooms(&id, reserved, now);
+        let racks: HashSet<_> = ids
+            .iter()
+            .map(|e| self.executors.get(e).and_then(Executor::rack).cloned())
+            .collect();
+        let mut plan = None;
+        if spec.same_rack {
+            for rack in racks {
+                let inside: Vec<bool> = ids
+                    .iter()
+                    .map(|e| self.executors.get(e).and_then(Executor::rack) == rack.as_ref())
+                    .collect();
+                plan = plan.or_else(|| fit_all(spec, &rooms, &inside));
+            }
+        }
+        let any = vec![true; ids.len()];
+        let Some(plan) = plan.or_else(|| fit_all(spec, &rooms, &any)) else {
+            return false;
+        };
+        let members: Vec<u32> = (0..spec.count).collect();
+        let number = self.next_run(&id, &members);
+        for (index, chosen) in members.iter().zip(plan) {
+            self.start(&ids[chosen], id, *index, number, now);
+        }
+        true
+    }
+
+    fn start(&mut self, executor: &ExecutorId, step: StepId, index: u32, run: RunNumber, now: Now) {
+        let ticket = self.lookup(&step).and_then(|(_, _, s)| {
+            let ticket = s.advice.good.get(executor)?;
+            Some(ticket.ticket.clone())
+        });
+        self.start_run(executor, TaskId { step, index }, run, ticket, now);
+    }
+
+    /// Returns a run number above all used by these tasks.
+    fn next_run(&self, id: &StepId, tasks: &[u32]) -> RunNumber {
+        let first = self.first_run();
+        let Some((_, _, step)) = self.lookup(id) else {
+            return first + 1;
+        };
+        let used = tasks
+            .iter()
+            .filter_map(|i| task_of(step, *i))
+            .map(|t| t.last_run);
+        used.max().unwrap_or(0).max(first) + 1
+    }
+
+    fn failed_on(&self, id: &StepId, index: u32) -> Vec<ExecutorId> {
+        let task = self.lookup(id).and_then(|(_, _, s)| task_of(s, index));
+        task.map(|t| t.failed_on.clone()).unwrap_or_default()
+    }
+
+    /// Tells whether the organisation's cap allows more.
+    fn within_cap(&self, id: &StepId, need: &Resources) -> bool {
+        let Some(job) = self.jobs.get(&id.job) else {
+            return false;
+        };
+        let Some(tenant) = &job.submission.tenant else {
+            return true;
+        };
+        let Some(rule) = self.config.tenants.get(tenant) else {
+            return true;
+        };
+        let used = self.tenant_use.get(tenant).copied().unwrap_or_default();
+        rule.allows(&used, need)
+    }
+
+    /// Keeps executors free for a large step that does not fit yet.
+    fn reserve(&self, id: StepId, spec: &StepSpec, reserved: &mut HashSet<ExecutorId>) {
+        let Some((job, _, step)) = self.lookup(&id) else {
+            return;
+        };
+        let need = spec.counted();
+        let rule = self.rule(job);
+        let pool = self.executors.values().filter(|e| e.info.pool == rule.pool);
+        let size = pool.count();
+        let fits = |(name, e): &(&ExecutorId, &Executor)| {
+            let large = need.cpu_milli * LARGE_DIVISOR > e.info.capacity.cpu_milli
+                || need.accelerators * LARGE_DIVISOR > e.info.capacity.accelerators.max(1);
+            let good = rule.advice.is_none() || step.advice.good.contains_key(*name);
+            large && good && e.contact == Contact::Open && eligible(e, &rule.pool, spec)
+        };
+        let mut list: Vec<_> = self.executors.iter().filter(fits).collect();
+        list.sort_by_key(|(_, e)| {
+            let free = e.free();
+            std::cmp::Reverse((free.accelerators, free.cpu_milli))
+        });
+        let wanted = usize::try_from(spec.count).unwrap_or(1).min(2);
+        for (name, _) in list.into_iter().take(wanted) {
+            if reserved.len() < size / RESERVED_DIVISOR {
+                reserved.insert(name.clone());
+            }
+        }
+    }
+}
+
+/// Tells whether an executor could ever run a task of the step.
+pub(super) fn eligible(executor: &Executor, pool: &Arc<str>, spec: &StepSpec) -> bool {
+    let labelled = |l: &Arc<str>| executor.info.labels.contains(l);
+    executor.info.pool == *pool
+        && executor.info.capacity.holds(&spec.counted())
+        && spec.required_label.as_ref().is_none_or(labelled)
+}
+
+fn task_of(step: &Step, index: u32) -> Option<&Task> {
+    step.tasks.get(usize::try_from(index).ok()?)
+}
+
+fn waiting_tasks(step: &Step, now: Millis) -> Vec<u32> {
+    let waits = |t: &Task| !t.done && t.active.is_empty() && t.not_before <= now;
+    let tasks = (0u32..).zip(&step.tasks);
+    tasks.filter(|(_, t)| waits(t)).map(|(i, _)| i).collect()
+}
+
+/// Finds an executor for each member of a gang.
+fn fit_all(spec: &StepSpec, rooms: &[Room], allowed: &[bool]) -> Option<Vec<usize>> {
+    let need = spec.counted();
+    let mut rooms: Vec<Room> = rooms.to_vec();
+    for (room, allowed) in rooms.iter_mut().zip(allowed) {
+        if !allowed {
+            room.free = Resources::default();
+        }
+    }
+    let mut plan = Vec::new();
+    for _ in 0..spec.count {
+        let chosen = policy::choose(&need, rooms.iter())?;
+        let room = &mut rooms[chosen];
+        room.free = room.free.minus(&need);
+        room.same_step += 1;
+        if spec.max_per_executor > 0 && room.same_step >= spec.max_per_executor {
+            room.free = Resources::default();
+        }
+        plan.push(chosen);
+    }
+    Some(plan)
+}
--- /dev/null
+++ b/src/fleet/cell_runs.rs
@@ -0,0 +1,496 @@
+//! Runs of the cell: ordered, confirmed, stopped, ended, lost.
+
+use {
+    crate::{
+        core::{CallId, Millis},
+        fleet::{
+            CallFault, Cell, CellEffect, Contact, EndedRow, ExecutorId, FleetEvent, JobEnd, JobId,
+            Now, Order, Run, RunEnd, RunNumber, RunStage, StartOrder, StepSpec, TaskId,
+            cell_executors::FOREIGN_MS,
+        },
+    },
+    std::sync::Arc,
+};
+
+/// Orders of one start before it is stopped and started elsewhere.
+const START_TRIES: u32 = 3;
+
+/// Time until an unanswered stop is ordered again, in ms.
+const STOP_RETRY_MS: Millis = 300;
+
+/// Time until a refused task is tried again, in ms.
+const REFUSED_PAUSE_MS: Millis = 100;
+
+/// Time for which an executor that refused an order gets no work, in ms.
+const UNWELL_MS: Millis = 1_000;
+
+impl Cell {
+    /// Sends an order to an executor; returns the call's number.
+    pub(super) fn send_order(&mut self, id: &ExecutorId, order: Order, _now: Now) -> CallId {
+        let call = self.next_call();
+        if let Some(executor) = self.executors.get(id) {
+            let repeated = match &order {
+                Order::Start(start) => executor.runs.get(&start.task).is_some_and(|r| r.tries > 1),
+                _ => false,
+            };
+            self.effects.push(CellEffect::Order {
+                call,
+                executor: id.clone(),
+                address: executor.info.address.clone(),
+                order,
+                fresh: repeated || executor.misses > 0,
+            });
+        }
+        call
+    }
+
+    /// Starts a task under a new run number.
+    pub(super) fn start_run(
+        &mut self,
+        id: &ExecutorId,
+        task: TaskId,
+        number: RunNumber,
+        ticket: Option<Arc<str>>,
+        now: Now,
+    ) {
+        let Some(spec) = self.step_spec(&task) else {
+            return;
+        };
+        let run = new_run(number, RunStage::Ordered, spec, ticket, now.mono);
+        self.track(id, task, run);
+        self.log(
+            FleetEvent::RunStarted,
+            format!("task={task} run={number} executor={id}"),
+        );
+        self.order_start(id, task, now);
+    }
+
+    fn step_spec(&self, task: &TaskId) -> Option<&StepSpec> {
+        self.jobs.get(&task.step.job)?.spec(task.step.step)
+    }
+
+    /// Notes a run at its executor, its task and its organisation.
+    fn track(&mut self, id: &ExecutorId, task: TaskId, run: Run) {
+        let number = run.number;
+        self.count_use(task.step.job, &run.need, true);
+        if let Some(executor) = self.executors.get_mut(id) {
+            executor.add_run(task, run);
+        }
+        let Some(job) = self.jobs.get_mut(&task.step.job) else {
+            return;
+        };
+        job.started = true;
+        let key = (task.step.occurrence, task.step.step);
+        let step = job.steps.get_mut(&key);
+        if let Some(t) = step.and_then(|s| s.tasks.get_mut(index(&task))) {
+            t.active.push(id.clone());
+            t.last_run = t.last_run.max(number);
+        }
+    }
+
+    /// Orders a start, or orders it again.
+    fn order_start(&mut self, id: &ExecutorId, task: TaskId, now: Now) {
+        let Some(job) = self.jobs.get(&task.step.job) else {
+            return;
+        };
+        let gang = job.spec(task.step.step).is_some_and(|s| s.gang);
+        let key = (task.step.occurrence, task.step.step);
+        let holder = if gang { 0 } else { index(&task) };
+        let state = job.steps.get(&key).and_then(|s| s.tasks.get(holder));
+        let checkpoint = state.map(|t| t.checkpoint.clone()).unwrap_or_default();
+        let payload = job.submission.spec.payload.clone();
+        let lease_ms = self.bounds.lease_ms;
+        let token = self.token;
+        let Some(executor) = self.executors.get_mut(id) else {
+            return;
+        };
+        let Some(clock) = executor.clock_at(now.mono) else {
+            return;
+        };
+        let deadline_ms = clock + lease_ms;
+        executor.granted_ms = executor.granted_ms.max(deadline_ms);
+        let Some(run) = executor.runs.get_mut(&task) else {
+            return;
+        };
+        run.tries += 1;
+        let order = Order::Start(StartOrder {
+            task,
+            run: run.number,
+            payload,
+            deadline_ms,
+            token,
+            checkpoint,
+            ticket: run.ticket.clone(),
+        });
+        let call = self.send_order(id, order, now);
+        self.set_call(id, task, call);
+    }
+
+    fn set_call(&mut self, id: &ExecutorId, task: TaskId, call: CallId) {
+        let executor = self.executors.get_mut(id);
+        if let Some(run) = executor.and_then(|e| e.runs.get_mut(&task)) {
+            run.call = Some(call);
+        }
+    }
+
+    /// Orders a stop of a run that is tracked.
+    pub(super) fn stop_run(&mut self, id: &ExecutorId, task: TaskId, now: Now) {
+        let executor = self.executors.get_mut(id);
+        let Some(run) = executor.and_then(|e| e.runs.get_mut(&task)) else {
+            return;
+        };
+        run.stage = RunStage::Stopping;
+        run.stage_at = now.mono;
+        let number = run.number;
+        let call = self.order_stop(id, task, number, now);
+        self.set_call(id, task, call);
+    }
+
+    /// Orders a stop.
+    pub(super) fn order_stop(
+        &mut self,
+        id: &ExecutorId,
+        task: TaskId,
+        run: RunNumber,
+        now: Now,
+    ) -> CallId {
+        let token = self.token;
+        self.send_order(id, Order::Stop { task, run, token }, now)
+    }
+
+    /// Takes in the answer to a start, stop or pace order.
+    pub(super) fn order_answered(
+        &mut self,
+        call: CallId,
+        id: &ExecutorId,
+        result: Result<(), CallFault>,
+        now: Now,
+    ) {
+        let Some(executor) = self.executors.get_mut(id) else {
+            return;
+        };
+        let mut runs = executor.runs.iter_mut();
+        let Some((task, run)) = runs.find(|(_, r)| r.call == Some(call)) else {
+            return;
+        };
+        let task = *task;
+        run.call = None;
+        match (run.stage, result) {
+            (RunStage::Ordered, Ok(()) | Err(CallFault::OldRun)) => {
+                run.stage = RunStage::Confirmed;
+                run.stage_at = now.mono;
+            }
+            (RunStage::Stopping, Ok(())) => {
+                run.stage = RunStage::Stopped;
+                run.stage_at = now.mono;
+            }
+            (RunStage::Ordered, Err(fault)) if fault != CallFault::Unknown => {
+                self.start_refused(id, task, fault, now);
+            }
+            _ => {}
+        }
+    }
+
+    /// The executor says that it did not start the task.
+    fn start_refused(&mut self, id: &ExecutorId, task: TaskId, fault: CallFault, now: Now) {
+        let Some(executor) = self.executors.get_mut(id) else {
+            return;
+        };
+        if fault == CallFault::Refused {
+            executor.suspected_until = executor.suspected_until.max(now.mono + UNWELL_MS);
+        }
+        let tries = executor.runs.get(&task).map_or(0, |r| r.tries);
+        self.log(
+            FleetEvent::RunRefused,
+            format!("task={task} executor={id} fault={fault:?} tries={tries}"),
+        );
+        if fault == CallFault::BadTicket
+            && let Some(step) = self.step_mut(&task)
+        {
+            step.advice.good.remove(id);
+        }
+        if tries > 1 {
+            // An earlier order without an answer may still be carried out.
+            self.stop_run(id, task, now);
+            return;
+        }
+        let executor = self.executors.get_mut(id);
+        if let Some(run) = executor.and_then(|e| e.remove_run(&task)) {
+            self.run_lost(id, task, &run, now);
+        }
+        if let Some(t) = self.task_mut(&task) {
+            t.not_before = now.mono + REFUSED_PAUSE_MS;
+        }
+    }
+
+    /// Orders again what got no answer.
+    pub(super) fn repeat_orders(&mut self, now: Now) {
+        let mut starts = Vec::new();
+        let mut stops = Vec::new();
+        for (id, executor) in &self.executors {
+            if executor.contact != Contact::Open || executor.misses > 0 {
+                continue;
+            }
+            for (task, run) in executor.runs.iter().filter(|(_, r)| r.call.is_none()) {
+                match run.stage {
+                    RunStage::Ordered if run.tries < START_TRIES => {
+                        starts.push((id.clone(), *task))
+                    }
+                    RunStage::Ordered => stops.push((id.clone(), *task)),
+                    RunStage::Stopping if run.stage_at + STOP_RETRY_MS <= now.mono => {
+                        stops.push((id.clone(), *task));
+                    }
+                    _ => {}
+                }
+            }
+        }
+        for (id, task) in starts {
+            self.order_start(&id, task, now);
+        }
+        for (id, task) in stops {
+            self.stop_run(&id, task, now);
+        }
+    }
+
+    /// Takes in an end; false if it can't be judged yet, as its job may be on its way.
+    pub(super) fn ended_row(&mut self, id: &ExecutorId, row: &EndedRow, now: Now) -> bool {
+        let job = row.task.step.job;
+        let known = self.jobs.contains_key(&job) || self.ended.contains_key(&job);
+        if !known && now.mono < self.since + FOREIGN_MS {
+            return false;
+        }
+        let Some(executor) = self.executors.get_mut(id) else {
+            return false;
+        };
+        if row.number <= executor.seen {
+            return true;
+        }
+        executor.seen = row.number;
+        executor.foreign.remove(&row.task);
+        let counted = self.take_end(id, row, now);
+        if let Some(executor) = self.executors.get_mut(id) {
+            executor.unacked.insert(row.number, counted.then_some(job));
+        }
+        if counted {
+            self.commits.mark(job);
+        }
+        self.settle_job(job, now);
+        true
+    }
+
+    /// Applies an end to its run and task; tells whether the job's record changed.
+    fn take_end(&mut self, id: &ExecutorId, row: &EndedRow, now: Now) -> bool {
+        let executor = self.executors.get_mut(id);
+        let matching =
+            executor.filter(|e| e.runs.get(&row.task).is_some_and(|r| r.number == row.run));
+        let run = matching.and_then(|e| e.remove_run(&row.task));
+        if let Some(run) = &run {
+            let need = run.need;
+            self.count_use(row.task.step.job, &need, false);
+            self.inactive(id, &row.task);
+            let ran_ms = now.mono.saturating_sub(run.since);
+            self.log(
+                FleetEvent::RunEnded,
+                format!(
+                    "task={} run={} executor={id} end={:?} ran_ms={ran_ms}",
+                    row.task, row.run, row.end
+                ),
+            );
+        }
+        self.note_checkpoint(row.task, &row.checkpoint);
+        match row.end {
+            RunEnd::Done => {
+                if let Some(executor) = self.executors.get_mut(id) {
+                    executor.note_done();
+                }
+                self.task_done(&row.task, now)
+            }
+            RunEnd::Failed => self.task_failed(id, row, now),
+            RunEnd::Broken | RunEnd::Lapsed | RunEnd::Orphaned | RunEnd::Stopped => false,
+        }
+    }
+
+    fn task_done(&mut self, task: &TaskId, now: Now) -> bool {
+        let Some(spec) = self.step_spec(task) else {
+            return false;
+        };
+        if spec.persistent {
+            return false;
+        }
+        let gang = spec.gang;
+        let Some(step) = self.step_mut(task) else {
+            return false;
+        };
+        let mut others = Vec::new();
+        let mut changed = false;
+        for (i, t) in step.tasks.iter_mut().enumerate() {
+            let mine = i == index(task);
+            if (mine || gang) && !t.done {
+                t.done = true;
+                step.done += 1;
+                changed = true;
+            }
+            if mine {
+                others.extend(t.active.iter().cloned());
+            }
+        }
+        for id in others {
+            self.stop_run(&id, *task, now);
+        }
+        changed
+    }
+
+    fn task_failed(&mut self, id: &ExecutorId, row: &EndedRow, now: Now) -> bool {
+        let job = row.task.step.job;
+        if let Some(executor) = self.executors.get_mut(id)
+            && executor.note_failure(job, now.mono)
+        {
+            self.log(
+                FleetEvent::ExecutorSuspected,
+                format!("executor={id}; failures of several jobs in a row"),
+            );
+        }
+        let Some(spec) = self.step_spec(&row.task) else {
+            return false;
+        };
+        if spec.persistent {
+            return false;
+        }
+        let most = self.jobs.get(&job).map_or(1, |j| self.rule(j).max_attempts);
+        let Some(t) = self.task_mut(&row.task) else {
+            return false;
+        };
+        if row.run <= t.failed_run {
+            return false;
+        }
+        t.failed_run = row.run;
+        t.failures += 1;
+        t.failed_on.push(id.clone());
+        let failures = t.failures;
+        let done = t.done;
+        if failures >= most && !done {
+            self.end_job(job, JobEnd::Failed, now);
+        }
+        true
+    }
+
+    /// A run is surely over, without an end that tells how.
+    pub(super) fn run_lost(&mut self, id: &ExecutorId, task: TaskId, run: &Run, now: Now) {
+        let need = run.need;
+        self.count_use(task.step.job, &need, false);
+        self.inactive(id, &task);
+        let gang = self.step_spec(&task).is_some_and(|s| s.gang);
+        if gang {
+            self.stop_gang(&task, now);
+        }
+        self.settle_job(task.step.job, now);
+    }
+
+    /// Stops the members of a gang that lost one.
+    fn stop_gang(&mut self, task: &TaskId, now: Now) {
+        let step = task.step;
+        let Some(state) = self.step_mut(task) else {
+            return;
+        };
+        let members: Vec<_> = (0u32..)
+            .zip(&state.tasks)
+            .flat_map(|(i, t)| {
+                t.active
+                    .iter()
+                    .map(move |e| (e.clone(), TaskId { step, index: i }))
+            })
+            .collect();
+        for (id, member) in members {
+            self.stop_run(&id, member, now);
+        }
+    }
+
+    /// Takes over a run that an earlier owner ordered; false if it must not go on.
+    pub(super) fn adopt(
+        &mut self,
+        id: &ExecutorId,
+        task: TaskId,
+        run: RunNumber,
+        now: Now,
+    ) -> bool {
+        let Some(job) = self.jobs.get_mut(&task.step.job) else {
+            return false;
+        };
+        if job.end.is_some() {
+            return false;
+        }
+        let Some(spec) = job.spec(task.step.step).cloned() else {
+            return false;
+        };
+        let key = (task.step.occurrence, task.step.step);
+        let Some(t) = job.steps.get(&key).and_then(|s| s.tasks.get(index(&task))) else {
+            return false;
+        };
+        if t.done || (!t.active.is_empty() && !spec.duplicates) {
+            return false;
+        }
+        let run = new_run(run, RunStage::Confirmed, &spec, None, now.mono);
+        self.track(id, task, run);
+        true
+    }
+
+    /// Notes a checkpoint; one of any member serves a whole gang.
+    pub(super) fn note_checkpoint(&mut self, task: TaskId, checkpoint: &Arc<str>) {
+        if checkpoint.is_empty() {
+            return;
+        }
+        let gang = self.step_spec(&task).is_some_and(|s| s.gang);
+        let holder = if gang { 0 } else { index(&task) };
+        if let Some(t) = self.step_mut(&task).and_then(|s| s.tasks.get_mut(holder))
+            && t.checkpoint != *checkpoint
+        {
+            t.checkpoint = checkpoint.clone();
+        }
+    }
+
+    fn inactive(&mut self, id: &ExecutorId, task: &TaskId) {
+        if let Some(t) = self.task_mut(task) {
+            t.active.retain(|e| e != id);
+        }
+    }
+
+    fn step_mut(&mut self, task: &TaskId) -> Option<&mut crate::fleet::Step> {
+        let job: JobId = task.step.job;
+        let key = (task.step.occurrence, task.step.step);
+        self.jobs.get_mut(&job)?.steps.get_mut(&key)
+    }
+
+    fn task_mut(&mut self, task: &TaskId) -> Option<&mut crate::fleet::Task> {
+        self.step_mut(task)?.tasks.get_mut(index(task))
+    }
+}
+
+fn index(task: &TaskId) -> usize {
+    usize::try_from(task.index).unwrap_or(usize::MAX)
+}
+
+fn new_run(
+    number: RunNumber,
+    stage: RunStage,
+    spec: &StepSpec,
+    ticket: Option<Arc<str>>,
+    now: Millis,
+) -> Run {
+    Run {
+        number,
+        stage,
+        need: spec.counted(),
+        since: now,
+        stage_at: now,
+        call: None,
+        tries: 0,
+        ticket,
+        percent: 0,
+        moved_at: now,
+        pace: 100,
+        fills: spec.fills,
+        target_ms: spec.target_ms,
+        load: 0,
+        over_since: None,
+    }
+}
--- /dev/null
+++ b/src/fleet/executor.rs
@@ -0,0 +1,252 @@
+//! One executor as its owner knows it: lease, runs, and ends not yet acknowledged.
+
+use {
+    crate::{
+        core::{CallId, Millis, Resources},
+        fleet::{ExecutorInfo, JobId, RunNumber, TaskId},
+    },
+    std::{
+        collections::{BTreeMap, HashMap},
+        sync::Arc,
+    },
+};
+
+/// The platform lets an executor's clock run this much slow, in thousandths (PROTOCOL: 2%).
+const CLOCK_SLOW_MILLI: Millis = 20;
+
+/// Failures in a row, of different jobs, after which an executor is suspected. A healthy one
+/// fails a twentieth of its tasks, so three in a row are rare.
+const SUSPECT_FAILURES: usize = 3;
+
+/// First time that a suspected executor gets no work, in ms; doubles with each suspicion.
+const SUSPECT_MS: Millis = 4_000;
+
+/// Longest time that a suspected executor gets no work, in ms.
+const SUSPECT_MOST_MS: Millis = 32_000;
+
+/// Contact with an executor.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Contact {
+    /// The fencing token is not yet known to be raised there.
+    Opening,
+    /// Lists were read under the own token; it answers.
+    Open,
+    /// Answers are missing; the lease may still run.
+    Silent,
+}
+
+/// Stage of one run on an executor.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum RunStage {
+    /// Ordered; the executor has not said that it is there.
+    Ordered,
+    /// The executor has said that it is there.
+    Confirmed,
+    /// A stop is ordered.
+    Stopping,
+    /// The stop was accepted; its end has not been seen.
+    Stopped,
+}
+
+/// A run of a task on an executor.
+#[derive(Clone, Debug)]
+pub struct Run {
+    pub number: RunNumber,
+    pub stage: RunStage,
+    /// What it takes from the capacity until its end is seen.
+    pub need: Resources,
+    /// When it was first ordered or adopted.
+    pub since: Millis,
+    /// When the stage was reached; lists read earlier say nothing of it.
+    pub stage_at: Millis,
+    pub call: Option<CallId>,
+    pub tries: u32,
+    pub ticket: Option<Arc<str>>,
+    pub percent: u32,
+    /// When the progress last changed.
+    pub moved_at: Millis,
+    /// Share of its work that a filler is allowed, in percent.
+    pub pace: u32,
+    pub fills: bool,
+    /// Bound on the tail of response times, in ms; 0: none.
+    pub target_ms: Millis,
+    /// Last tail of response times, in ms, or processor use.
+    pub load: u64,
+    /// When the tail was last seen to rise above the bound; none while below.
+    pub over_since: Option<Millis>,
+}
+
+/// A clock reading of an executor.
+#[derive(Clone, Copy, Debug)]
+pub struct ClockReading {
+    pub clock_ms: Millis,
+    /// When it arrived here.
+    pub at: Millis,
+}
+
+/// One executor.
+#[derive(Debug)]
+pub struct Executor {
+    pub info: ExecutorInfo,
+    /// Whether the platform's list names it.
+    pub listed: bool,
+    pub contact: Contact,
+    pub born: Option<u64>,
+    pub clock: Option<ClockReading>,
+    /// Highest lease end ever ordered, on its clock.
+    pub granted_ms: Millis,
+    pub runs: HashMap<TaskId, Run>,
+    /// Runs of jobs that are not known here (yet), and since when.
+    pub foreign: HashMap<TaskId, (RunNumber, Millis)>,
+    /// Sum of the needs of `runs`.
+    pub used: Resources,
+    pub hold: Option<(CallId, Millis)>,
+    pub hold_due: Millis,
+    /// Highest number of an end that was taken in.
+    pub seen: u64,
+    /// Ends taken in and not acknowledged, with the job whose record must be durable first.
+    pub unacked: BTreeMap<u64, Option<JobId>>,
+    /// Failed calls in a row.
+    pub misses: u32,
+    /// Last answer of any call.
+    pub heard_at: Millis,
+    /// Jobs whose tasks failed here since the last task done.
+    failed_jobs: Vec<JobId>,
+    suspicions: u32,
+    pub suspected_until: Millis,
+    /// Tasks done in this life.
+    pub done: u64,
+}
+
+impl Executor {
+    /// Creates an executor that has not been called yet.
+    pub fn new(info: ExecutorInfo, listed: bool, now: Millis) -> Self {
+        Self {
+            info,
+            listed,
+            contact: Contact::Opening,
+            born: None,
+            clock: None,
+            granted_ms: 0,
+            runs: HashMap::new(),
+            foreign: HashMap::new(),
+            used: Resources::default(),
+            hold: None,
+            hold_due: now,
+            seen: 0,
+            unacked: BTreeMap::new(),
+            misses: 0,
+            heard_at: now,
+            failed_jobs: Vec::new(),
+            suspicions: 0,
+            suspected_until: 0,
+            done: 0,
+        }
+    }
+
+    /// Returns the rack, which is the label that is not the kind.
+    pub fn rack(&self) -> Option<&Arc<str>> {
+        self.info.labels.last()
+    }
+
+    /// Returns what is free; nothing while an unknown run may take any amount.
+    pub fn free(&self) -> Resources {
+        if self.foreign.is_empty() {
+            self.info.capacity.minus(&self.used)
+        } else {
+            Resources::default()
+        }
+    }
+
+    /// Tells whether new tasks may be started here.
+    pub fn usable(&self, now: Millis) -> bool {
+        self.listed
+            && self.contact == Contact::Open
+            && self.misses == 0
+            && !self.info.draining
+            && self.suspected_until <= now
+    }
+
+    /// Estimates the executor's clock; never ahead of it.
+    pub fn clock_at(&self, now: Millis) -> Option<Millis> {
+        let read = self.clock?;
+        let gone = now.saturating_sub(read.at);
+        Some(read.clock_ms + gone - gone * CLOCK_SLOW_MILLI / 1000)
+    }
+
+    /// Tells whether every lease ever ordered has surely expired.
+    pub fn lapsed(&self, now: Millis, kill_grace_ms: Millis) -> bool {
+        let Some(clock) = self.clock_at(now) else {
+            return self.granted_ms == 0;
+        };
+        clock > self.granted_ms + kill_grace_ms
+    }
+
+    /// Adds a run.
+    pub fn add_run(&mut self, task: TaskId, run: Run) {
+        self.used.add(&run.need);
+        if let Some(old) = self.runs.insert(task, run) {
+            self.used = self.used.minus(&old.need);
+        }
+    }
+
+    /// Removes a run and frees what it took.
+    pub fn remove_run(&mut self, task: &TaskId) -> Option<Run> {
+        let run = self.runs.remove(task)?;
+        self.used = self.used.minus(&run.need);
+        Some(run)
+    }
+
+    /// Counts the tasks of one step that run here.
+    pub fn count_step(&self, step: &crate::fleet::StepId) -> u32 {
+        let count = self.runs.keys().filter(|t| t.step == *step).count();
+        u32::try_from(count).unwrap_or(u32::MAX)
+    }
+
+    /// Notes a task done here: it works.
+    pub fn note_done(&mut self) {
+        self.done += 1;
+        self.failed_jobs.clear();
+        self.suspicions = 0;
+        self.suspected_until = 0;
+    }
+
+    /// Notes a failure; tells whether the executor is suspected from now on.
+    pub fn note_failure(&mut self, job: JobId, now: Millis) -> bool {
+        if !self.failed_jobs.contains(&job) {
+            self.failed_jobs.push(job);
+        }
+        let limit = if self.suspicions > 0 {
+            1
+        } else {
+            SUSPECT_FAILURES
+        };
+        if self.failed_jobs.len() < limit {
+            return false;
+        }
+        self.failed_jobs.clear();
+        let time = (SUSPECT_MS << self.suspicions.min(8)).min(SUSPECT_MOST_MS);
+        self.suspicions += 1;
+        self.suspected_until = now + time;
+        true
+    }
+
+    /// Tells whether the last task that ended here failed.
+    pub fn doubtful(&self) -> bool {
+        !self.failed_jobs.is_empty() || self.suspicions > 0
+    }
+
+    /// Forgets everything of an earlier life.
+    pub fn reset(&mut self, now: Millis) -> Vec<(TaskId, Run)> {
+        let runs = std::mem::take(&mut self.runs).into_iter().collect();
+        self.foreign.clear();
+        self.used = Resources::default();
+        self.unacked.clear();
+        self.seen = 0;
+        self.granted_ms = 0;
+        self.clock = None;
+        self.contact = Contact::Opening;
+        self.hold_due = now;
+        runs
+    }
+}
--- /dev/null
+++ b/src/fleet/job.rs
@@ -0,0 +1,237 @@
+//! A job in the owner's memory: its steps, tasks and what is known of each.
+
+use {
+    crate::{
+        core::Millis,
+        fleet::{
+            ExecutorId, JobEnd, JobProgress, RunNumber, StepId, StepProgress, StepSpec, Submission,
+            TaskProgress,
+        },
+    },
+    std::{
+        collections::{BTreeMap, HashMap, HashSet},
+        sync::Arc,
+    },
+};
+
+/// Run numbers of one owner; the next owner begins above them.
+pub const RUNS_PER_TOKEN: RunNumber = 1 << 20;
+
+/// One task.
+#[derive(Clone, Debug, Default)]
+pub struct Task {
+    pub done: bool,
+    pub failures: u32,
+    /// Number of the last run counted as failed.
+    pub failed_run: RunNumber,
+    pub checkpoint: Arc<str>,
+    /// Highest run number used.
+    pub last_run: RunNumber,
+    /// Where it runs or may run; more than one only where duplicates are allowed.
+    pub active: Vec<ExecutorId>,
+    /// Executors where it failed.
+    pub failed_on: Vec<ExecutorId>,
+    /// When it may be started again.
+    pub not_before: Millis,
+}
+
+/// A ticket to start tasks of one step on one executor.
+#[derive(Clone, Debug)]
+pub struct Ticket {
+    pub ticket: Arc<str>,
+    pub until: Millis,
+}
+
+/// What the advice service said of one step.
+#[derive(Clone, Debug, Default)]
+pub struct StepAdvice {
+    /// Executors that may run the step; the set never changes for a life of an executor.
+    pub good: HashMap<ExecutorId, Ticket>,
+    pub bad: HashSet<ExecutorId>,
+    pub asking: bool,
+    /// When it may be asked again after a failure.
+    pub not_before: Millis,
+}
+
+/// One step of one occurrence.
+#[derive(Clone, Debug)]
+pub struct Step {
+    pub tasks: Vec<Task>,
+    pub done: u32,
+    pub advice: StepAdvice,
+}
+
+impl Step {
+    fn new(spec: &StepSpec) -> Self {
+        let count = usize::try_from(spec.count).unwrap_or(0);
+        Self {
+            tasks: vec![Task::default(); count],
+            done: 0,
+            advice: StepAdvice::default(),
+        }
+    }
+
+    /// Tells whether all tasks are done.
+    pub fn complete(&self) -> bool {
+        usize::try_from(self.done).is_ok_and(|d| d == self.tasks.len())
+    }
+
+    /// Tells whether a task neither runs nor is done.
+    pub fn has_waiting(&self) -> bool {
+        self.tasks.iter().any(|t| !t.done && t.active.is_empty())
+    }
+}
+
+/// A job that has not ended, or whose runs have not all ended.
+#[derive(Clone, Debug)]
+pub struct Job {
+    pub submission: Submission,
+    /// By occurrence and step; an occurrence is added when it is due.
+    pub steps: BTreeMap<(u32, u16), Step>,
+    /// Occurrences added so far.
+    pub opened: u32,
+    /// Order in which tenants' jobs are served: when the objective is missed.
+    pub due: Millis,
+    /// Whether a task was ever started.
+    pub started: bool,
+    /// Taken over from an earlier owner, which may have started tasks of it.
+    pub inherited: bool,
+    /// Beyond what is owed to the organisation.
+    pub excess: bool,
+    /// Set once the outcome is decided; callers see it when it is durable.
+    pub end: Option<JobEnd>,
+    pub end_durable: bool,
+    /// Whether the store has a progress record of the job.
+    pub has_progress: bool,
+}
+
+impl Job {
+    /// Creates a job with the progress that the store has of it.
+    pub fn new(submission: Submission, progress: Option<&JobProgress>, unix: Millis) -> Self {
+        let mut job = Self {
+            submission,
+            steps: BTreeMap::new(),
+            opened: 0,
+            due: 0,
+            started: progress.is_some(),
+            inherited: false,
+            excess: false,
+            end: None,
+            end_durable: false,
+            has_progress: progress.is_some(),
+        };
+        job.open_due(unix);
+        if let Some(progress) = progress {
+            job.restore(progress);
+        }
+        job
+    }
+
+    /// Returns the spec of a step.
+    pub fn spec(&self, step: u16) -> Option<&StepSpec> {
+        self.submission.spec.steps.get(usize::from(step))
+    }
+
+    /// Returns when the next occurrence is due, in Unix ms.
+    pub fn next_due_unix(&self) -> Option<Millis> {
+        let schedule = self.submission.spec.schedule?;
+        let due = schedule.start_unix_ms + u64::from(self.opened) * schedule.interval_ms;
+        (self.opened < schedule.count).then_some(due)
+    }
+
+    /// Adds the occurrences that are due; tells whether any was added.
+    pub fn open_due(&mut self, unix: Millis) -> bool {
+        let before = self.opened;
+        if self.submission.spec.schedule.is_none() {
+            if self.opened == 0 {
+                self.open_next();
+            }
+        } else {
+            while self.next_due_unix().is_some_and(|due| due <= unix) {
+                self.open_next();
+            }
+        }
+        self.opened > before
+    }
+
+    fn open_next(&mut self) {
+        for (i, spec) in self.submission.spec.steps.iter().enumerate() {
+            let number = u16::try_from(i).unwrap_or(u16::MAX);
+            self.steps.insert((self.opened, number), Step::new(spec));
+        }
+        self.opened += 1;
+    }
+
+    fn restore(&mut self, progress: &JobProgress) {
+        for saved in &progress.steps {
+            while self.opened <= saved.occurrence {
+                self.open_next();
+            }
+            let Some(step) = self.steps.get_mut(&(saved.occurrence, saved.step)) else {
+                continue;
+            };
+            for (task, old) in step.tasks.iter_mut().zip(&saved.tasks) {
+                task.done = old.done;
+                task.failures = old.failures;
+                task.failed_run = old.failed_run;
+                task.checkpoint = old.checkpoint.clone();
+                step.done += u32::from(old.done);
+            }
+        }
+    }
+
+    /// Returns what the store must keep.
+    pub fn progress(&self) -> JobProgress {
+        let worth = |t: &Task| t.done || t.failures > 0 || !t.checkpoint.is_empty();
+        let touched = self.steps.iter().filter(|(_, s)| s.tasks.iter().any(worth));
+        let steps = touched.map(|((occurrence, step), s)| StepProgress {
+            occurrence: *occurrence,
+            step: *step,
+            tasks: s.tasks.iter().map(task_progress).collect(),
+        });
+        JobProgress {
+            steps: steps.collect(),
+        }
+    }
+
+    /// Tells whether the steps before this one are done.
+    pub fn turn_has_come(&self, occurrence: u32, step: u16) -> bool {
+        let Some(spec) = self.spec(step) else {
+            return false;
+        };
+        let done = |s: &u16| {
+            let before = self.steps.get(&(occurrence, *s));
+            before.is_some_and(Step::complete)
+        };
+        spec.after.iter().all(done)
+    }
+
+    /// Tells whether every occurrence was opened and every step is done.
+    pub fn complete(&self) -> bool {
+        self.next_due_unix().is_none() && self.steps.values().all(Step::complete)
+    }
+
+    /// Tells whether any run may still be there.
+    pub fn has_runs(&self) -> bool {
+        let active = |s: &Step| s.tasks.iter().any(|t| !t.active.is_empty());
+        self.steps.values().any(active)
+    }
+
+    /// Returns the identifier of a step.
+    pub fn step_id(&self, key: (u32, u16)) -> StepId {
+        StepId {
+            job: self.submission.id,
+            occurrence: key.0,
+            step: key.1,
+        }
+    }
+}
+
+fn task_progress(task: &Task) -> TaskProgress {
+    TaskProgress {
+        done: task.done,
+        failures: task.failures,
+        failed_run: task.failed_run,
+        checkpoint: task.checkpoint.clone(),
+    }
+}
--- /dev/null
+++ b/src/fleet/policy.rs
@@ -0,0 +1,83 @@
+//! Order of waiting work and choice of executors: pure functions on plain data.
+
+use crate::core::{Millis, Resources};
+
+/// Position of a step in the order of waiting work; smaller goes first.
+///
+/// Answers a full pool: what can still be in time goes before what is hopelessly late, the
+/// urgent before the patient, what is owed before what exceeds an organisation's rate, then
+/// the earliest objective.
+#[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
+pub struct Rank {
+    pub hopeless: bool,
+    pub priority: u32,
+    pub excess: bool,
+    pub due: Millis,
+}
+
+/// An executor as a candidate for a task.
+#[derive(Clone, Copy, Debug)]
+pub struct Room {
+    pub free: Resources,
+    pub capacity: Resources,
+    /// The last task that ended there failed.
+    pub doubtful: bool,
+    /// Right rack, if the task prefers one.
+    pub near: bool,
+    /// Tasks of the same step already there.
+    pub same_step: u32,
+}
+
+/// Chooses an executor for one task; `None` if no candidate holds the need.
+///
+/// Answers a mix of small and large tasks: the executor on which the least of the scarcest
+/// resource is left over, so that large gaps stay for large tasks. Trusted executors and the
+/// preferred rack go first.
+pub fn choose<'a>(need: &Resources, rooms: impl Iterator<Item = &'a Room>) -> Option<usize> {
+    let fitting = rooms.enumerate().filter(|(_, r)| r.free.holds(need));
+    let best = fitting.min_by_key(|(_, r)| {
+        let left = r.free.minus(need);
+        let left = left.accelerators * 100_000 + left.cpu_milli + left.memory_mib / 16;
+        (r.doubtful, !r.near, left)
+    });
+    best.map(|(i, _)| i)
+}
+
+/// Chooses where copies that serve users should go: spread, then the emptiest.
+///
+/// Answers the loss of one executor: few members of a persistent step are on each.
+pub fn choose_spread<'a>(need: &Resources, rooms: impl Iterator<Item = &'a Room>) -> Option<usize> {
+    let fitting = rooms.enumerate().filter(|(_, r)| r.free.holds(need));
+    let best = fitting.min_by_key(|(_, r)| {
+        let left = r.free.minus(need).cpu_milli;
+        (r.doubtful, r.same_step, !r.near, left)
+    });
+    best.map(|(i, _)| i)
+}
+
+/// Lowest share at which a filler is let work, in percent, before it is halted.
+const PACE_FLOOR: u32 = 10;
+
+/// Step by which a filler is let work more, in percent.
+const PACE_RISE: u32 = 10;
+
+/// Part of the bound, in percent, above which fillers are slowed.
+const PACE_HIGH: u64 = 85;
+
+/// Part of the bound, in percent, below which fillers may work more.
+const PACE_LOW: u64 = 60;
+
+/// Returns the share for fillers beside a serving task with this tail.
+///
+/// Answers fillers that disturb a serving task: halved at once when the tail nears its bound,
+/// raised slowly when it is far below.
+pub fn pace(share: u32, tail_ms: u64, target_ms: Millis) -> u32 {
+    if tail_ms * 100 > target_ms * PACE_HIGH {
+        let half = share / 2;
+        return if half < PACE_FLOOR { 0 } else { half };
+    }
+    if tail_ms * 100 < target_ms * PACE_LOW {
+        return (share + PACE_RISE).min(100);
+    }
+    share
+}
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -9,5 +9,8 @@
 pub mod cli;
 pub mod conf;
 pub mod core;
+pub mod entry;
+pub mod fleet;
 pub mod net;
+pub mod platform;
 pub mod report;
--- /dev/null
+++ b/src/platform/executor_client.rs
@@ -0,0 +1,113 @@
+//! Orders to executors and questions to the advice service.
+
+use {
+    crate::{
+        fleet::{Advised, CallFault, ExecutorId, Order, OrderAnswer, StepId},
+        platform::{
+            settings::whole_ms,
+            wire_client::{Call, WireClient},
+            wire_executor::{WireAnswer, order_body},
+        },
+    },
+    hyper::{Method, StatusCode},
+    serde::{Deserialize, Serialize},
+    std::{net::SocketAddr, sync::Arc, time::Duration},
+};
+
+/// Client of executors and of the advice service.
+#[derive(Clone, Debug, Default)]
+pub struct ExecutorClient {
+    client: WireClient,
+}
+
+#[derive(Serialize)]
+struct WireAdvise<'a> {
+    step: String,
+    workers: &'a [ExecutorId],
+}
+
+#[derive(Deserialize)]
+#[serde(rename_all = "camelCase")]
+struct WireAdvice {
+    good: Vec<(Arc<str>, Arc<str>)>,
+    valid_ms: Option<f64>,
+}
+
+impl ExecutorClient {
+    /// Gives an order to one life of an executor.
+    pub async fn order(
+        &self,
+        id: &ExecutorId,
+        address: &str,
+        order: &Order,
+        timeout: Duration,
+        fresh: bool,
+    ) -> Result<OrderAnswer, CallFault> {
+        let (path, body) = order_body(order).map_err(|_| CallFault::Refused)?;
+        let call = Call {
+            method: Method::POST,
+            url: format!("http://{address}{path}"),
+            body,
+            life: Some(id),
+            timeout,
+            fresh,
+        };
+        let answer = self.client.call(call).await;
+        let (status, body) = answer.map_err(|_| CallFault::Unknown)?;
+        let parsed = || serde_json::from_slice::<WireAnswer>(&body).ok();
+        match status {
+            StatusCode::OK if matches!(order, Order::Hold(_)) => {
+                let lists = parsed().and_then(WireAnswer::lists);
+                lists.map(OrderAnswer::Held).ok_or(CallFault::Unknown)
+            }
+            StatusCode::OK => Ok(OrderAnswer::Accepted),
+            StatusCode::MISDIRECTED_REQUEST => Err(CallFault::OtherLife),
+            StatusCode::CONFLICT => {
+                let reason = parsed().and_then(|a| a.reason);
+                Err(match reason.as_deref() {
+                    Some("fence") => CallFault::Fenced,
+                    Some("late") => CallFault::Late,
+                    Some("old") => CallFault::OldRun,
+                    Some("room") => CallFault::NoRoom,
+                    Some("ticket") => CallFault::BadTicket,
+                    _ => CallFault::Refused,
+                })
+            }
+            StatusCode::BAD_REQUEST
+            | StatusCode::SERVICE_UNAVAILABLE
+            | StatusCode::TOO_MANY_REQUESTS => Err(CallFault::Refused),
+            _ => Err(CallFault::Unknown),
+        }
+    }
+
+    /// Asks which executors may run a step; none if refused or unanswered. Also returns how
+    /// long the tickets are valid, in ms, where the answer says so.
+    pub async fn advise(
+        &self,
+        address: SocketAddr,
+        step: StepId,
+        executors: &[ExecutorId],
+        timeout: Duration,
+    ) -> Option<(Vec<Advised>, Option<u64>)> {
+        let wire = WireAdvise {
+            step: step.to_string(),
+            workers: executors,
+        };
+        let call = Call {
+            method: Method::POST,
+            url: format!("http://{address}/-/advise"),
+            body: serde_json::to_vec(&wire).ok()?,
+            life: None,
+            timeout,
+            fresh: false,
+        };
+        let (status, body) = self.client.call(call).await.ok()?;
+        if status != StatusCode::OK {
+            return None;
+        }
+        let wire: WireAdvice = serde_json::from_slice(&body).ok()?;
+        let advised = |(executor, ticket)| Advised { executor, ticket };
+        let good = wire.good.into_iter().map(advised).collect();
+        Some((good, wire.valid_ms.map(whole_ms)))
+    }
+}
--- /dev/null
+++ b/src/platform/mod.rs
@@ -0,0 +1,20 @@
+//! The users' platform: translation between its names and the project's, nothing else.
+
+mod errors;
+mod executor_client;
+mod settings;
+mod store_client;
+mod wire_client;
+mod wire_config;
+mod wire_executor;
+mod wire_job;
+
+pub use {
+    errors::{PlatformError, StoreFault},
+    executor_client::ExecutorClient,
+    settings::{Bounds, NodeSettings, SETTINGS_VARIABLE},
+    store_client::{StoreChange, StoreClient, StoreItem, Transaction},
+    wire_config::{CONFIG_KEY, config_from_bytes},
+    wire_executor::{EXECUTORS_PREFIX, executor_from_entry},
+    wire_job::{DEADLINE_HEADER, KEY_HEADER, READY_PATH, job_from_bytes, state_body, waiting_body},
+};
--- /dev/null
+++ b/src/platform/settings.rs
@@ -0,0 +1,146 @@
+//! The platform's settings file of one node (TOML); unknown fields are ignored.
+
+use {
+    crate::platform::PlatformError,
+    serde::Deserialize,
+    std::{net::SocketAddr, path::Path, sync::Arc},
+};
+
+/// Environment variable with the path of the settings file.
+pub const SETTINGS_VARIABLE: &str = "DRAGONFLYFERRY_NODE_FILE";
+
+/// What a node learns from the platform at its start.
+#[derive(Clone, Debug)]
+pub struct NodeSettings {
+    /// Name of the VM.
+    pub vm: Arc<str>,
+    pub zone: Arc<str>,
+    /// Where callers connect.
+    pub callers: SocketAddr,
+    /// Where the balancer asks whether the node is ready.
+    pub readiness: SocketAddr,
+    /// Where other nodes connect.
+    pub peers: SocketAddr,
+    /// Where metrics are served.
+    pub metrics: SocketAddr,
+    pub store: SocketAddr,
+    /// Service that says which executors may run a step.
+    pub advice: Option<SocketAddr>,
+    pub bounds: Bounds,
+}
+
+/// Bounds that the platform states, in ms.
+#[derive(Clone, Copy, Debug)]
+pub struct Bounds {
+    /// Longest lease of an executor.
+    pub lease_ms: u64,
+    /// Longest time that a stop takes.
+    pub kill_grace_ms: u64,
+    /// Time from SIGTERM to SIGKILL.
+    pub stop_ms: u64,
+    /// How long the state of an ended job is kept.
+    pub keep_ended_ms: u64,
+    /// How long a withdrawn key may still be accepted.
+    pub revoke_ms: u64,
+    /// Shortest lease of the store.
+    pub store_lease_ms: u64,
+}
+
+#[derive(Deserialize)]
+struct WireSettings {
+    node: Arc<str>,
+    zone: Arc<str>,
+    #[serde(rename = "portRange")]
+    port_range: [u16; 2],
+    listen: WireListen,
+    platform: WirePlatform,
+    advice: Option<SocketAddr>,
+    #[serde(default)]
+    bounds: WireBounds,
+}
+
+#[derive(Deserialize)]
+struct WireListen {
+    front: SocketAddr,
+    ready: SocketAddr,
+}
+
+#[derive(Deserialize)]
+#[serde(rename_all = "camelCase")]
+struct WirePlatform {
+    address: SocketAddr,
+    #[serde(default = "default_store_lease_ms")]
+    ttl_min_ms: u64,
+}
+
+#[derive(Default, Deserialize)]
+struct WireBounds {
+    #[serde(rename = "holdMaxMs")]
+    hold_max_ms: Option<u64>,
+    #[serde(rename = "killGraceMs")]
+    kill_grace_ms: Option<u64>,
+    #[serde(rename = "graceS")]
+    grace_s: Option<f64>,
+    #[serde(rename = "status_s")]
+    status_s: Option<f64>,
+    #[serde(rename = "revokeMs")]
+    revoke_ms: Option<u64>,
+}
+
+fn default_store_lease_ms() -> u64 {
+    1_000
+}
+
+/// Figures of today's sites, for settings that do not state a bound.
+const DEFAULT_LEASE_MS: u64 = 6_000;
+const DEFAULT_KILL_GRACE_MS: u64 = 1_000;
+const DEFAULT_STOP_S: f64 = 6.0;
+const DEFAULT_KEEP_S: f64 = 120.0;
+const DEFAULT_REVOKE_MS: u64 = 5_000;
+
+impl NodeSettings {
+    /// Reads the settings file.
+    pub fn read(path: &Path) -> Result<Self, PlatformError> {
+        let text = std::fs::read_to_string(path).map_err(|source| PlatformError::ReadSettings {
+            path: path.display().to_string(),
+            source,
+        })?;
+        Self::from_toml(&text)
+    }
+
+    /// Reads settings from TOML.
+    pub fn from_toml(text: &str) -> Result<Self, PlatformError> {
+        let bad = |message: String| PlatformError::BadSettings { message };
+        let wire: WireSettings = toml::from_str(text).map_err(|e| bad(e.to_string()))?;
+        let [first, last] = wire.port_range;
+        if first >= last {
+            return Err(bad("`portRange` holds fewer than two ports".to_owned()));
+        }
+        let ip = wire.listen.front.ip();
+        let b = wire.bounds;
+        let ms = |s: f64| (s * 1000.0).max(0.0).round();
+        Ok(Self {
+            vm: wire.node,
+            zone: wire.zone,
+            callers: wire.listen.front,
+            readiness: wire.listen.ready,
+            peers: SocketAddr::new(ip, first),
+            metrics: SocketAddr::new(ip, last),
+            store: wire.platform.address,
+            advice: wire.advice,
+            bounds: Bounds {
+                lease_ms: b.hold_max_ms.unwrap_or(DEFAULT_LEASE_MS),
+                kill_grace_ms: b.kill_grace_ms.unwrap_or(DEFAULT_KILL_GRACE_MS),
+                stop_ms: whole_ms(ms(b.grace_s.unwrap_or(DEFAULT_STOP_S))),
+                keep_ended_ms: whole_ms(ms(b.status_s.unwrap_or(DEFAULT_KEEP_S))),
+                revoke_ms: b.revoke_ms.unwrap_or(DEFAULT_REVOKE_MS),
+                store_lease_ms: wire.platform.ttl_min_ms,
+            },
+        })
+    }
+}
+
+#[expect(clippy::cast_possible_truncation, clippy::cast_sign_loss)]
+pub(super) fn whole_ms(ms: f64) -> u64 {
+    ms.max(0.0) as u64
+}
--- /dev/null
+++ b/src/platform/store_client.rs
@@ -0,0 +1,277 @@
+//! The platform's key-value store.
+
+use {
+    crate::platform::{
+        StoreFault,
+        wire_client::{Call, WireClient},
+    },
+    base64::{Engine, engine::general_purpose::STANDARD},
+    hyper::{Method, StatusCode},
+    serde::{Deserialize, Serialize, de::DeserializeOwned},
+    std::{net::SocketAddr, time::Duration},
+};
+
+/// An item of the store.
+#[derive(Clone, Debug, PartialEq)]
+pub struct StoreItem {
+    pub key: String,
+    pub value: Vec<u8>,
+    /// Store revision of its last change; 0 means that it does not exist.
+    pub revision: u64,
+}
+
+/// A change that a watch reports.
+#[derive(Clone, Debug, PartialEq)]
+pub enum StoreChange {
+    Removed(String),
+    Set(StoreItem),
+}
+
+/// A change of several keys under conditions; at most 32 entries.
+#[derive(Clone, Debug, Default)]
+pub struct Transaction {
+    /// Keys and the revision that each must have; 0: must not exist.
+    pub expect: Vec<(String, u64)>,
+    /// Keys, values, and the lease that each belongs to; 0: none.
+    pub set: Vec<(String, Vec<u8>, u64)>,
+    pub remove: Vec<String>,
+}
+
+/// Client of the store.
+#[derive(Clone, Debug)]
+pub struct StoreClient {
+    client: WireClient,
+    address: SocketAddr,
+}
+
+#[derive(Deserialize)]
+struct WireItem {
+    key: Option<String>,
+    value: Option<String>,
+    #[serde(default)]
+    revision: u64,
+    #[serde(default)]
+    removed: bool,
+}
+
+#[derive(Deserialize)]
+#[serde(rename_all = "camelCase")]
+struct WirePage {
+    #[serde(default, alias = "events")]
+    items: Vec<WireItem>,
+    #[serde(default)]
+    has_more: bool,
+    #[serde(default)]
+    store_revision: u64,
+}
+
+#[derive(Deserialize)]
+struct WireRevision {
+    revision: u64,
+}
+
+#[derive(Deserialize)]
+struct WireLease {
+    lease: u64,
+}
+
+#[derive(Serialize)]
+#[serde(rename_all = "camelCase")]
+struct WireTransaction {
+    expect_rev: Vec<WireExpect>,
+    set_keys: Vec<WireSet>,
+    remove: Vec<String>,
+}
+
+#[derive(Serialize)]
+struct WireExpect {
+    key: String,
+    revision: u64,
+}
+
+#[derive(Serialize)]
+struct WireSet {
+    key: String,
+    value: String,
+    lease: u64,
+}
+
+impl StoreClient {
+    /// Creates a client; nothing is sent yet.
+    pub fn new(address: SocketAddr) -> Self {
+        Self {
+            client: WireClient::new(),
+            address,
+        }
+    }
+
+    async fn call(
+        &self,
+        method: Method,
+        path: String,
+        body: Vec<u8>,
+        timeout: Duration,
+    ) -> Result<(StatusCode, Vec<u8>), StoreFault> {
+        let call = Call {
+            method,
+            url: format!("http://{}{path}", self.address),
+            body,
+            life: None,
+            timeout,
+            fresh: false,
+        };
+        let answer = self.client.call(call).await;
+        let (status, body) = answer.map_err(|_| StoreFault::Unknown)?;
+        match status {
+            StatusCode::TOO_MANY_REQUESTS | StatusCode::SERVICE_UNAVAILABLE => {
+                Err(StoreFault::Busy)
+            }
+            _ => Ok((status, body)),
+        }
+    }
+
+    /// Reads one item; linearizable.
+    pub async fn get(&self, key: &str, timeout: Duration) -> Result<Option<StoreItem>, StoreFault> {
+        let path = format!("/-/kv-key?key={key}");
+        match self.call(Method::GET, path, Vec::new(), timeout).await? {
+            (StatusCode::OK, body) => {
+                let item: WireItem = parse(&body)?;
+                Ok(Some(item.decode(key)?))
+            }
+            (StatusCode::NOT_FOUND, _) => Ok(None),
+            _ => Err(StoreFault::Unknown),
+        }
+    }
+
+    /// Reads all items under a prefix, and the revision from which to watch. Pages are no
+    /// snapshot: a change between two pages is in the watch.
+    pub async fn range(
+        &self,
+        prefix: &str,
+        timeout: Duration,
+    ) -> Result<(Vec<StoreItem>, u64), StoreFault> {
+        let mut items: Vec<StoreItem> = Vec::new();
+        let mut revision = None;
+        loop {
+            let after = items.last().map(|i| format!("&after={}", i.key));
+            let path = format!("/-/kv-range?prefix={prefix}{}", after.unwrap_or_default());
+            let answer = self.call(Method::GET, path, Vec::new(), timeout).await?;
+            let (StatusCode::OK, body) = answer else {
+                return Err(StoreFault::Unknown);
+            };
+            let page: WirePage = parse(&body)?;
+            let first = *revision.get_or_insert(page.store_revision);
+            let empty = page.items.is_empty();
+            for item in page.items {
+                items.push(item.decode("")?);
+            }
+            if !page.has_more || empty {
+                return Ok((items, first));
+            }
+        }
+    }
+
+    /// Waits for changes under a prefix after a revision; returns them and the revision to
+    /// go on from.
+    pub async fn watch(
+        &self,
+        prefix: &str,
+        after: u64,
+        wait: Duration,
+        timeout: Duration,
+    ) -> Result<(Vec<StoreChange>, u64), StoreFault> {
+        let wait_ms = wait.as_millis();
+        let path = format!("/-/kv-watch?prefix={prefix}&after={after}&waitMs={wait_ms}");
+        match self.call(Method::GET, path, Vec::new(), timeout).await? {
+            (StatusCode::OK, body) => {
+                let page: WirePage = parse(&body)?;
+                let changes = page.items.into_iter().map(WireItem::change);
+                let changes: Vec<StoreChange> = changes.collect::<Result<_, _>>()?;
+                Ok((changes, page.store_revision.max(after)))
+            }
+            (StatusCode::GONE, _) => Err(StoreFault::Compacted),
+            _ => Err(StoreFault::Unknown),
+        }
+    }
+
+    /// Carries out a transaction; returns the store's revision of it.
+    pub async fn commit(&self, txn: &Transaction, timeout: Duration) -> Result<u64, StoreFault> {
+        let expect = |(key, revision): &(String, u64)| WireExpect {
+            key: key.clone(),
+            revision: *revision,
+        };
+        let set = |(key, value, lease): &(String, Vec<u8>, u64)| WireSet {
+            key: key.clone(),
+            value: STANDARD.encode(value),
+            lease: *lease,
+        };
+        let wire = WireTransaction {
+            expect_rev: txn.expect.iter().map(expect).collect(),
+            set_keys: txn.set.iter().map(set).collect(),
+            remove: txn.remove.clone(),
+        };
+        let body = serde_json::to_vec(&wire).map_err(|_| StoreFault::Busy)?;
+        let path = "/-/kv-txn".to_owned();
+        match self.call(Method::POST, path, body, timeout).await? {
+            (StatusCode::OK, body) => Ok(parse::<WireRevision>(&body)?.revision),
+            (StatusCode::PRECONDITION_FAILED, body) => {
+                let page: WirePage = parse(&body)?;
+                let items = page.items.into_iter().map(|i| i.decode(""));
+                let items: Vec<StoreItem> = items.collect::<Result<_, _>>()?;
+                Err(StoreFault::Conflict(items))
+            }
+            (StatusCode::NOT_FOUND, _) => Err(StoreFault::NoLease),
+            _ => Err(StoreFault::Unknown),
+        }
+    }
+
+    /// Creates a lease.
+    pub async fn grant(&self, ttl: Duration, timeout: Duration) -> Result<u64, StoreFault> {
+        let body = format!("{{\"ttlMs\":{}}}", ttl.as_millis()).into_bytes();
+        let path = "/-/kv-lease".to_owned();
+        match self.call(Method::POST, path, body, timeout).await? {
+            (StatusCode::OK, body) => Ok(parse::<WireLease>(&body)?.lease),
+            _ => Err(StoreFault::Unknown),
+        }
+    }
+
+    /// Renews a lease.
+    pub async fn renew(&self, lease: u64, timeout: Duration) -> Result<(), StoreFault> {
+        let path = format!("/-/kv-keep/{lease}");
+        match self.call(Method::POST, path, Vec::new(), timeout).await? {
+            (StatusCode::OK, _) => Ok(()),
+            (StatusCode::NOT_FOUND, _) => Err(StoreFault::NoLease),
+            _ => Err(StoreFault::Unknown),
+        }
+    }
+
+    /// Ends a lease; its keys are removed.
+    pub async fn end_lease(&self, lease: u64, timeout: Duration) -> Result<(), StoreFault> {
+        let path = format!("/-/kv-lease-end/{lease}");
+        self.call(Method::DELETE, path, Vec::new(), timeout).await?;
+        Ok(())
+    }
+}
+
+impl WireItem {
+    fn decode(self, key: &str) -> Result<StoreItem, StoreFault> {
+        let text = self.value.unwrap_or_default();
+        let value = STANDARD.decode(text).map_err(|_| StoreFault::Unknown)?;
+        Ok(StoreItem {
+            key: self.key.unwrap_or_else(|| key.to_owned()),
+            value,
+            revision: self.revision,
+        })
+    }
+
+    fn change(self) -> Result<StoreChange, StoreFault> {
+        if self.removed {
+            return Ok(StoreChange::Removed(self.key.unwrap_or_default()));
+        }
+        self.decode("").map(StoreChange::Set)
+    }
+}
+
+fn parse<T: DeserializeOwned>(body: &[u8]) -> Result<T, StoreFault> {
+    serde_json::from_slice(body).map_err(|_| StoreFault::Unknown)
+}
--- /dev/null
+++ b/src/platform/wire_config.rs
@@ -0,0 +1,147 @@
+//! The operators' configuration as the platform writes it.
+
+use {
+    crate::{
+        core::Resources,
+        fleet::{AdviceRule, FleetConfig, QueueRule, TenantRule},
+        platform::{PlatformError, settings::whole_ms},
+    },
+    serde::Deserialize,
+    std::{collections::HashMap, sync::Arc},
+};
+
+/// Key of the configuration in force.
+pub const CONFIG_KEY: &str = "op/config";
+
+/// Largest body where the configuration states none, in bytes: the sites' figure.
+const DEFAULT_BODY_BYTES: usize = 262_144;
+
+#[derive(Deserialize)]
+struct WireConfig {
+    version: u64,
+    routes: Vec<WireRoute>,
+    #[serde(default)]
+    tenants: Vec<WireTenant>,
+    limits: Option<WireLimits>,
+}
+
+#[derive(Deserialize)]
+#[serde(rename_all = "camelCase")]
+struct WireRoute {
+    name: Arc<str>,
+    host: Arc<str>,
+    prefix: Arc<str>,
+    service: Arc<str>,
+    /// Added to the stretched chain of work; no objective by itself.
+    #[serde(default)]
+    slo_ms: f64,
+    #[serde(default)]
+    priority: u32,
+    max_attempts: Option<u32>,
+    stretch: Option<f64>,
+    advice: Option<WireAdvice>,
+    #[serde(default)]
+    public: bool,
+}
+
+#[derive(Deserialize)]
+#[serde(rename_all = "camelCase")]
+struct WireAdvice {
+    #[serde(default)]
+    decide_ms: f64,
+    #[serde(default)]
+    each_ms: f64,
+    valid_ms: f64,
+}
+
+#[derive(Deserialize)]
+#[serde(rename_all = "camelCase")]
+struct WireTenant {
+    name: Arc<str>,
+    #[serde(default)]
+    api_keys: Vec<Arc<str>>,
+    /// A share, and also the jobs a second that are owed.
+    weight: Option<f64>,
+    #[serde(default)]
+    cap: WireAmounts,
+}
+
+/// Amounts; `cpu` is in thousandths of a core.
+#[derive(Clone, Copy, Default, Deserialize)]
+#[serde(rename_all = "camelCase")]
+pub(super) struct WireAmounts {
+    #[serde(default)]
+    cpu: f64,
+    #[serde(default)]
+    mem_mb: f64,
+    #[serde(default)]
+    gpu: f64,
+}
+
+#[derive(Deserialize)]
+#[serde(rename_all = "camelCase")]
+struct WireLimits {
+    body_bytes: Option<usize>,
+}
+
+impl WireAmounts {
+    pub(super) fn resources(self) -> Resources {
+        Resources {
+            cpu_milli: whole(self.cpu),
+            memory_mib: whole(self.mem_mb),
+            accelerators: whole(self.gpu),
+            slots: 0,
+        }
+    }
+}
+
+pub(super) fn whole(x: f64) -> u32 {
+    u32::try_from(whole_ms(x.ceil())).unwrap_or(u32::MAX)
+}
+
+/// Reads a configuration.
+pub fn config_from_bytes(bytes: &[u8]) -> Result<FleetConfig, PlatformError> {
+    let wire: WireConfig = serde_json::from_slice(bytes).map_err(|e| PlatformError::BadConfig {
+        message: e.to_string(),
+    })?;
+    let mut keys = HashMap::new();
+    let mut tenants = HashMap::new();
+    for tenant in wire.tenants {
+        for key in tenant.api_keys {
+            keys.insert(key, tenant.name.clone());
+        }
+        let rule = TenantRule {
+            weight: whole(tenant.weight.unwrap_or(1.0)),
+            cap: tenant.cap.resources(),
+        };
+        tenants.insert(tenant.name, rule);
+    }
+    let body_bytes = wire.limits.and_then(|l| l.body_bytes);
+    Ok(FleetConfig {
+        version: wire.version,
+        queues: wire.routes.into_iter().map(queue_rule).collect(),
+        tenants,
+        keys,
+        body_bytes: body_bytes.unwrap_or(DEFAULT_BODY_BYTES),
+    })
+}
+
+fn queue_rule(route: WireRoute) -> Arc<QueueRule> {
+    let advice = route.advice.map(|a| AdviceRule {
+        decide_us: whole_ms(a.decide_ms * 1000.0),
+        each_us: whole_ms(a.each_ms * 1000.0),
+        valid_ms: whole_ms(a.valid_ms),
+    });
+    Arc::new(QueueRule {
+        name: route.name,
+        host: route.host,
+        prefix: route.prefix,
+        pool: route.service,
+        priority: route.priority,
+        max_attempts: route.max_attempts.unwrap_or(1).max(1),
+        stretch_milli: whole_ms(route.stretch.unwrap_or(1.0) * 1000.0),
+        objective_ms: whole_ms(route.slo_ms),
+        advice,
+        public: route.public,
+    })
+}
--- /dev/null
+++ b/src/platform/wire_executor.rs
@@ -0,0 +1,226 @@
+//! Executors as the platform speaks of them: list entries, orders and answers.
+
+use {
+    crate::{
+        fleet::{
+            EndedRow, ExecutorInfo, HoldAnswer, HoldOrder, Order, RunEnd, RunningRow, StartOrder,
+        },
+        platform::{PlatformError, settings::whole_ms, wire_config::WireAmounts},
+    },
+    serde::{Deserialize, Serialize},
+    std::sync::Arc,
+};
+
+/// Start of the keys under which executors list themselves.
+pub const EXECUTORS_PREFIX: &str = "servers/";
+
+#[derive(Deserialize)]
+struct WireEntry {
+    service: Arc<str>,
+    address: Arc<str>,
+    zone: Option<Arc<str>>,
+    state: Arc<str>,
+    capacity: Option<WireAmounts>,
+    #[serde(default)]
+    labels: Vec<Arc<str>>,
+    born: Option<f64>,
+}
+
+/// Reads the entry of an executor; the key's last part is its id.
+pub fn executor_from_entry(key: &str, value: &[u8]) -> Result<ExecutorInfo, PlatformError> {
+    let bad = |message: String| PlatformError::BadEntry {
+        message: format!("{key}: {message}"),
+    };
+    let id = key.strip_prefix(EXECUTORS_PREFIX).unwrap_or(key);
+    let entry: WireEntry = serde_json::from_slice(value).map_err(|e| bad(e.to_string()))?;
+    let draining = match &*entry.state {
+        "ready" => false,
+        "draining" => true,
+        other => return Err(bad(format!("state `{other}`"))),
+    };
+    if entry.address.parse::<std::net::SocketAddr>().is_err() {
+        return Err(bad(format!("address `{}`", entry.address)));
+    }
+    let Some(capacity) = entry.capacity else {
+        return Err(bad("no capacity".to_owned()));
+    };
+    Ok(ExecutorInfo {
+        id: Arc::from(id),
+        pool: entry.service,
+        address: entry.address,
+        zone: entry.zone.unwrap_or_default(),
+        labels: entry.labels,
+        capacity: capacity.resources(),
+        draining,
+        born: entry.born.map(whole_ms),
+    })
+}
+
+#[derive(Serialize)]
+#[serde(rename_all = "camelCase")]
+struct WireHold {
+    #[serde(skip_serializing_if = "Option::is_none")]
+    deadline_ms: Option<u64>,
+    fencing_token: u64,
+    ack_cursor: u64,
+    wait_ms: u64,
+}
+
+#[derive(Serialize)]
+#[serde(rename_all = "camelCase")]
+struct WireStart<'a> {
+    task: String,
+    run: u64,
+    spec: &'a str,
+    deadline_ms: u64,
+    fencing_token: u64,
+    #[serde(skip_serializing_if = "str::is_empty")]
+    saved: &'a str,
+    #[serde(skip_serializing_if = "Option::is_none")]
+    ticket: Option<&'a str>,
+}
+
+#[derive(Serialize)]
+#[serde(rename_all = "camelCase")]
+struct WireStop {
+    task: String,
+    run: u64,
+    fencing_token: u64,
+}
+
+#[derive(Serialize)]
+#[serde(rename_all = "camelCase")]
+struct WirePace {
+    task: String,
+    run: u64,
+    percent: u32,
+    fencing_token: u64,
+}
+
+/// Returns path and body of an order.
+pub(super) fn order_body(order: &Order) -> serde_json::Result<(&'static str, Vec<u8>)> {
+    Ok(match order {
+        Order::Hold(hold) => ("/-/hold", hold_body(hold)?),
+        Order::Start(start) => ("/-/run-start", start_body(start)?),
+        Order::Stop { task, run, token } => {
+            let wire = WireStop {
+                task: task.to_string(),
+                run: *run,
+                fencing_token: *token,
+            };
+            ("/-/run-stop", serde_json::to_vec(&wire)?)
+        }
+        Order::Pace {
+            task,
+            run,
+            percent,
+            token,
+        } => {
+            let wire = WirePace {
+                task: task.to_string(),
+                run: *run,
+                percent: *percent,
+                fencing_token: *token,
+            };
+            ("/-/pace", serde_json::to_vec(&wire)?)
+        }
+    })
+}
+
+fn hold_body(hold: &HoldOrder) -> serde_json::Result<Vec<u8>> {
+    serde_json::to_vec(&WireHold {
+        deadline_ms: hold.deadline_ms,
+        fencing_token: hold.token,
+        ack_cursor: hold.ack,
+        wait_ms: hold.wait_ms,
+    })
+}
+
+fn start_body(start: &StartOrder) -> serde_json::Result<Vec<u8>> {
+    serde_json::to_vec(&WireStart {
+        task: start.task.to_string(),
+        run: start.run,
+        spec: &start.payload,
+        deadline_ms: start.deadline_ms,
+        fencing_token: start.token,
+        saved: &start.checkpoint,
+        ticket: start.ticket.as_deref(),
+    })
+}
+
+/// An answer to an order; `reason` says why it was refused.
+#[derive(Deserialize)]
+#[serde(rename_all = "camelCase")]
+pub(super) struct WireAnswer {
+    pub clock_ms: Option<f64>,
+    pub reason: Option<Arc<str>>,
+    pub born: Option<f64>,
+    #[serde(default)]
+    running: Vec<WireRunning>,
+    #[serde(default)]
+    ended: Vec<WireEnded>,
+}
+
+/// Task, run, checkpoint, percent done, and tail or processor use.
+#[derive(Deserialize)]
+struct WireRunning(
+    Arc<str>,
+    u64,
+    #[serde(default)] Option<Arc<str>>,
+    #[serde(default)] f64,
+    #[serde(default)] f64,
+);
+
+/// Position, task, run, how it ended, checkpoint.
+#[derive(Deserialize)]
+struct WireEnded(
+    u64,
+    Arc<str>,
+    u64,
+    Arc<str>,
+    #[serde(default)] Option<Arc<str>>,
+);
+
+impl WireAnswer {
+    /// Returns the lists; none if a row names no task or the clock is missing.
+    pub(super) fn lists(self) -> Option<HoldAnswer> {
+        let running = self.running.into_iter().map(|row| {
+            Some(RunningRow {
+                task: row.0.parse().ok()?,
+                run: row.1,
+                checkpoint: row.2.unwrap_or_default(),
+                percent: u32::try_from(whole_ms(row.3)).ok()?,
+                load: whole_ms(row.4),
+            })
+        });
+        let ended = self.ended.into_iter().map(|row| {
+            Some(EndedRow {
+                number: row.0,
+                task: row.1.parse().ok()?,
+                run: row.2,
+                end: run_end(&row.3)?,
+                checkpoint: row.4.unwrap_or_default(),
+            })
+        });
+        let mut ended: Vec<EndedRow> = ended.collect::<Option<_>>()?;
+        ended.sort_by_key(|row| row.number);
+        Some(HoldAnswer {
+            clock_ms: whole_ms(self.clock_ms?),
+            born: self.born.map(whole_ms),
+            running: running.collect::<Option<_>>()?,
+            ended,
+        })
+    }
+}
+
+fn run_end(word: &str) -> Option<RunEnd> {
+    Some(match word {
+        "alone" => RunEnd::Orphaned,
+        "broken" => RunEnd::Broken,
+        "done" => RunEnd::Done,
+        "failed" => RunEnd::Failed,
+        "lapsed" => RunEnd::Lapsed,
+        "stopped" => RunEnd::Stopped,
+        _ => return None,
+    })
+}
--- /dev/null
+++ b/src/platform/wire_job.rs
@@ -0,0 +1,145 @@
+//! A job as callers send it, and the states that they are shown.
+
+use {
+    crate::{
+        core::Resources,
+        fleet::{JobSpec, JobView, Schedule, StepSpec},
+        platform::{PlatformError, settings::whole_ms, wire_config::whole},
+    },
+    serde::Deserialize,
+    std::sync::Arc,
+};
+
+/// Header with the caller's key.
+pub const KEY_HEADER: &str = "key";
+
+/// Header with how long the caller waits for an answer, in ms.
+pub const DEADLINE_HEADER: &str = "deadline-ms";
+
+/// Path that the balancer asks on the readiness address.
+pub const READY_PATH: &str = "/-/readyz";
+
+#[derive(Deserialize)]
+#[serde(rename_all = "camelCase")]
+struct WireJob {
+    #[serde(default)]
+    spec: Arc<str>,
+    steps: Vec<WireStep>,
+    #[serde(default)]
+    repeat_count: f64,
+    #[serde(default)]
+    start_ms: f64,
+    #[serde(default)]
+    interval_ms: f64,
+}
+
+#[derive(Deserialize)]
+#[serde(rename_all = "camelCase")]
+struct WireStep {
+    #[serde(default)]
+    count: u32,
+    #[serde(default)]
+    cpu: f64,
+    #[serde(default)]
+    mem_mb: f64,
+    #[serde(default)]
+    gpu: f64,
+    #[serde(default)]
+    estimate_ms: f64,
+    #[serde(default)]
+    after: Vec<u16>,
+    #[serde(default)]
+    checkpoints: bool,
+    #[serde(default)]
+    gang: bool,
+    #[serde(default)]
+    same_rack: bool,
+    required_label: Option<Arc<str>>,
+    /// A rack, not another task.
+    affinity: Option<Arc<str>>,
+    #[serde(default)]
+    max_per_server: u32,
+    #[serde(default)]
+    allow_duplicates: bool,
+    #[serde(default)]
+    persistent: bool,
+    #[serde(default)]
+    image: Arc<str>,
+    #[serde(default)]
+    target_ms: f64,
+    #[serde(default)]
+    fills: bool,
+    #[serde(default)]
+    may_miss: u32,
+}
+
+/// Reads a job from a request body.
+pub fn job_from_bytes(bytes: &[u8]) -> Result<JobSpec, PlatformError> {
+    let bad = |message: String| PlatformError::BadJob { message };
+    let wire: WireJob = serde_json::from_slice(bytes).map_err(|e| bad(e.to_string()))?;
+    let count = wire.steps.len();
+    if count == 0 || count > usize::from(u16::MAX) {
+        return Err(bad("a job has at least one step".to_owned()));
+    }
+    for (i, step) in wire.steps.iter().enumerate() {
+        if step.after.iter().any(|s| usize::from(*s) >= i) {
+            return Err(bad(format!(
+                "step {i} waits for a step that is not before it"
+            )));
+        }
+    }
+    let schedule = (wire.repeat_count >= 1.0).then(|| Schedule {
+        count: whole(wire.repeat_count),
+        start_unix_ms: whole_ms(wire.start_ms),
+        interval_ms: whole_ms(wire.interval_ms),
+    });
+    Ok(JobSpec {
+        payload: wire.spec,
+        steps: wire.steps.into_iter().map(step_spec).collect(),
+        schedule,
+    })
+}
+
+fn step_spec(step: WireStep) -> StepSpec {
+    let filled = |s: &Arc<str>| !s.is_empty();
+    StepSpec {
+        count: step.count,
+        need: Resources {
+            cpu_milli: whole(step.cpu),
+            memory_mib: whole(step.mem_mb),
+            accelerators: whole(step.gpu),
+            slots: 0,
+        },
+        estimate_ms: whole_ms(step.estimate_ms),
+        after: step.after,
+        checkpoints: step.checkpoints,
+        gang: step.gang,
+        same_rack: step.same_rack,
+        required_label: step.required_label.filter(filled),
+        data_rack: step.affinity.filter(filled),
+        max_per_executor: step.max_per_server,
+        duplicates: step.allow_duplicates,
+        persistent: step.persistent,
+        image: step.image,
+        target_ms: whole_ms(step.target_ms),
+        fills: step.fills,
+        max_unavailable: step.may_miss,
+    }
+}
+
+/// Returns the body that shows a job's state.
+pub fn state_body(view: JobView) -> String {
+    let word = match view {
+        JobView::Active => "active",
+        JobView::Cancelled => "cancelled",
+        JobView::Completed => "completed",
+        JobView::Failed => "failed",
+        JobView::Pending => "pending",
+    };
+    format!("{{\"state\":\"{word}\"}}")
+}
+
+/// Returns the body that shows how many jobs of a queue wait.
+pub fn waiting_body(count: u64) -> String {
+    format!("{{\"waiting\":{count}}}")
+}
