Failures counted by run, lasting jobs never hopeless, new lives keep their runs; a seeded world for the cell

Found by the new world: runs started on a new life before its restart was noticed were dropped; orders to an earlier life could act on the next. Change: failed runs kept as a set; budget counted from arrival; a restart keeps runs that the new life lists; tokens rise with each life. standins: CellWorld and CellExecutor, tests/cell.rs.

--- a/src/fleet/cell.rs
+++ b/src/fleet/cell.rs
@@ -8,8 +8,8 @@
         core::{CallId, Millis, Resources},
         fleet::{
             CellEffect, CellEvent, CommitQueue, Executor, ExecutorId, FencingToken, FleetConfig,
-            FleetEvent, Inheritance, Job, JobEnd, JobId, JobRecord, Lanes, QueueRule, RunStage,
-            StepId, job::RUNS_PER_TOKEN,
+            FleetEvent, Inheritance, Job, JobEnd, JobId, JobRecord, LIVES_PER_OWNER, Lanes,
+            QueueRule, RunStage, StepId, job::RUNS_PER_TOKEN,
         },
     },
     serde::{Deserialize, Serialize},
@@ -67,6 +67,7 @@
 /// The scheduler of a set of pools.
 #[derive(Debug)]
 pub struct Cell {
+    /// Number of this owner, from 1.
     pub token: FencingToken,
     pub bounds: CellBounds,
     pub config: Arc<FleetConfig>,
@@ -220,6 +221,12 @@
         self.effects.push(CellEffect::Log { event, detail });
     }
 
+    /// Returns the fencing token of orders to an executor.
+    pub(super) fn order_token(&self, id: &ExecutorId) -> FencingToken {
+        let lives = self.executors.get(id).map_or(0, |e| e.lives);
+        self.token * LIVES_PER_OWNER + lives
+    }
+
     /// Returns the first run number of this owner.
     pub(super) fn first_run(&self) -> u64 {
         (self.token - 1) * RUNS_PER_TOKEN
--- a/src/fleet/cell_executors.rs
+++ b/src/fleet/cell_executors.rs
@@ -54,12 +54,12 @@
     pub(super) fn listed(&mut self, info: ExecutorInfo, now: Now) {
         let id = info.id.clone();
         if let Some(known) = self.executors.get_mut(&id) {
-            let restarted = matches!((known.born, info.born), (Some(a), Some(b)) if a < b);
+            if matches!((known.born, info.born), (Some(a), Some(b)) if a < b) {
+                // Its lists tell what the new life runs.
+                known.hold_due = now.mono;
+            }
             known.listed = true;
             known.info = info;
-            if restarted {
-                self.restarted(&id, now);
-            }
             return;
         }
         let executor = Executor::new(info, true, now.mono);
@@ -74,13 +74,13 @@
         }
     }
 
-    /// Forgets a life of an executor that has surely ended; its tasks may run elsewhere.
-    pub(super) fn restarted(&mut self, id: &ExecutorId, now: Now) {
+    /// Forgets a life of an executor that has surely ended; tasks that `gone` names may run
+    /// elsewhere.
+    fn restarted(&mut self, id: &ExecutorId, gone: impl Fn(&TaskId, &Run) -> bool, now: Now) {
         let Some(executor) = self.executors.get_mut(id) else {
             return;
         };
-        executor.born = executor.info.born.max(executor.born);
-        let runs = executor.reset(now.mono);
+        let runs = executor.reset(gone);
         self.log(
             FleetEvent::ExecutorRestarted,
             format!("executor={id} lost_runs={}", runs.len()),
@@ -109,10 +109,12 @@
             return;
         };
         match result {
-            Err(CallFault::Fenced) => {
+            Err(CallFault::Fenced) if executor.hold.is_some_and(|(c, _)| c == call) => {
                 self.effects.push(CellEffect::Deposed);
                 return;
             }
+            // An order to the life before carried a lower token; the next renewal tells.
+            Err(CallFault::Fenced) => executor.hold_due = now.mono,
             Err(CallFault::OtherLife) => {
                 self.other_life(id, now);
                 return;
@@ -135,10 +137,11 @@
 
     /// The address belongs to another life: the one that was known is gone.
     fn other_life(&mut self, id: &ExecutorId, now: Now) {
-        self.restarted(id, now);
+        self.restarted(id, |_, _| true, now);
         let Some(executor) = self.executors.get_mut(id) else {
             return;
         };
+        executor.contact = Contact::Opening;
         executor.hold = None;
         executor.listed = false;
         executor.hold_due = now.mono + UNLISTED_MS;
@@ -168,11 +171,11 @@
         };
         let restarted = matches!((executor.born, answer.born), (Some(a), Some(b)) if a != b);
         if restarted {
-            executor.born = answer.born;
-            executor.info.born = answer.born;
-            self.restarted(id, now);
-            return;
+            self.restarted(id, |task, run| ended_with_life(task, run, &answer), now);
         }
+        let Some(executor) = self.executors.get_mut(id) else {
+            return;
+        };
         executor.born = answer.born.or(executor.born);
         executor.misses = 0;
         executor.clock = Some(ClockReading {
@@ -316,7 +319,7 @@
     fn send_hold(&mut self, id: &ExecutorId, now: Now) {
         let call = self.next_call();
         let lease_ms = self.bounds.lease_ms;
-        let token = self.token;
+        let token = self.order_token(id);
         let roster_known = self.roster.contains(id);
         let ack = self.acked(id);
         let Some(executor) = self.executors.get_mut(id) else {
@@ -452,18 +455,28 @@
                 orders.push((*task, run.number, share));
             }
         }
+        let token = self.order_token(id);
         for (task, run, percent) in orders {
             let order = Order::Pace {
                 task,
                 run,
                 percent,
-                token: self.token,
+                token,
             };
             self.send_order(id, order, now);
         }
     }
 }
 
+/// Tells whether a run is surely not on the new life that sent these lists.
+fn ended_with_life(task: &TaskId, run: &Run, answer: &HoldAnswer) -> bool {
+    let same = |t: &TaskId, number| t == task && number == run.number;
+    let there = answer.running.iter().any(|r| same(&r.task, r.run))
+        || answer.ended.iter().any(|r| same(&r.task, r.run));
+    let answered = matches!(run.stage, RunStage::Confirmed | RunStage::Stopped);
+    answered && !there
+}
+
 impl Executor {
     /// Tells whether a filler runs beside a task with a bound on its tail.
     fn paced(&self) -> bool {
--- a/src/fleet/cell_jobs.rs
+++ b/src/fleet/cell_jobs.rs
@@ -34,6 +34,7 @@
             .any(|e| e.foreign.keys().any(|t| t.step.job == id));
         job.inherited = inherited || foreign;
         job.excess = self.exceeds_rate(job.submission.tenant.as_ref(), now.mono);
+        job.arrived = now.mono;
         job.due = now.mono + objective(&job);
         self.jobs.insert(id, job);
         if foreign {
--- a/src/fleet/cell_plan.rs
+++ b/src/fleet/cell_plan.rs
@@ -47,9 +47,10 @@
     fn candidates(&self, now: Now) -> Vec<Candidate> {
         let mut list = Vec::new();
         for job in self.jobs.values().filter(|j| j.end.is_none()) {
-            let budget = job.due.saturating_sub(self.arrival(job));
+            let budget = job.due - job.arrived;
+            let late = now.mono > job.arrived + budget * HOPELESS_TIMES;
             let rank = Rank {
-                hopeless: now.mono > job.due + budget * (HOPELESS_TIMES - 1),
+                hopeless: late && !job.submission.spec.persistent(),
                 priority: self.rule(job).priority,
                 excess: job.excess,
                 due: job.due,
@@ -65,10 +66,6 @@
         list
     }
 
-    fn arrival(&self, job: &Job) -> Millis {
-        job.due.saturating_sub(self.rule(job).objective_ms)
-    }
-
     fn place_step(&mut self, id: StepId, reserved: &mut HashSet<ExecutorId>, now: Now) {
         let Some((job, spec, step)) = self.lookup(&id) else {
             return;
--- a/src/fleet/cell_runs.rs
+++ b/src/fleet/cell_runs.rs
@@ -100,7 +100,7 @@
         let checkpoint = state.map(|t| t.checkpoint.clone()).unwrap_or_default();
         let payload = job.submission.spec.payload.clone();
         let lease_ms = self.bounds.lease_ms;
-        let token = self.token;
+        let token = self.order_token(id);
         let Some(executor) = self.executors.get_mut(id) else {
             return;
         };
@@ -154,7 +154,7 @@
         run: RunNumber,
         now: Now,
     ) -> CallId {
-        let token = self.token;
+        let token = self.order_token(id);
         self.send_order(id, Order::Stop { task, run, token }, now)
     }
 
@@ -184,7 +184,8 @@
                 run.stage = RunStage::Stopped;
                 run.stage_at = now.mono;
             }
-            (RunStage::Ordered, Err(fault)) if fault != CallFault::Unknown => {
+            (RunStage::Ordered, Err(CallFault::Fenced | CallFault::Unknown)) => {}
+            (RunStage::Ordered, Err(fault)) => {
                 self.start_refused(id, task, fault, now);
             }
             _ => {}
@@ -360,13 +361,12 @@
         let Some(t) = self.task_mut(&row.task) else {
             return false;
         };
-        if row.run <= t.failed_run {
+        if t.failed_runs.contains(&row.run) {
             return false;
         }
-        t.failed_run = row.run;
-        t.failures += 1;
+        t.failed_runs.push(row.run);
         t.failed_on.push(id.clone());
-        let failures = t.failures;
+        let failures = u32::try_from(t.failed_runs.len()).unwrap_or(u32::MAX);
         let done = t.done;
         if failures >= most && !done {
             self.end_job(job, JobEnd::Failed, now);
--- a/src/fleet/executor.rs
+++ b/src/fleet/executor.rs
@@ -92,6 +92,9 @@
     pub listed: bool,
     pub contact: Contact,
     pub born: Option<u64>,
+    /// Lives seen here. A new life has seen no fencing token, so orders carry a higher one
+    /// than those to the life before, which may still be on their way.
+    pub lives: u64,
     pub clock: Option<ClockReading>,
     /// Highest lease end ever ordered, on its clock.
     pub granted_ms: Millis,
@@ -126,6 +129,7 @@
             listed,
             contact: Contact::Opening,
             born: None,
+            lives: 0,
             clock: None,
             granted_ms: 0,
             runs: HashMap::new(),
@@ -236,17 +240,23 @@
         !self.failed_jobs.is_empty() || self.suspicions > 0
     }
 
-    /// Forgets everything of an earlier life.
-    pub fn reset(&mut self, now: Millis) -> Vec<(TaskId, Run)> {
-        let runs = std::mem::take(&mut self.runs).into_iter().collect();
+    /// Forgets an earlier life; returns the runs that `gone` says have ended with it. Orders
+    /// that got no answer may have reached the new life or still may.
+    pub fn reset(&mut self, gone: impl Fn(&TaskId, &Run) -> bool) -> Vec<(TaskId, Run)> {
+        let over: Vec<TaskId> = self
+            .runs
+            .iter()
+            .filter(|(task, run)| gone(task, run))
+            .map(|(task, _)| *task)
+            .collect();
+        let runs = over.iter().filter_map(|t| Some((*t, self.remove_run(t)?)));
+        let runs = runs.collect();
         self.foreign.clear();
-        self.used = Resources::default();
+        self.lives += 1;
         self.unacked.clear();
         self.seen = 0;
         self.granted_ms = 0;
         self.clock = None;
-        self.contact = Contact::Opening;
-        self.hold_due = now;
         runs
     }
 }
--- a/src/fleet/ids.rs
+++ b/src/fleet/ids.rs
@@ -11,9 +11,12 @@
 /// Number of one start of a task; rises with each start.
 pub type RunNumber = u64;
 
-/// Fencing token of an owner; grows with each change of owner.
+/// Fencing token; grows with each change of owner and each new life of an executor.
 pub type FencingToken = u64;
 
+/// Lives of an executor that one owner tells apart; the next owner's tokens lie above.
+pub const LIVES_PER_OWNER: FencingToken = 1 << 20;
+
 /// A job's id, chosen by the caller: 64 bits, written as 16 hexadecimal digits.
 #[derive(Clone, Copy, Debug, Deserialize, Eq, Hash, Ord, PartialEq, PartialOrd, Serialize)]
 pub struct JobId(pub u64);
--- a/src/fleet/job.rs
+++ b/src/fleet/job.rs
@@ -21,9 +21,8 @@
 #[derive(Clone, Debug, Default)]
 pub struct Task {
     pub done: bool,
-    pub failures: u32,
-    /// Number of the last run counted as failed.
-    pub failed_run: RunNumber,
+    /// Runs that ended as failed.
+    pub failed_runs: Vec<RunNumber>,
     pub checkpoint: Arc<str>,
     /// Highest run number used.
     pub last_run: RunNumber,
@@ -90,7 +89,9 @@
     pub steps: BTreeMap<(u32, u16), Step>,
     /// Occurrences added so far.
     pub opened: u32,
-    /// Order in which tenants' jobs are served: when the objective is missed.
+    /// When it arrived here.
+    pub arrived: Millis,
+    /// When its objective is missed, as far as estimates tell.
     pub due: Millis,
     /// Whether a task was ever started.
     pub started: bool,
@@ -112,6 +113,7 @@
             submission,
             steps: BTreeMap::new(),
             opened: 0,
+            arrived: 0,
             due: 0,
             started: progress.is_some(),
             inherited: false,
@@ -172,8 +174,7 @@
             };
             for (task, old) in step.tasks.iter_mut().zip(&saved.tasks) {
                 task.done = old.done;
-                task.failures = old.failures;
-                task.failed_run = old.failed_run;
+                task.failed_runs.clone_from(&old.failed_runs);
                 task.checkpoint = old.checkpoint.clone();
                 step.done += u32::from(old.done);
             }
@@ -182,7 +183,7 @@
 
     /// Returns what the store must keep.
     pub fn progress(&self) -> JobProgress {
-        let worth = |t: &Task| t.done || t.failures > 0 || !t.checkpoint.is_empty();
+        let worth = |t: &Task| t.done || !t.failed_runs.is_empty() || !t.checkpoint.is_empty();
         let touched = self.steps.iter().filter(|(_, s)| s.tasks.iter().any(worth));
         let steps = touched.map(|((occurrence, step), s)| StepProgress {
             occurrence: *occurrence,
@@ -230,8 +231,7 @@
 fn task_progress(task: &Task) -> TaskProgress {
     TaskProgress {
         done: task.done,
-        failures: task.failures,
-        failed_run: task.failed_run,
+        failed_runs: task.failed_runs.clone(),
         checkpoint: task.checkpoint.clone(),
     }
 }
--- a/src/fleet/mod.rs
+++ b/src/fleet/mod.rs
@@ -30,7 +30,7 @@
     },
     executor::{Contact, Executor, Run, RunStage},
     fleet_config::{AdviceRule, FleetConfig, QueueRule, TenantRule},
-    ids::{BadName, ExecutorId, FencingToken, JobId, RunNumber, StepId, TaskId},
+    ids::{BadName, ExecutorId, FencingToken, JobId, LIVES_PER_OWNER, RunNumber, StepId, TaskId},
     job::{Job, Step, Task},
     job_spec::{JobSpec, Schedule, StepSpec},
     lanes::Lanes,
--- a/src/fleet/records.rs
+++ b/src/fleet/records.rs
@@ -48,10 +48,9 @@
 #[derive(Clone, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
 pub struct TaskProgress {
     pub done: bool,
-    /// Runs that ended as failed.
-    pub failures: u32,
-    /// Number of the last run counted as failed; a list may show its end again.
-    pub failed_run: u64,
+    /// Runs that ended as failed. Their ends may be listed again, in any order, to the next
+    /// owner.
+    pub failed_runs: Vec<u64>,
     /// Last checkpoint; empty if there is none.
     pub checkpoint: Arc<str>,
 }
--- /dev/null
+++ b/tests/cell.rs
@@ -0,0 +1,239 @@
+//! The cell in a seeded world: promises under faults, and failures found on the users' bench.
+
+use {
+    dragonflyferry::{
+        core::Resources,
+        fleet::{FleetConfig, JobId, JobSpec, JobView, QueueRule, StepSpec, Submission},
+    },
+    rand::{Rng, SeedableRng, rngs::SmallRng},
+    standins::{CellWorld, Faults},
+    std::sync::Arc,
+};
+
+fn need(cpu_milli: u32) -> Resources {
+    Resources {
+        cpu_milli,
+        memory_mib: 100,
+        accelerators: 0,
+        slots: 0,
+    }
+}
+
+fn queue(name: &str, priority: u32) -> QueueRule {
+    QueueRule {
+        name: Arc::from(name),
+        host: Arc::from("h"),
+        prefix: Arc::from(format!("/{name}/")),
+        pool: Arc::from("pool"),
+        priority,
+        max_attempts: 4,
+        stretch_milli: 1_500,
+        objective_ms: 250,
+        advice: None,
+        public: true,
+    }
+}
+
+fn config() -> FleetConfig {
+    FleetConfig {
+        version: 1,
+        queues: vec![Arc::new(queue("urgent", 0)), Arc::new(queue("patient", 2))],
+        body_bytes: 10_000,
+        ..FleetConfig::default()
+    }
+}
+
+fn step(count: u32, cpu_milli: u32, estimate_ms: u64) -> StepSpec {
+    StepSpec {
+        count,
+        need: need(cpu_milli),
+        estimate_ms,
+        ..StepSpec::default()
+    }
+}
+
+fn job(id: u64, queue_name: &str, steps: Vec<StepSpec>) -> Submission {
+    let priority = if queue_name == "urgent" { 0 } else { 2 };
+    Submission {
+        id: JobId(id),
+        queue: queue(queue_name, priority),
+        tenant: None,
+        accepted_unix_ms: 0,
+        spec: JobSpec {
+            payload: Arc::from("text"),
+            steps,
+            schedule: None,
+        },
+    }
+}
+
+fn world(seed: u64, executors: usize) -> CellWorld {
+    let mut world = CellWorld::new(seed, config());
+    for i in 0..executors {
+        let rack = format!("r{}", i / 3);
+        let capacity = Resources {
+            memory_mib: 10_000,
+            ..need(8_000)
+        };
+        world.add_executor(&format!("e{i}"), "pool", &rack, capacity);
+    }
+    world.run(200);
+    world
+}
+
+#[test]
+fn steps_run_in_order_and_the_job_completes() {
+    let mut world = world(1, 3);
+    let mut second = step(3, 1_000, 300);
+    second.after = vec![0];
+    world.submit(job(1, "urgent", vec![step(5, 1_000, 500), second]));
+    world.run(700);
+    assert_eq!(world.view(JobId(1)), Some(JobView::Active));
+    world.run(700);
+    assert_eq!(world.view(JobId(1)), Some(JobView::Completed));
+    assert_eq!(world.broken, Vec::<String>::new());
+}
+
+/// The ends of three failed runs, on three executors, reach a new owner newest first.
+#[test]
+fn failures_count_in_whatever_order_a_new_owner_reads_them() {
+    for seed in 0..20 {
+        let mut world = world(seed, 4);
+        world.store_up = false;
+        world.faults.failures = 1000;
+        world.submit(job(1, "urgent", vec![step(1, 1_000, 200)]));
+        world.run(250);
+        world.replace_owner();
+        world.run(1_500);
+        world.replace_owner();
+        world.run(3_000);
+        assert_eq!(world.broken, Vec::<String>::new(), "seed {seed}");
+    }
+}
+
+/// A persistent job that has missed its objective long ago is still restarted before
+/// patient work that came later.
+#[test]
+fn a_persistent_task_is_restarted_though_its_objective_passed() {
+    let mut world = world(1, 1);
+    let mut lasting = step(1, 4_000, 400);
+    lasting.persistent = true;
+    world.submit(job(1, "urgent", vec![lasting]));
+    world.run(20_000);
+    for id in 2..60 {
+        world.submit(job(id, "patient", vec![step(2, 4_000, 900)]));
+    }
+    world.executors.values_mut().for_each(|e| e.restart(20_200));
+    world.run(1_500);
+    let runs = world.executors.values().next().map(|e| e.running.clone());
+    let lasting = runs.is_some_and(|r| r.keys().any(|t| t.step.job == JobId(1)));
+    assert!(
+        lasting,
+        "{:#?}",
+        world.log.iter().rev().take(30).collect::<Vec<_>>()
+    );
+}
+
+/// Jobs of all shapes under lost, late and failed orders, lost commits, crashes and changes
+/// of owner: nothing runs twice, beyond capacity, out of order or beyond its attempts, and
+/// all jobs end.
+#[test]
+fn promises_hold_under_faults() {
+    let seeds: u64 = std::env::var("CELL_SEEDS")
+        .ok()
+        .and_then(|s| s.parse().ok())
+        .unwrap_or(30);
+    let first: u64 = std::env::var("CELL_FIRST")
+        .ok()
+        .and_then(|s| s.parse().ok())
+        .unwrap_or(0);
+    for seed in first..first + seeds {
+        let world = random_day(seed);
+        let named = |l: &&String| {
+            world
+                .broken
+                .iter()
+                .any(|b| b.split_whitespace().any(|w| w.len() > 16 && l.contains(w)))
+        };
+        let tail: Vec<_> = world
+            .log
+            .iter()
+            .filter(|l| named(l) || l.contains("owner ") || l.contains("restart"))
+            .collect();
+        assert_eq!(world.broken, Vec::<String>::new(), "seed {seed}: {tail:#?}");
+        for id in world.records.jobs.keys() {
+            let view = world.view(*id);
+            let over = matches!(
+                view,
+                Some(JobView::Completed | JobView::Failed | JobView::Cancelled)
+            );
+            assert!(over, "seed {seed}: job {id} is {view:?}");
+        }
+    }
+}
+
+fn random_day(seed: u64) -> CellWorld {
+    let mut rng = SmallRng::seed_from_u64(seed);
+    let mut world = world(seed, 6);
+    world.faults = Faults {
+        late_orders: rng.random_range(0..60),
+        lost_answers: rng.random_range(0..60),
+        failed_commits: rng.random_range(0..200),
+        failures: rng.random_range(0..100),
+    };
+    for id in 1..=60 {
+        let mut steps = vec![random_step(&mut rng)];
+        if rng.random_bool(0.5) {
+            let mut next = random_step(&mut rng);
+            next.after = vec![0];
+            steps.push(next);
+        }
+        let queue = if rng.random_bool(0.6) {
+            "urgent"
+        } else {
+            "patient"
+        };
+        world.submit(job(id, queue, steps));
+        world.run(rng.random_range(0..400));
+        match rng.random_range(0..40) {
+            0 => world.replace_owner(),
+            1 => world.cancel(JobId(rng.random_range(1..=id))),
+            2 => {
+                let now = world.now;
+                let place = rng.random_range(0..6);
+                if let Some(executor) = world.executors.values_mut().nth(place) {
+                    executor.restart(now);
+                    let line = format!("{now} restart {}", executor.info.id);
+                    world.log.push(line);
+                }
+            }
+            3 => {
+                let place = rng.random_range(0..6);
+                if let Some(executor) = world.executors.values_mut().nth(place) {
+                    executor.cut = !executor.cut;
+                }
+            }
+            4 => world.store_up = !world.store_up,
+            _ => {}
+        }
+    }
+    world.faults = Faults::default();
+    world.store_up = true;
+    world.executors.values_mut().for_each(|e| e.cut = false);
+    world.run(60_000);
+    world
+}
+
+fn random_step(rng: &mut SmallRng) -> StepSpec {
+    let mut step = step(
+        rng.random_range(1..6),
+        rng.random_range(1..5) * 1_000,
+        rng.random_range(50..1_500),
+    );
+    step.gang = rng.random_bool(0.15);
+    step.duplicates = !step.gang && rng.random_bool(0.2);
+    if rng.random_bool(0.2) {
+        step.max_per_executor = 2;
+    }
+    step
+}
