--- a/src/fleet/cell_runs.rs
+++ b/src/fleet/cell_runs.rs
@@ -270,7 +270,9 @@
         executor.foreign.remove(&row.task);
         let counted = self.take_end(id, row, now);
         if let Some(executor) = self.executors.get_mut(id) {
-            executor.unacked.insert(row.number, counted.then_some(job));
+            // Also an end that changed nothing waits for the record: another end of the same
+            // gang may have changed it a moment before.
+            executor.unacked.insert(row.number, Some(job));
         }
         if counted {
             self.commits.mark(job);
--- a/tests/cell.rs
+++ b/tests/cell.rs
@@ -134,6 +134,11 @@
     );
 }
 
+/// Seeds that failed once. 54: a run started on a new life before its restart was noticed.
+/// 166: an order to an earlier life. 347: an end of a gang's second member was acknowledged
+/// before the record that the first had changed was durable.
+const FAILED_SEEDS: [u64; 3] = [54, 166, 347];
+
 /// Jobs of all shapes under lost, late and failed orders, lost commits, crashes and changes
 /// of owner: nothing runs twice, beyond capacity, out of order or beyond its attempts, and
 /// all jobs end.
@@ -147,7 +152,7 @@
         .ok()
         .and_then(|s| s.parse().ok())
         .unwrap_or(0);
-    for seed in first..first + seeds {
+    for seed in FAILED_SEEDS.into_iter().chain(first..first + seeds) {
         let world = random_day(seed);
         let named = |l: &&String| {
             world
