Urgent work preempts at checkpoints; late urgent work stays before patient work

Ruled out: advice (first start 90 ms at p95). Change: Rank puts priority before prospect; make_room stops runs that save at a stop.

--- a/src/fleet/cell_plan.rs
+++ b/src/fleet/cell_plan.rs
@@ -33,7 +33,10 @@
         let candidates = self.candidates(now);
         let mut reserved = HashSet::new();
         for candidate in &candidates {
-            self.place_step(candidate.step, &mut reserved, now);
+            let placed = self.place_step(candidate.step, &mut reserved, now);
+            if !placed && candidate.rank.prospect == Prospect::InTime {
+                self.preempt(candidate, now);
+            }
         }
         self.ask_advice(&candidates, now);
         self.send_commit(now);
@@ -50,8 +53,9 @@
                 Prospect::new(now.mono - job.arrived, job.due - job.arrived)
             };
             let rank = Rank {
-                prospect,
+                hopeless: prospect == Prospect::Hopeless,
                 priority: self.rule(job).priority,
+                prospect,
                 excess: job.excess,
                 due: job.due,
             };
@@ -66,12 +70,13 @@
         list
     }
 
-    fn place_step(&mut self, id: StepId, reserved: &mut HashSet<ExecutorId>, now: Now) {
+    /// Places what it can of a step; false if room was missing.
+    fn place_step(&mut self, id: StepId, reserved: &mut HashSet<ExecutorId>, now: Now) -> bool {
         let Some((job, spec, step)) = self.lookup(&id) else {
-            return;
+            return true;
         };
         if job.inherited && !spec.duplicates && self.pool_unsettled(&self.rule(job).pool) {
-            return;
+            return true;
         }
         let spec = spec.clone();
         let waiting: Vec<u32> = waiting_tasks(step, now.mono);
@@ -81,9 +86,11 @@
         } else {
             self.place_each(id, &spec, &waiting, reserved, now)
         };
-        if !placed && !waiting.is_empty() {
-            self.reserve(id, &spec, reserved);
+        if placed || waiting.is_empty() {
+            return true;
         }
+        self.reserve(id, &spec, reserved);
+        false
     }
 
     /// Tells whether runs of an earlier owner may exist that have not been seen.
--- a/src/fleet/mod.rs
+++ b/src/fleet/mod.rs
@@ -9,6 +9,7 @@
 mod cell_executors;
 mod cell_jobs;
 mod cell_plan;
+mod cell_preempt;
 mod cell_runs;
 mod commit_queue;
 mod event;
--- a/src/fleet/policy.rs
+++ b/src/fleet/policy.rs
@@ -28,17 +28,63 @@
 
 /// Position of a step in the order of waiting work; smaller goes first.
 ///
-/// Answers a full pool: what can still be in time goes before what is late, the urgent before
-/// the patient, what is owed before what exceeds an organisation's rate, then the earliest
-/// objective.
+/// Answers a full pool: hopeless work goes last, the urgent before the patient, and within a
+/// priority what can still be in time before what is late, what is owed before what exceeds
+/// an organisation's rate, then the earliest objective. A late urgent job stays before patient
+/// work, since its objective rests on a rough estimate.
 #[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
 pub struct Rank {
-    pub prospect: Prospect,
+    pub hopeless: bool,
     pub priority: u32,
+    pub prospect: Prospect,
     pub excess: bool,
     pub due: Millis,
 }
 
+/// A run as a candidate to make room for urgent work.
+#[derive(Clone, Copy, Debug)]
+pub struct Victim {
+    pub need: Resources,
+    /// It saves its progress when it is stopped.
+    pub checkpoints: bool,
+    /// Priority of its queue.
+    pub priority: u32,
+    /// How long it has run, in ms.
+    pub age: Millis,
+}
+
+/// Shortest time that a run is left alone, in ms: below it, stopping costs about what it did.
+const VICTIM_AGE_MS: Millis = 500;
+
+/// Chooses the runs to stop on one executor so that `need` fits; `None` if that cannot be
+/// reached, an empty list if the room is there or on its way.
+///
+/// Answers a burst of urgent work on a pool full of patient work: only runs that save their
+/// progress when stopped, of a less urgent queue, are stopped, the largest first.
+pub fn make_room(
+    need: &Resources,
+    coming: &Resources,
+    priority: u32,
+    victims: &[Victim],
+) -> Option<Vec<usize>> {
+    let mut room = *coming;
+    let mut chosen = Vec::new();
+    let mut order: Vec<usize> = (0..victims.len()).collect();
+    order.sort_by_key(|i| std::cmp::Reverse(victims[*i].need.cpu_milli));
+    for i in order {
+        if room.holds(need) {
+            break;
+        }
+        let victim = &victims[i];
+        let allowed = victim.checkpoints && victim.priority > priority;
+        if allowed && victim.age >= VICTIM_AGE_MS {
+            room.add(&victim.need);
+            chosen.push(i);
+        }
+    }
+    room.holds(need).then_some(chosen)
+}
+
 /// An executor as a candidate for a task.
 #[derive(Clone, Copy, Debug)]
 pub struct Room {
