Caps count what executors not yet read may run; the config watch starts at the store's revision

Ruled out: silent executors of the same life (still counted). Change: the capacity of executors whose lists are not read counts as used; the watch starts at the range's revision, and a failed watch waits 20 ms.

--- a/src/entry/config_watch.rs
+++ b/src/entry/config_watch.rs
@@ -15,6 +15,9 @@
 /// Time beyond the wait until a watch counts as lost.
 const ANSWER_TIMEOUT: Duration = Duration::from_millis(900);
 
+/// Time until a failed watch is replaced by a read.
+const WATCH_PAUSE: Duration = Duration::from_millis(20);
+
 /// Time between attempts while the store does not answer.
 const PAUSE: Duration = Duration::from_millis(150);
 
@@ -24,14 +27,16 @@
     loop {
         let sent = clock::mono();
         match revision {
-            None => match shared.store.get(CONFIG_KEY, ANSWER_TIMEOUT).await {
-                Ok(Some(item)) => {
+            // The range tells the store's revision; the item's own may be older than the
+            // store's history, and a watch from it would fail at once.
+            None => match shared.store.range(CONFIG_KEY, ANSWER_TIMEOUT).await {
+                Ok((items, next)) if items.iter().any(|i| i.key == CONFIG_KEY) => {
                     shared.store_answered();
-                    revision = Some(item.revision);
-                    adopt(&shared, &item);
+                    revision = Some(next);
+                    items.iter().for_each(|item| adopt(&shared, item));
                     shared.config_confirmed(sent);
                 }
-                Ok(None) => {
+                Ok(_) => {
                     shared.store_answered();
                     tokio::time::sleep(PAUSE).await;
                 }
@@ -49,6 +54,7 @@
                 let Ok((changes, next)) = answer else {
                     shared.store_failed();
                     revision = None;
+                    tokio::time::sleep(WATCH_PAUSE).await;
                     continue;
                 };
                 shared.store_answered();
--- a/src/entry/daemon.rs
+++ b/src/entry/daemon.rs
@@ -33,6 +33,7 @@
     let callers = listen(settings.callers).await?;
     let readiness = listen(settings.readiness).await?;
     let peers = listen(settings.peers).await?;
+    let metrics = listen(settings.metrics).await?;
     let shared = Arc::new(Shared::new(settings, node, log));
     shared.event(
         FleetEvent::NodeStarted,
@@ -46,6 +47,7 @@
     tokio::spawn(owner_link::run(shared.clone()));
     let owner = tokio::spawn(membership::own(shared.clone(), lease_rx));
     tokio::spawn(serve(readiness, front::ready_router(shared.clone())));
+    tokio::spawn(serve(metrics, front::metrics_router(shared.clone())));
     let (stop_tx, stop_rx) = watch::channel(false);
     let served = tokio::spawn(serve_until(callers, front::router(shared.clone()), stop_rx));
     until_stopped(&shared).await?;
--- /dev/null
+++ b/src/entry/event_log.rs
@@ -0,0 +1,141 @@
+//! The node's log of numbered events, bounded in volume, and their counters.
+
+use {
+    crate::{core::Millis, entry::clock, fleet::FleetEvent},
+    hdrhistogram::Histogram,
+    slog::{Logger, info},
+    std::{
+        fmt::Write,
+        sync::{Mutex, MutexGuard, PoisonError},
+    },
+};
+
+/// Lines of one event a second; the heaviest standard day starts about 250 runs a second.
+const LINES_PER_SECOND: u32 = 400;
+
+/// Longest latency that is told apart, in ms: the longest lease of a caller is far below.
+const LONGEST_MS: u64 = 120_000;
+
+/// Quantiles that are served.
+const QUANTILES: [f64; 3] = [0.5, 0.95, 0.99];
+
+/// A latency that is measured.
+#[derive(Clone, Copy, Debug)]
+pub enum Latency {
+    /// From reading a submission to its answer.
+    Accept,
+    /// From handing a job to the owner to its first start.
+    FirstStart,
+}
+
+/// Log lines, counters and latency histograms of one node.
+#[derive(Debug)]
+pub struct EventLog {
+    log: Logger,
+    inner: Mutex<Inner>,
+}
+
+#[derive(Debug)]
+struct Inner {
+    counts: [u64; FleetEvent::ALL.len()],
+    /// Lines written in the current second, by event.
+    lines: [u32; FleetEvent::ALL.len()],
+    second: Millis,
+    suppressed: u64,
+    accept: Histogram<u64>,
+    first_start: Histogram<u64>,
+}
+
+impl EventLog {
+    /// Creates a log that has counted nothing.
+    pub fn new(log: Logger) -> Self {
+        let histogram = || {
+            Histogram::new_with_max(LONGEST_MS, 2).unwrap_or_else(|_| {
+                // The bounds are constants that the library accepts.
+                unreachable!("histogram bounds")
+            })
+        };
+        let inner = Inner {
+            counts: [0; FleetEvent::ALL.len()],
+            lines: [0; FleetEvent::ALL.len()],
+            second: 0,
+            suppressed: 0,
+            accept: histogram(),
+            first_start: histogram(),
+        };
+        Self {
+            log,
+            inner: Mutex::new(inner),
+        }
+    }
+
+    fn inner(&self) -> MutexGuard<'_, Inner> {
+        self.inner.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Counts an event and writes its line, unless the event's lines of this second are used.
+    pub fn write(&self, event: FleetEvent, detail: &str) {
+        if self.inner().admit(event, clock::mono() / 1000) {
+            info!(self.log, "{:?}", event; "event" => event.number(), "detail" => detail);
+        }
+    }
+
+    /// Notes a latency.
+    pub fn record(&self, latency: Latency, ms: Millis) {
+        let mut inner = self.inner();
+        match latency {
+            Latency::Accept => inner.accept.saturating_record(ms),
+            Latency::FirstStart => inner.first_start.saturating_record(ms),
+        }
+    }
+
+    /// Returns all figures in the usual text format of metrics.
+    pub fn text(&self, gauges: &[(&str, u64)]) -> String {
+        let inner = self.inner();
+        let mut text = String::new();
+        for (event, count) in FleetEvent::ALL.iter().zip(inner.counts) {
+            let _ = writeln!(
+                text,
+                "dragonflyferry_events_total{{event=\"{event:?}\"}} {count}"
+            );
+        }
+        let _ = writeln!(
+            text,
+            "dragonflyferry_log_lines_suppressed_total {}",
+            inner.suppressed
+        );
+        for (name, value) in gauges {
+            let _ = writeln!(text, "dragonflyferry_{name} {value}");
+        }
+        summary(&mut text, "accept_ms", &inner.accept);
+        summary(&mut text, "first_start_ms", &inner.first_start);
+        text
+    }
+}
+
+impl Inner {
+    /// Counts an event; tells whether its line may be written.
+    fn admit(&mut self, event: FleetEvent, second: Millis) -> bool {
+        if second != self.second {
+            self.second = second;
+            self.lines = [0; FleetEvent::ALL.len()];
+        }
+        let index = event as usize;
+        self.counts[index] += 1;
+        self.lines[index] += 1;
+        let admitted = self.lines[index] <= LINES_PER_SECOND;
+        self.suppressed += u64::from(!admitted);
+        admitted
+    }
+}
+
+fn summary(text: &mut String, name: &str, histogram: &Histogram<u64>) {
+    for quantile in QUANTILES {
+        let value = histogram.value_at_quantile(quantile);
+        let _ = writeln!(
+            text,
+            "dragonflyferry_{name}{{quantile=\"{quantile}\"}} {value}"
+        );
+    }
+    let _ = writeln!(text, "dragonflyferry_{name}_count {}", histogram.len());
+}
--- a/src/entry/front.rs
+++ b/src/entry/front.rs
@@ -2,7 +2,7 @@
 
 use {
     crate::{
-        entry::{Shared, clock, store_keys as keys},
+        entry::{Shared, clock, event_log::Latency, store_keys as keys},
         fleet::{FleetConfig, FleetEvent, JobId, JobRecord, JobView, QueueRule, Submission},
         platform::{
             DEADLINE_HEADER, KEY_HEADER, READY_PATH, StoreFault, Transaction, job_from_bytes,
@@ -56,6 +56,14 @@
         .with_state(shared)
 }
 
+/// Returns the operators' metrics.
+pub fn metrics_router(shared: Arc<Shared>) -> Router {
+    let metrics = async |State(shared): State<Arc<Shared>>| shared.metrics();
+    Router::new()
+        .route("/metrics", axum::routing::get(metrics))
+        .with_state(shared)
+}
+
 /// A caller whose queue and key were checked.
 struct Caller {
     queue: Arc<QueueRule>,
@@ -141,10 +149,11 @@
         accepted_unix_ms: clock::unix(),
         spec,
     };
-    match tokio::time::timeout(caller.deadline, accept(shared, submission)).await {
-        Ok(answer) => answer,
-        Err(_) => unknown(shared, id),
-    }
+    let began = clock::mono();
+    let answer = tokio::time::timeout(caller.deadline, accept(shared, submission)).await;
+    let took = clock::mono().saturating_sub(began);
+    shared.events.record(Latency::Accept, took);
+    answer.unwrap_or_else(|_| unknown(shared, id))
 }
 
 /// Stores a job; refuses only if it surely was not stored and never will be.
--- a/src/entry/membership.rs
+++ b/src/entry/membership.rs
@@ -24,6 +24,9 @@
 /// Wait of one watch of the members.
 const WATCH_WAIT: Duration = Duration::from_secs(5);
 
+/// Time until a failed watch is replaced by a read.
+const WATCH_PAUSE: Duration = Duration::from_millis(20);
+
 /// Time between attempts after a failure.
 const PAUSE: Duration = Duration::from_millis(150);
 
@@ -101,6 +104,7 @@
         let Ok((changes, next)) = answer else {
             shared.store_failed();
             revision = None;
+            tokio::time::sleep(WATCH_PAUSE).await;
             continue;
         };
         shared.store_answered();
--- a/src/entry/mod.rs
+++ b/src/entry/mod.rs
@@ -6,6 +6,7 @@
 mod config_watch;
 mod daemon;
 mod errors;
+mod event_log;
 mod front;
 mod membership;
 mod owner;
--- a/src/entry/owner.rs
+++ b/src/entry/owner.rs
@@ -4,7 +4,8 @@
     crate::{
         core::{CallId, Millis},
         entry::{
-            Commit, EntryError, PeerMessage, Shared, advice, clock, committer, store_keys as keys,
+            Commit, EntryError, PeerMessage, Shared, advice, clock, committer, event_log::Latency,
+            store_keys as keys,
         },
         fleet::{
             Advised, Cell, CellBounds, CellEffect, CellEvent, EpochRecord, ExecutorId, FleetEvent,
@@ -247,6 +248,9 @@
                     self.deposed = true;
                 }
             }
+            CellEffect::FirstStart { wait_ms } => {
+                self.shared.events.record(Latency::FirstStart, wait_ms);
+            }
             CellEffect::Log { event, detail } => self.shared.event(event, &detail),
             CellEffect::Deposed => self.deposed = true,
         }
--- a/src/entry/shared.rs
+++ b/src/entry/shared.rs
@@ -3,11 +3,11 @@
 use {
     crate::{
         core::Millis,
-        entry::{OwnerInput, OwnerLink, clock},
+        entry::{OwnerInput, OwnerLink, clock, event_log::EventLog},
         fleet::{FleetConfig, FleetEvent, NodeRecord, OwnerRecord},
         platform::{ExecutorClient, NodeSettings, StoreClient},
     },
-    slog::{Logger, info},
+    slog::Logger,
     std::sync::{Arc, Mutex, MutexGuard, PoisonError},
     tokio::sync::{mpsc, watch},
 };
@@ -26,7 +26,7 @@
     /// Name of this life of the node.
     pub node: Arc<str>,
     pub settings: NodeSettings,
-    pub log: Logger,
+    pub events: EventLog,
     pub store: StoreClient,
     pub executors: ExecutorClient,
     /// Connection to the owner, if it is another node.
@@ -62,7 +62,7 @@
             config: watch::channel(None).0,
             state: Mutex::new(State::default()),
             settings,
-            log,
+            events: EventLog::new(log),
         }
     }
 
@@ -121,6 +121,22 @@
         !self.state().draining && self.store_age() < STORE_AWAY_MS && self.fresh_config().is_some()
     }
 
+    /// Returns the node's figures in the usual text format of metrics.
+    pub fn metrics(&self) -> String {
+        let state = self.state();
+        let now = clock::mono();
+        let config = self.config.borrow().as_ref().map_or(0, |c| c.version);
+        let gauges = [
+            ("config_version", config),
+            ("config_age_ms", now.saturating_sub(state.config_at)),
+            ("store_age_ms", now.saturating_sub(state.store_at)),
+            ("nodes", state.nodes.len() as u64),
+            ("is_owner", u64::from(state.local_owner.is_some())),
+            ("draining", u64::from(state.draining)),
+        ];
+        self.events.text(&gauges)
+    }
+
     /// Begins a graceful stop.
     pub fn drain(&self) {
         self.state().draining = true;
@@ -153,6 +169,6 @@
 
     /// Logs a numbered event.
     pub fn event(&self, event: FleetEvent, detail: &str) {
-        info!(self.log, "{:?}", event; "event" => event.number(), "detail" => detail);
+        self.events.write(event, detail);
     }
 }
--- a/src/fleet/cell_plan.rs
+++ b/src/fleet/cell_plan.rs
@@ -272,10 +272,22 @@
         let Some(rule) = self.config.tenants.get(tenant) else {
             return true;
         };
-        let used = self.tenant_use.get(tenant).copied().unwrap_or_default();
+        let mut used = self.tenant_use.get(tenant).copied().unwrap_or_default();
+        used.add(&self.unseen_use());
         rule.allows(&used, need)
     }
 
+    /// Returns the most that may run on executors whose lists this owner has not read.
+    fn unseen_use(&self) -> Resources {
+        let mut unseen = Resources::default();
+        for id in &self.unsettled {
+            if let Some(executor) = self.executors.get(id) {
+                unseen.add(&executor.info.capacity);
+            }
+        }
+        unseen
+    }
+
     /// Keeps executors free for a large step that does not fit yet.
     fn reserve(&self, id: StepId, spec: &StepSpec, reserved: &mut HashSet<ExecutorId>) {
         let Some((job, _, step)) = self.lookup(&id) else {
--- a/src/fleet/cell_runs.rs
+++ b/src/fleet/cell_runs.rs
@@ -57,6 +57,10 @@
             return;
         };
         let run = new_run(number, RunStage::Ordered, spec, ticket, now.mono);
+        if let Some(job) = self.jobs.get(&task.step.job).filter(|j| !j.started) {
+            let wait_ms = now.mono - job.arrived;
+            self.effects.push(CellEffect::FirstStart { wait_ms });
+        }
         self.track(id, task, run);
         self.log(
             FleetEvent::RunStarted,
--- a/src/fleet/event.rs
+++ b/src/fleet/event.rs
@@ -211,7 +211,10 @@
         call: CallId,
         writes: Vec<Write>,
     },
-    /// The job's state changed so that callers can see it.
+    /// The first task of a job was ordered, this long after the job arrived.
+    FirstStart {
+        wait_ms: Millis,
+    },
     Log {
         event: FleetEvent,
         detail: String,
--- a/standins/src/cell_world.rs
+++ b/standins/src/cell_world.rs
@@ -329,6 +329,7 @@
                 ..
             } => self.advise(call, step, &executors),
             CellEffect::Commit { call, writes } => self.commit(call, writes),
+            CellEffect::FirstStart { .. } => {}
             CellEffect::Log { event, detail } => {
                 self.log.push(format!("{} {event:?} {detail}", self.now));
             }
@@ -428,10 +429,33 @@
         }
     }
 
+    /// Finds organisations that run more than their cap, a tenth and one task.
+    fn over_cap(&self) -> Vec<String> {
+        let mut used: HashMap<Arc<str>, (u64, u64)> = HashMap::new();
+        for executor in self.executors.values() {
+            for (task, run) in &executor.running {
+                let job = self.submissions.get(&task.step.job);
+                let Some(tenant) = job.and_then(|j| j.tenant.clone()) else {
+                    continue;
+                };
+                let (sum, largest) = used.entry(tenant).or_default();
+                *sum += u64::from(run.need.cpu_milli);
+                *largest = (*largest).max(u64::from(run.need.cpu_milli));
+            }
+        }
+        let over = |(tenant, (sum, largest)): (Arc<str>, (u64, u64))| {
+            let cap = u64::from(self.config.tenants.get(&tenant)?.cap.cpu_milli);
+            let over = cap > 0 && sum > cap * 11 / 10 + largest;
+            over.then(|| format!("QUOTA: {tenant}"))
+        };
+        used.into_iter().filter_map(over).collect()
+    }
+
     /// Checks the promises on what the executors hold.
     fn check(&mut self) {
         let mut places: HashMap<TaskId, ExecutorId> = HashMap::new();
         let mut found = Vec::new();
+        found.extend(self.over_cap());
         for (id, executor) in &mut self.executors {
             found.append(&mut executor.broken);
             for (task, run) in &executor.running {
--- a/tests/cell.rs
+++ b/tests/cell.rs
@@ -3,7 +3,9 @@
 use {
     dragonflyferry::{
         core::Resources,
-        fleet::{FleetConfig, JobId, JobSpec, JobView, QueueRule, StepSpec, Submission},
+        fleet::{
+            FleetConfig, JobId, JobSpec, JobView, QueueRule, StepSpec, Submission, TenantRule,
+        },
     },
     rand::{Rng, SeedableRng, rngs::SmallRng},
     standins::{CellWorld, Faults},
@@ -68,7 +70,11 @@
 }
 
 fn world(seed: u64, executors: usize) -> CellWorld {
-    let mut world = CellWorld::new(seed, config());
+    world_of(seed, executors, config())
+}
+
+fn world_of(seed: u64, executors: usize, config: FleetConfig) -> CellWorld {
+    let mut world = CellWorld::new(seed, config);
     for i in 0..executors {
         let rack = format!("r{}", i / 3);
         let capacity = Resources {
@@ -134,6 +140,42 @@
     );
 }
 
+/// An executor of another pool that does not answer a new owner still runs a tenant's tasks.
+#[test]
+fn a_cap_holds_while_an_executor_is_mute_after_a_takeover() {
+    let mut config = config();
+    let cap = Resources {
+        memory_mib: 0,
+        ..need(8_000)
+    };
+    let rule = TenantRule { weight: 100, cap };
+    config.tenants.insert(Arc::from("t"), rule);
+    let mut elsewhere = queue("elsewhere", 1);
+    elsewhere.pool = Arc::from("other");
+    config.queues.push(Arc::new(elsewhere.clone()));
+    let mut world = world_of(1, 4, config);
+    world.add_executor("mute", "other", "r9", need(8_000));
+    world.run(100);
+    let owned = |id, queue: &QueueRule| Submission {
+        queue: queue.clone(),
+        tenant: Some(Arc::from("t")),
+        ..job(id, "urgent", vec![step(2, 4_000, 4_000)])
+    };
+    world.submit(owned(1, &elsewhere));
+    world.run(100);
+    world
+        .executors
+        .values_mut()
+        .for_each(|e| e.cut = !e.running.is_empty());
+    world.replace_owner();
+    world.run(200);
+    world.submit(owned(2, &queue("urgent", 0)));
+    world.run(3_000);
+    assert_eq!(world.broken, Vec::<String>::new());
+    world.run(20_000);
+    assert_eq!(world.view(JobId(2)), Some(JobView::Completed));
+}
+
 /// An executor that left while there was no owner holds up inherited work for 3 s, not for
 /// the longest lease.
 #[test]
--- a/tests/docs.rs
+++ b/tests/docs.rs
@@ -1,7 +1,7 @@
 //! The tables of errors and events in the docs are complete.
 
 use {
-    dragonflyferry::{app::ErrorKind, core::LogEvent},
+    dragonflyferry::{app::ErrorKind, core::LogEvent, fleet::FleetEvent},
     std::{fs, path::Path},
 };
 
@@ -59,3 +59,12 @@
         assert!(page.contains(&row), "{row}");
     }
 }
+
+#[test]
+fn every_event_on_the_platform_is_listed() {
+    let page = doc("EVENTS.md");
+    for event in FleetEvent::ALL {
+        let row = format!("| {} | {event:?} |", event.number());
+        assert!(page.contains(&row), "{row}");
+    }
+}
