The test of the cap after a takeover now fails without the change

Change: the executor has room for both tasks. With the unseen use left out the test now fails (QUOTA: t); with it, all 6 tests pass.

--- a/src/entry/config_watch.rs
+++ b/src/entry/config_watch.rs
@@ -33,7 +33,9 @@
                 Ok((items, next)) if items.iter().any(|i| i.key == CONFIG_KEY) => {
                     shared.store_answered();
                     revision = Some(next);
-                    items.iter().for_each(|item| adopt(&shared, item));
+                    for item in &items {
+                        adopt(&shared, item);
+                    }
                     shared.config_confirmed(sent);
                 }
                 Ok(_) => {
--- a/tests/cell.rs
+++ b/tests/cell.rs
@@ -154,7 +154,11 @@
     elsewhere.pool = Arc::from("other");
     config.queues.push(Arc::new(elsewhere.clone()));
     let mut world = world_of(1, 4, config);
-    world.add_executor("mute", "other", "r9", need(8_000));
+    let capacity = Resources {
+        memory_mib: 10_000,
+        ..need(8_000)
+    };
+    world.add_executor("mute", "other", "r9", capacity);
     world.run(100);
     let owned = |id, queue: &QueueRule| Submission {
         queue: queue.clone(),
