Executors on which nothing moves are noticed from progress

Ruled out: member of a gang standing still, as another may hold it up; runs that last. Change: no percent moved on any run of an executor for 2.5 s: its runs are stopped and go elsewhere, and it gets no new work for 4 s or more. The new test failed before.

--- a/src/fleet/cell_executors.rs
+++ b/src/fleet/cell_executors.rs
@@ -196,6 +196,7 @@
         self.missing_runs(id, sent, &answer.running, now);
         self.drop_foreign(id, &answer.running, now);
         self.unsettled.remove(id);
+        self.move_stuck(id, now);
         if let Some(executor) = self.executors.get_mut(id) {
             executor.hold_due = if executor.unacked.is_empty() {
                 now.mono
@@ -206,6 +207,25 @@
         self.adjust_pace(id, now);
     }
 
+    /// Stops the runs of an executor on which all stand still, so that they go elsewhere.
+    fn move_stuck(&mut self, id: &ExecutorId, now: Now) {
+        let Some(executor) = self.executors.get_mut(id) else {
+            return;
+        };
+        let stuck = executor.stuck(now.mono);
+        if stuck.is_empty() {
+            return;
+        }
+        executor.suspect(now.mono);
+        self.log(
+            FleetEvent::ExecutorSuspected,
+            format!("executor={id}; no run moves; stopped={}", stuck.len()),
+        );
+        for task in stuck {
+            self.stop_run(id, task, now);
+        }
+    }
+
     fn running_row(&mut self, id: &ExecutorId, row: &RunningRow, sent: Millis, now: Now) {
         let Some(executor) = self.executors.get_mut(id) else {
             return;
--- a/src/fleet/cell_runs.rs
+++ b/src/fleet/cell_runs.rs
@@ -495,8 +495,8 @@
         moved_at: now,
         pace: 100,
         fills: spec.fills,
+        ends_alone: !spec.persistent && !spec.gang,
         target_ms: spec.target_ms,
         load: 0,
-        over_since: None,
     }
 }
--- a/src/fleet/executor.rs
+++ b/src/fleet/executor.rs
@@ -18,6 +18,10 @@
 /// fails a twentieth of its tasks, so three in a row are rare.
 const SUSPECT_FAILURES: usize = 3;
 
+/// Time without any progress after which a run counts as stuck, in ms. A run of 14 s on an
+/// executor seven times slower still moves by a percent a second.
+const STUCK_MS: Millis = 2_500;
+
 /// First time that a suspected executor gets no work, in ms; doubles with each suspicion.
 const SUSPECT_MS: Millis = 4_000;
 
@@ -68,12 +72,12 @@
     /// Share of its work that a filler is allowed, in percent.
     pub pace: u32,
     pub fills: bool,
+    /// It ends by itself and needs no others beside it.
+    pub ends_alone: bool,
     /// Bound on the tail of response times, in ms; 0: none.
     pub target_ms: Millis,
     /// Last tail of response times, in ms, or processor use.
     pub load: u64,
-    /// When the tail was last seen to rise above the bound; none while below.
-    pub over_since: Option<Millis>,
 }
 
 /// A clock reading of an executor.
@@ -226,9 +230,7 @@
             return false;
         }
         self.failed_jobs.clear();
-        let time = (SUSPECT_MS << self.suspicions.min(8)).min(SUSPECT_MOST_MS);
-        self.suspicions += 1;
-        self.suspected_until = now + time;
+        self.suspect(now);
         true
     }
 
@@ -237,6 +239,25 @@
         !self.failed_jobs.is_empty() || self.suspicions > 0
     }
 
+    /// Lists the runs that stand still, if no run here moves: the executor hangs. Gangs are left
+    /// out, since a member elsewhere may hold them up, and so are runs that do not end.
+    pub fn stuck(&self, now: Millis) -> Vec<TaskId> {
+        let alone = |r: &&Run| r.stage == RunStage::Confirmed && r.ends_alone && r.percent < 100;
+        let still = |r: &Run| now.saturating_sub(r.moved_at) > STUCK_MS;
+        if !self.runs.values().filter(alone).all(still) {
+            return Vec::new();
+        }
+        let runs = self.runs.iter().filter(|(_, r)| alone(r));
+        runs.map(|(task, _)| *task).collect()
+    }
+
+    /// Gives no new work to the executor for a time, longer with each time.
+    pub fn suspect(&mut self, now: Millis) {
+        let time = (SUSPECT_MS << self.suspicions.min(8)).min(SUSPECT_MOST_MS);
+        self.suspicions += 1;
+        self.suspected_until = now + time;
+    }
+
     /// Forgets an earlier life; returns the runs that `gone` says have ended with it. Orders
     /// that got no answer may have reached the new life or still may.
     pub fn reset(&mut self, gone: impl Fn(&TaskId, &Run) -> bool) -> Vec<(TaskId, Run)> {
--- a/standins/src/cell_executor.rs
+++ b/standins/src/cell_executor.rs
@@ -27,6 +27,7 @@
     pub run: u64,
     pub need: Resources,
     pub duplicates: bool,
+    started: Millis,
     ends: Millis,
     how: RunEnd,
 }
@@ -37,6 +38,8 @@
     pub info: ExecutorInfo,
     /// Whether nothing reaches it.
     pub cut: bool,
+    /// Whether nothing that runs on it moves.
+    pub hung: bool,
     /// Whether the platform lists it.
     pub listed: bool,
     pub running: BTreeMap<TaskId, ExecutorRun>,
@@ -72,6 +75,7 @@
         Self {
             info,
             cut: false,
+            hung: false,
             listed: true,
             running: BTreeMap::new(),
             ended: Vec::new(),
@@ -126,6 +130,16 @@
                 self.done.remove(&row.task);
             }
         }
+        if self.hung {
+            let moving = self
+                .running
+                .values_mut()
+                .filter(|r| r.how != RunEnd::Stopped);
+            for run in moving {
+                run.started += 1;
+                run.ends += 1;
+            }
+        }
         let over =
             |(task, run): (&TaskId, &ExecutorRun)| (run.ends <= now).then_some((*task, run.how));
         let over: Vec<_> = self.running.iter().filter_map(over).collect();
@@ -210,7 +224,7 @@
             task: *task,
             run: run.run,
             checkpoint: Arc::from(""),
-            percent: 50,
+            percent: percent(run, now),
             load: 0,
         };
         HoldAnswer {
@@ -275,9 +289,17 @@
             run: start.run,
             need,
             duplicates: spec.duplicates,
+            started: now,
             ends,
             how: if fails { RunEnd::Failed } else { RunEnd::Done },
         };
         self.running.insert(start.task, run);
     }
 }
+
+/// Returns how much of a run is done, in percent.
+fn percent(run: &ExecutorRun, now: Millis) -> u32 {
+    let whole = run.ends.saturating_sub(run.started).max(1);
+    let gone = now.saturating_sub(run.started);
+    u32::try_from(gone * 100 / whole).unwrap_or(100).min(100)
+}
--- a/tests/cell.rs
+++ b/tests/cell.rs
@@ -140,6 +140,21 @@
     );
 }
 
+/// Tasks on an executor where nothing moves go elsewhere, and nothing new goes there.
+#[test]
+fn runs_that_stand_still_are_moved() {
+    let mut world = world(1, 2);
+    world.submit(job(1, "urgent", vec![step(4, 2_000, 1_000)]));
+    world.run(300);
+    let full = world.executors.values_mut().find(|e| !e.running.is_empty());
+    if let Some(executor) = full {
+        executor.hung = true;
+    }
+    world.run(7_000);
+    assert_eq!(world.view(JobId(1)), Some(JobView::Completed));
+    assert_eq!(world.broken, Vec::<String>::new());
+}
+
 /// An executor of another pool that does not answer a new owner still runs a tenant's tasks.
 #[test]
 fn a_cap_holds_while_an_executor_is_mute_after_a_takeover() {
