Owner, cell and executors split by concern; moves only

Change: entry/takeover.rs and owner_watch.rs; fleet/cell_ends.rs and cell_health.rs; two functions that nothing called are gone. No change in behaviour.

--- a/src/entry/mod.rs
+++ b/src/entry/mod.rs
@@ -11,10 +11,12 @@
 mod membership;
 mod owner;
 mod owner_link;
+mod owner_watch;
 mod peer_message;
 mod peer_server;
 mod shared;
 mod store_keys;
+mod takeover;
 
 pub use {
     committer::Commit,
--- a/src/entry/owner.rs
+++ b/src/entry/owner.rs
@@ -4,15 +4,14 @@
     crate::{
         core::{CallId, Millis},
         entry::{
-            Commit, EntryError, PeerMessage, Shared, advice, clock, committer, event_log::Latency,
-            store_keys as keys,
+            Commit, PeerMessage, Shared, advice, clock, committer, event_log::Latency, owner_watch,
+            takeover,
         },
         fleet::{
             Advised, Cell, CellBounds, CellEffect, CellEvent, EpochRecord, ExecutorId, FleetEvent,
-            Inheritance, JobId, JobProgress, JobRecord, JobView, Now, OLD_OWNER_MS, Order, Roster,
-            Submission,
+            JobId, JobView, Now, OLD_OWNER_MS, Order, Submission,
         },
-        platform::{EXECUTORS_PREFIX, StoreChange, StoreFault, StoreItem, executor_from_entry},
+        platform::StoreFault,
     },
     std::{collections::HashMap, sync::Arc, time::Duration},
     tokio::{
@@ -36,18 +35,6 @@
 /// Time beyond the service's own until a call for advice counts as lost, in ms.
 const ADVICE_TIMEOUT_MS: Millis = 2_000;
 
-/// Time until an unanswered read of the store counts as lost.
-const READ_TIMEOUT: Duration = Duration::from_secs(2);
-
-/// Longest wait of a watch; short, as a connection may go silent unnoticed.
-const WATCH_WAIT: Duration = Duration::from_secs(2);
-
-/// Time between reads of the watch of accepted jobs: it only finds what a lost message hid.
-const WORK_WATCH_PAUSE: Duration = Duration::from_millis(700);
-
-/// Time between attempts after a failed watch.
-const WATCH_PAUSE: Duration = Duration::from_millis(200);
-
 /// One input of the owner's task.
 #[derive(Debug)]
 pub enum OwnerInput {
@@ -102,7 +89,7 @@
     tx: mpsc::UnboundedSender<OwnerInput>,
     mut rx: mpsc::UnboundedReceiver<OwnerInput>,
 ) -> Result<(), StoreFault> {
-    let inherited = inherit(&shared).await?;
+    let inherited = takeover::inherit(&shared).await?;
     let bounds = CellBounds {
         lease_ms: shared.settings.bounds.lease_ms,
         kill_grace_ms: shared.settings.bounds.kill_grace_ms,
@@ -133,11 +120,13 @@
     for event in inherited.executors {
         task.cell.step(event, now);
     }
-    let servers = watch_executors(shared.clone(), tx.clone(), inherited.executors_revision);
+    let servers =
+        owner_watch::watch_executors(shared.clone(), tx.clone(), inherited.executors_revision);
     task.tasks.spawn(servers);
-    let work = watch_work(shared.clone(), tx.clone(), inherited.work_revision);
+    let work = owner_watch::watch_work(shared.clone(), tx.clone(), inherited.work_revision);
     task.tasks.spawn(work);
-    task.tasks.spawn(watch_config(shared.clone(), tx.clone()));
+    task.tasks
+        .spawn(owner_watch::watch_config(shared.clone(), tx.clone()));
     task.set_lanes(now);
     shared.set_local_owner(Some(tx));
     shared.event(FleetEvent::OwnerClaimed, &format!("token={token}"));
@@ -323,213 +312,3 @@
         }
     }
 }
-
-/// What the store holds at a takeover.
-struct Inherited {
-    old: Inheritance,
-    work_revision: u64,
-    executors: Vec<CellEvent>,
-    executors_revision: u64,
-}
-
-/// Reads jobs, progress, roster and executors; the claim came first, so no earlier owner can
-/// change them any more.
-async fn inherit(shared: &Shared) -> Result<Inherited, StoreFault> {
-    let store = &shared.store;
-    let (work, progress, roster, servers) = tokio::try_join!(
-        store.range(keys::WORK, READ_TIMEOUT),
-        store.range(keys::PROGRESS, READ_TIMEOUT),
-        store.get(keys::ROSTER, READ_TIMEOUT),
-        store.range(EXECUTORS_PREFIX, READ_TIMEOUT),
-    )?;
-    let (work, work_revision) = work;
-    let (progress, _) = progress;
-    let (servers, executors_revision) = servers;
-    shared.store_answered();
-    let mut done: HashMap<JobId, JobProgress> = HashMap::new();
-    for item in &progress {
-        let id = item.key.trim_start_matches(keys::PROGRESS).parse();
-        if let (Ok(id), Some(record)) = (id, readable(shared, keys::decode(&item.key, &item.value)))
-        {
-            done.insert(id, record);
-        }
-    }
-    let mut old = Inheritance::default();
-    for item in &work {
-        if let Some(id) = item.key.strip_prefix(keys::CANCELS) {
-            old.cancelled.extend(id.parse::<JobId>());
-        } else if let Some(id) = item.key.strip_prefix(keys::JOBS)
-            && let Ok(id) = id.parse::<JobId>()
-            && let Some(record) =
-                readable(shared, keys::decode::<JobRecord>(&item.key, &item.value))
-        {
-            old.jobs.push((id, record, done.remove(&id)));
-        }
-    }
-    if let Some(item) = roster
-        && let Some(roster) = readable(shared, keys::decode::<Roster>(&item.key, &item.value))
-    {
-        old.roster = roster.executors;
-    }
-    let executors = servers.iter().filter_map(|i| listed(shared, i)).collect();
-    Ok(Inherited {
-        old,
-        work_revision,
-        executors,
-        executors_revision,
-    })
-}
-
-/// Logs a record that cannot be read.
-fn readable<T>(shared: &Shared, record: Result<T, EntryError>) -> Option<T> {
-    match record {
-        Ok(record) => Some(record),
-        Err(e) => {
-            shared.event(FleetEvent::BadEntry, &e.to_string());
-            None
-        }
-    }
-}
-
-fn listed(shared: &Shared, item: &StoreItem) -> Option<CellEvent> {
-    match executor_from_entry(&item.key, &item.value) {
-        Ok(info) => Some(CellEvent::Listed(info)),
-        Err(e) => {
-            shared.event(FleetEvent::BadEntry, &e.to_string());
-            None
-        }
-    }
-}
-
-/// Follows the list of executors.
-async fn watch_executors(
-    shared: Arc<Shared>,
-    tx: mpsc::UnboundedSender<OwnerInput>,
-    mut revision: u64,
-) {
-    let mut known: Vec<String> = Vec::new();
-    loop {
-        let timeout = WATCH_WAIT + READ_TIMEOUT;
-        let answer = shared
-            .store
-            .watch(EXECUTORS_PREFIX, revision, WATCH_WAIT, timeout)
-            .await;
-        match answer {
-            Ok((changes, next)) => {
-                shared.store_answered();
-                revision = next;
-                for change in changes {
-                    executor_changed(&shared, &tx, change);
-                }
-            }
-            Err(fault) => {
-                shared.store_failed();
-                tokio::time::sleep(WATCH_PAUSE).await;
-                if matches!(fault, StoreFault::Busy) {
-                    continue;
-                }
-                if let Ok((items, next)) = shared.store.range(EXECUTORS_PREFIX, READ_TIMEOUT).await
-                {
-                    shared.store_answered();
-                    revision = next;
-                    relist(&shared, &tx, &items, &mut known);
-                }
-            }
-        }
-    }
-}
-
-fn executor_changed(shared: &Shared, tx: &mpsc::UnboundedSender<OwnerInput>, change: StoreChange) {
-    let event = match change {
-        StoreChange::Set(item) => listed(shared, &item),
-        StoreChange::Removed(key) => {
-            let id = key.strip_prefix(EXECUTORS_PREFIX).unwrap_or(&key);
-            Some(CellEvent::Unlisted(Arc::from(id)))
-        }
-    };
-    if let Some(event) = event {
-        let _ = tx.send(OwnerInput::Cell(event));
-    }
-}
-
-/// Takes in the whole list after a gap in the watch.
-fn relist(
-    shared: &Shared,
-    tx: &mpsc::UnboundedSender<OwnerInput>,
-    items: &[StoreItem],
-    known: &mut Vec<String>,
-) {
-    let now: Vec<String> = items.iter().map(|i| i.key.clone()).collect();
-    for key in known.iter().filter(|k| !now.contains(k)) {
-        executor_changed(shared, tx, StoreChange::Removed(key.clone()));
-    }
-    for item in items {
-        executor_changed(shared, tx, StoreChange::Set(item.clone()));
-    }
-    *known = now;
-}
-
-/// Finds jobs and cancellations whose message was lost.
-async fn watch_work(shared: Arc<Shared>, tx: mpsc::UnboundedSender<OwnerInput>, mut revision: u64) {
-    loop {
-        tokio::time::sleep(WORK_WATCH_PAUSE).await;
-        let timeout = WATCH_WAIT + READ_TIMEOUT;
-        let answer = shared
-            .store
-            .watch(keys::WORK, revision, WATCH_WAIT, timeout)
-            .await;
-        match answer {
-            Ok((changes, next)) => {
-                shared.store_answered();
-                revision = next;
-                for change in changes {
-                    if let StoreChange::Set(item) = change {
-                        work_found(&shared, &tx, &item);
-                    }
-                }
-            }
-            Err(StoreFault::Busy) => shared.store_failed(),
-            Err(_) => {
-                shared.store_failed();
-                if let Ok((items, next)) = shared.store.range(keys::WORK, READ_TIMEOUT).await {
-                    shared.store_answered();
-                    revision = next;
-                    for item in &items {
-                        work_found(&shared, &tx, item);
-                    }
-                }
-            }
-        }
-    }
-}
-
-fn work_found(shared: &Shared, tx: &mpsc::UnboundedSender<OwnerInput>, item: &StoreItem) {
-    if let Some(id) = item.key.strip_prefix(keys::CANCELS) {
-        if let Ok(job) = id.parse() {
-            let _ = tx.send(OwnerInput::Cancelled(job));
-        }
-        return;
-    }
-    let record = readable(shared, keys::decode::<JobRecord>(&item.key, &item.value));
-    if let Some(JobRecord::Open(submission)) = record {
-        let _ = tx.send(OwnerInput::Submitted(Box::new(submission)));
-    }
-}
-
-/// Passes new configurations to the cell.
-async fn watch_config(shared: Arc<Shared>, tx: mpsc::UnboundedSender<OwnerInput>) {
-    let mut config = shared.config.subscribe();
-    loop {
-        let newest = config.borrow_and_update().clone();
-        if let Some(newest) = newest
-            && tx
-                .send(OwnerInput::Cell(CellEvent::Config(newest)))
-                .is_err()
-        {
-            return;
-        }
-        if config.changed().await.is_err() {
-            return;
-        }
-    }
-}
--- /dev/null
+++ b/src/entry/owner_watch.rs
@@ -0,0 +1,160 @@
+//! What the owner follows while it is in office: executors, accepted work, configuration.
+
+use {
+    crate::{
+        entry::{
+            OwnerInput, Shared, store_keys as keys,
+            takeover::{READ_TIMEOUT, listed, readable},
+        },
+        fleet::{CellEvent, JobRecord},
+        platform::{EXECUTORS_PREFIX, StoreChange, StoreFault, StoreItem},
+    },
+    std::{sync::Arc, time::Duration},
+    tokio::sync::mpsc,
+};
+
+/// Longest wait of a watch; short, as a connection may go silent unnoticed.
+const WATCH_WAIT: Duration = Duration::from_secs(2);
+
+/// Time between reads of the watch of accepted jobs: it only finds what a lost message hid.
+const WORK_WATCH_PAUSE: Duration = Duration::from_millis(700);
+
+/// Time between attempts after a failed watch.
+const WATCH_PAUSE: Duration = Duration::from_millis(200);
+
+/// Follows the list of executors.
+pub(super) async fn watch_executors(
+    shared: Arc<Shared>,
+    tx: mpsc::UnboundedSender<OwnerInput>,
+    mut revision: u64,
+) {
+    let mut known: Vec<String> = Vec::new();
+    loop {
+        let timeout = WATCH_WAIT + READ_TIMEOUT;
+        let answer = shared
+            .store
+            .watch(EXECUTORS_PREFIX, revision, WATCH_WAIT, timeout)
+            .await;
+        match answer {
+            Ok((changes, next)) => {
+                shared.store_answered();
+                revision = next;
+                for change in changes {
+                    executor_changed(&shared, &tx, change);
+                }
+            }
+            Err(fault) => {
+                shared.store_failed();
+                tokio::time::sleep(WATCH_PAUSE).await;
+                if matches!(fault, StoreFault::Busy) {
+                    continue;
+                }
+                if let Ok((items, next)) = shared.store.range(EXECUTORS_PREFIX, READ_TIMEOUT).await
+                {
+                    shared.store_answered();
+                    revision = next;
+                    relist(&shared, &tx, &items, &mut known);
+                }
+            }
+        }
+    }
+}
+
+fn executor_changed(shared: &Shared, tx: &mpsc::UnboundedSender<OwnerInput>, change: StoreChange) {
+    let event = match change {
+        StoreChange::Set(item) => listed(shared, &item),
+        StoreChange::Removed(key) => {
+            let id = key.strip_prefix(EXECUTORS_PREFIX).unwrap_or(&key);
+            Some(CellEvent::Unlisted(Arc::from(id)))
+        }
+    };
+    if let Some(event) = event {
+        let _ = tx.send(OwnerInput::Cell(event));
+    }
+}
+
+/// Takes in the whole list after a gap in the watch.
+fn relist(
+    shared: &Shared,
+    tx: &mpsc::UnboundedSender<OwnerInput>,
+    items: &[StoreItem],
+    known: &mut Vec<String>,
+) {
+    let now: Vec<String> = items.iter().map(|i| i.key.clone()).collect();
+    for key in known.iter().filter(|k| !now.contains(k)) {
+        executor_changed(shared, tx, StoreChange::Removed(key.clone()));
+    }
+    for item in items {
+        executor_changed(shared, tx, StoreChange::Set(item.clone()));
+    }
+    *known = now;
+}
+
+/// Finds jobs and cancellations whose message was lost.
+pub(super) async fn watch_work(
+    shared: Arc<Shared>,
+    tx: mpsc::UnboundedSender<OwnerInput>,
+    mut revision: u64,
+) {
+    loop {
+        tokio::time::sleep(WORK_WATCH_PAUSE).await;
+        let timeout = WATCH_WAIT + READ_TIMEOUT;
+        let answer = shared
+            .store
+            .watch(keys::WORK, revision, WATCH_WAIT, timeout)
+            .await;
+        match answer {
+            Ok((changes, next)) => {
+                shared.store_answered();
+                revision = next;
+                for change in changes {
+                    if let StoreChange::Set(item) = change {
+                        work_found(&shared, &tx, &item);
+                    }
+                }
+            }
+            Err(StoreFault::Busy) => shared.store_failed(),
+            Err(_) => {
+                shared.store_failed();
+                if let Ok((items, next)) = shared.store.range(keys::WORK, READ_TIMEOUT).await {
+                    shared.store_answered();
+                    revision = next;
+                    for item in &items {
+                        work_found(&shared, &tx, item);
+                    }
+                }
+            }
+        }
+    }
+}
+
+fn work_found(shared: &Shared, tx: &mpsc::UnboundedSender<OwnerInput>, item: &StoreItem) {
+    if let Some(id) = item.key.strip_prefix(keys::CANCELS) {
+        if let Ok(job) = id.parse() {
+            let _ = tx.send(OwnerInput::Cancelled(job));
+        }
+        return;
+    }
+    let record = readable(shared, keys::decode::<JobRecord>(&item.key, &item.value));
+    if let Some(JobRecord::Open(submission)) = record {
+        let _ = tx.send(OwnerInput::Submitted(Box::new(submission)));
+    }
+}
+
+/// Passes new configurations to the cell.
+pub(super) async fn watch_config(shared: Arc<Shared>, tx: mpsc::UnboundedSender<OwnerInput>) {
+    let mut config = shared.config.subscribe();
+    loop {
+        let newest = config.borrow_and_update().clone();
+        if let Some(newest) = newest
+            && tx
+                .send(OwnerInput::Cell(CellEvent::Config(newest)))
+                .is_err()
+        {
+            return;
+        }
+        if config.changed().await.is_err() {
+            return;
+        }
+    }
+}
--- /dev/null
+++ b/src/entry/takeover.rs
@@ -0,0 +1,90 @@
+//! What a new owner reads from the store before it decides anything.
+
+use {
+    crate::{
+        entry::{EntryError, Shared, store_keys as keys},
+        fleet::{CellEvent, FleetEvent, Inheritance, JobId, JobProgress, JobRecord, Roster},
+        platform::{EXECUTORS_PREFIX, StoreFault, StoreItem, executor_from_entry},
+    },
+    std::{collections::HashMap, time::Duration},
+};
+
+/// Time until an unanswered read of the store counts as lost.
+pub(super) const READ_TIMEOUT: Duration = Duration::from_secs(2);
+
+/// What the store holds at a takeover.
+pub(super) struct Inherited {
+    pub old: Inheritance,
+    pub work_revision: u64,
+    pub executors: Vec<CellEvent>,
+    pub executors_revision: u64,
+}
+
+/// Reads jobs, progress, roster and executors; the claim came first, so no earlier owner can
+/// change them any more.
+pub(super) async fn inherit(shared: &Shared) -> Result<Inherited, StoreFault> {
+    let store = &shared.store;
+    let (work, progress, roster, servers) = tokio::try_join!(
+        store.range(keys::WORK, READ_TIMEOUT),
+        store.range(keys::PROGRESS, READ_TIMEOUT),
+        store.get(keys::ROSTER, READ_TIMEOUT),
+        store.range(EXECUTORS_PREFIX, READ_TIMEOUT),
+    )?;
+    let (work, work_revision) = work;
+    let (progress, _) = progress;
+    let (servers, executors_revision) = servers;
+    shared.store_answered();
+    let mut done: HashMap<JobId, JobProgress> = HashMap::new();
+    for item in &progress {
+        let id = item.key.trim_start_matches(keys::PROGRESS).parse();
+        if let (Ok(id), Some(record)) = (id, readable(shared, keys::decode(&item.key, &item.value)))
+        {
+            done.insert(id, record);
+        }
+    }
+    let mut old = Inheritance::default();
+    for item in &work {
+        if let Some(id) = item.key.strip_prefix(keys::CANCELS) {
+            old.cancelled.extend(id.parse::<JobId>());
+        } else if let Some(id) = item.key.strip_prefix(keys::JOBS)
+            && let Ok(id) = id.parse::<JobId>()
+            && let Some(record) =
+                readable(shared, keys::decode::<JobRecord>(&item.key, &item.value))
+        {
+            old.jobs.push((id, record, done.remove(&id)));
+        }
+    }
+    if let Some(item) = roster
+        && let Some(roster) = readable(shared, keys::decode::<Roster>(&item.key, &item.value))
+    {
+        old.roster = roster.executors;
+    }
+    let executors = servers.iter().filter_map(|i| listed(shared, i)).collect();
+    Ok(Inherited {
+        old,
+        work_revision,
+        executors,
+        executors_revision,
+    })
+}
+
+/// Logs a record that cannot be read.
+pub(super) fn readable<T>(shared: &Shared, record: Result<T, EntryError>) -> Option<T> {
+    match record {
+        Ok(record) => Some(record),
+        Err(e) => {
+            shared.event(FleetEvent::BadEntry, &e.to_string());
+            None
+        }
+    }
+}
+
+pub(super) fn listed(shared: &Shared, item: &StoreItem) -> Option<CellEvent> {
+    match executor_from_entry(&item.key, &item.value) {
+        Ok(info) => Some(CellEvent::Listed(info)),
+        Err(e) => {
+            shared.event(FleetEvent::BadEntry, &e.to_string());
+            None
+        }
+    }
+}
--- a/src/fleet/cell.rs
+++ b/src/fleet/cell.rs
@@ -9,7 +9,7 @@
         fleet::{
             CellEffect, CellEvent, CommitQueue, Executor, ExecutorId, FencingToken, FleetConfig,
             FleetEvent, Inheritance, Job, JobEnd, JobId, JobRecord, LIVES_PER_OWNER, Lanes,
-            QueueRule, RunStage, StepId, job::RUNS_PER_TOKEN,
+            QueueRule, StepId, job::RUNS_PER_TOKEN,
         },
     },
     serde::{Deserialize, Serialize},
@@ -283,10 +283,4 @@
             *used = used.minus(need);
         }
     }
-
-    /// Counts runs that are being stopped or not confirmed; for metrics.
-    pub fn unsure_runs(&self) -> usize {
-        let runs = self.executors.values().flat_map(|e| e.runs.values());
-        runs.filter(|r| r.stage != RunStage::Confirmed).count()
-    }
 }
--- a/src/fleet/cell_executors.rs
+++ b/src/fleet/cell_executors.rs
@@ -6,7 +6,7 @@
         fleet::{
             CallFault, Cell, CellEffect, Contact, Executor, ExecutorId, ExecutorInfo, FleetEvent,
             HoldAnswer, HoldOrder, JobId, Now, Order, OrderAnswer, RosterEntry, Run, RunStage,
-            RunningRow, TaskId, executor::ClockReading, policy,
+            RunningRow, TaskId, executor::ClockReading,
         },
     },
     std::sync::Arc,
@@ -194,7 +194,7 @@
             self.running_row(id, row, sent, now);
         }
         self.missing_runs(id, sent, &answer.running, now);
-        self.drop_foreign(id, &answer.running, now);
+        self.drop_foreign(id, &answer.running);
         self.unsettled.remove(id);
         self.move_stuck(id, now);
         if let Some(executor) = self.executors.get_mut(id) {
@@ -204,26 +204,7 @@
                 now.mono + HOLD_UNACKED_MS
             };
         }
-        self.adjust_pace(id, now);
-    }
-
-    /// Stops the runs of an executor on which all stand still, so that they go elsewhere.
-    fn move_stuck(&mut self, id: &ExecutorId, now: Now) {
-        let Some(executor) = self.executors.get_mut(id) else {
-            return;
-        };
-        let stuck = executor.stuck(now.mono);
-        if stuck.is_empty() {
-            return;
-        }
-        executor.suspect(now.mono);
-        self.log(
-            FleetEvent::ExecutorSuspected,
-            format!("executor={id}; no run moves; stopped={}", stuck.len()),
-        );
-        for task in stuck {
-            self.stop_run(id, task, now);
-        }
+        self.adjust_pace(id);
     }
 
     fn running_row(&mut self, id: &ExecutorId, row: &RunningRow, sent: Millis, now: Now) {
@@ -269,7 +250,7 @@
             .entry(row.task)
             .or_insert((row.run, now.mono));
         if ended || known || now.mono > since + FOREIGN_MS {
-            self.order_stop(id, row.task, row.run, now);
+            self.order_stop(id, row.task, row.run);
         }
     }
 
@@ -294,7 +275,7 @@
         }
     }
 
-    fn drop_foreign(&mut self, id: &ExecutorId, rows: &[RunningRow], _now: Now) {
+    fn drop_foreign(&mut self, id: &ExecutorId, rows: &[RunningRow]) {
         if let Some(executor) = self.executors.get_mut(id) {
             executor
                 .foreign
@@ -449,39 +430,6 @@
             }
         }
     }
-
-    /// Slows or speeds up the fillers beside serving tasks.
-    fn adjust_pace(&mut self, id: &ExecutorId, now: Now) {
-        let Some(executor) = self.executors.get_mut(id) else {
-            return;
-        };
-        if !executor.paced() {
-            return;
-        }
-        let serving = executor.runs.values().filter(|r| r.target_ms > 0);
-        let worst = serving.max_by_key(|r| r.load * 1000 / r.target_ms);
-        let Some((tail, target)) = worst.map(|r| (r.load, r.target_ms)) else {
-            return;
-        };
-        let mut orders = Vec::new();
-        for (task, run) in &mut executor.runs {
-            let share = policy::pace(run.pace, tail, target);
-            if run.fills && run.stage == RunStage::Confirmed && share != run.pace {
-                run.pace = share;
-                orders.push((*task, run.number, share));
-            }
-        }
-        let token = self.order_token(id);
-        for (task, run, percent) in orders {
-            let order = Order::Pace {
-                task,
-                run,
-                percent,
-                token,
-            };
-            self.send_order(id, order, now);
-        }
-    }
 }
 
 /// Tells whether a run is surely not on the new life that sent these lists.
@@ -492,11 +440,3 @@
     let answered = matches!(run.stage, RunStage::Confirmed | RunStage::Stopped);
     answered && !there
 }
-
-impl Executor {
-    /// Tells whether a filler runs beside a task with a bound on its tail.
-    fn paced(&self) -> bool {
-        let serving = self.runs.values().any(|r| r.target_ms > 0);
-        serving && self.runs.values().any(|r| r.fills)
-    }
-}
--- /dev/null
+++ b/src/fleet/cell_health.rs
@@ -0,0 +1,65 @@
+//! Executors that hang, and fillers that disturb what serves beside them.
+
+use crate::fleet::{Cell, Executor, ExecutorId, FleetEvent, Now, Order, RunStage, policy};
+
+impl Cell {
+    /// Stops the runs of an executor on which all stand still, so that they go elsewhere.
+    pub(super) fn move_stuck(&mut self, id: &ExecutorId, now: Now) {
+        let Some(executor) = self.executors.get_mut(id) else {
+            return;
+        };
+        let stuck = executor.stuck(now.mono);
+        if stuck.is_empty() {
+            return;
+        }
+        executor.suspect(now.mono);
+        self.log(
+            FleetEvent::ExecutorSuspected,
+            format!("executor={id}; no run moves; stopped={}", stuck.len()),
+        );
+        for task in stuck {
+            self.stop_run(id, task, now);
+        }
+    }
+
+    /// Slows or speeds up the fillers beside serving tasks.
+    pub(super) fn adjust_pace(&mut self, id: &ExecutorId) {
+        let Some(executor) = self.executors.get_mut(id) else {
+            return;
+        };
+        if !executor.paced() {
+            return;
+        }
+        let serving = executor.runs.values().filter(|r| r.target_ms > 0);
+        let worst = serving.max_by_key(|r| r.load * 1000 / r.target_ms);
+        let Some((tail, target)) = worst.map(|r| (r.load, r.target_ms)) else {
+            return;
+        };
+        let mut orders = Vec::new();
+        for (task, run) in &mut executor.runs {
+            let share = policy::pace(run.pace, tail, target);
+            if run.fills && run.stage == RunStage::Confirmed && share != run.pace {
+                run.pace = share;
+                orders.push((*task, run.number, share));
+            }
+        }
+        let token = self.order_token(id);
+        for (task, run, percent) in orders {
+            let order = Order::Pace {
+                task,
+                run,
+                percent,
+                token,
+            };
+            self.send_order(id, order);
+        }
+    }
+}
+
+impl Executor {
+    /// Tells whether a filler runs beside a task with a bound on its tail.
+    pub(super) fn paced(&self) -> bool {
+        let serving = self.runs.values().any(|r| r.target_ms > 0);
+        serving && self.runs.values().any(|r| r.fills)
+    }
+}
--- a/src/fleet/cell_runs.rs
+++ b/src/fleet/cell_runs.rs
@@ -4,9 +4,8 @@
     crate::{
         core::{CallId, Millis},
         fleet::{
-            CallFault, Cell, CellEffect, Contact, EndedRow, ExecutorId, FleetEvent, JobEnd, JobId,
-            Now, Order, Run, RunEnd, RunNumber, RunStage, StartOrder, StepSpec, TaskId,
-            cell_executors::FOREIGN_MS,
+            CallFault, Cell, CellEffect, Contact, ExecutorId, FleetEvent, JobId, Now, Order, Run,
+            RunNumber, RunStage, StartOrder, StepSpec, TaskId,
         },
     },
     std::sync::Arc,
@@ -26,7 +25,7 @@
 
 impl Cell {
     /// Sends an order to an executor; returns the call's number.
-    pub(super) fn send_order(&mut self, id: &ExecutorId, order: Order, _now: Now) -> CallId {
+    pub(super) fn send_order(&mut self, id: &ExecutorId, order: Order) -> CallId {
         let call = self.next_call();
         if let Some(executor) = self.executors.get(id) {
             let repeated = match &order {
@@ -69,7 +68,7 @@
         self.order_start(id, task, now);
     }
 
-    fn step_spec(&self, task: &TaskId) -> Option<&StepSpec> {
+    pub(super) fn step_spec(&self, task: &TaskId) -> Option<&StepSpec> {
         self.jobs.get(&task.step.job)?.spec(task.step.step)
     }
 
@@ -126,7 +125,7 @@
             checkpoint,
             ticket: run.ticket.clone(),
         });
-        let call = self.send_order(id, order, now);
+        let call = self.send_order(id, order);
         self.set_call(id, task, call);
     }
 
@@ -146,20 +145,14 @@
         run.stage = RunStage::Stopping;
         run.stage_at = now.mono;
         let number = run.number;
-        let call = self.order_stop(id, task, number, now);
+        let call = self.order_stop(id, task, number);
         self.set_call(id, task, call);
     }
 
     /// Orders a stop.
-    pub(super) fn order_stop(
-        &mut self,
-        id: &ExecutorId,
-        task: TaskId,
-        run: RunNumber,
-        now: Now,
-    ) -> CallId {
+    pub(super) fn order_stop(&mut self, id: &ExecutorId, task: TaskId, run: RunNumber) -> CallId {
         let token = self.order_token(id);
-        self.send_order(id, Order::Stop { task, run, token }, now)
+        self.send_order(id, Order::Stop { task, run, token })
     }
 
     /// Takes in the answer to a start, stop or pace order.
@@ -257,129 +250,6 @@
         }
     }
 
-    /// Takes in an end; false if it can't be judged yet, as its job may be on its way.
-    pub(super) fn ended_row(&mut self, id: &ExecutorId, row: &EndedRow, now: Now) -> bool {
-        let job = row.task.step.job;
-        let known = self.jobs.contains_key(&job) || self.ended.contains_key(&job);
-        if !known && now.mono < self.since + FOREIGN_MS {
-            return false;
-        }
-        let Some(executor) = self.executors.get_mut(id) else {
-            return false;
-        };
-        if row.number <= executor.seen {
-            return true;
-        }
-        executor.seen = row.number;
-        executor.foreign.remove(&row.task);
-        let counted = self.take_end(id, row, now);
-        if let Some(executor) = self.executors.get_mut(id) {
-            // Also an end that changed nothing waits for the record: another end of the same
-            // gang may have changed it a moment before.
-            executor.unacked.insert(row.number, Some(job));
-        }
-        if counted {
-            self.commits.mark(job);
-        }
-        self.settle_job(job, now);
-        true
-    }
-
-    /// Applies an end to its run and task; tells whether the job's record changed.
-    fn take_end(&mut self, id: &ExecutorId, row: &EndedRow, now: Now) -> bool {
-        let executor = self.executors.get_mut(id);
-        let matching =
-            executor.filter(|e| e.runs.get(&row.task).is_some_and(|r| r.number == row.run));
-        let run = matching.and_then(|e| e.remove_run(&row.task));
-        if let Some(run) = &run {
-            let need = run.need;
-            self.count_use(row.task.step.job, &need, false);
-            self.inactive(id, &row.task);
-            let ran_ms = now.mono.saturating_sub(run.since);
-            self.log(
-                FleetEvent::RunEnded,
-                format!(
-                    "task={} run={} executor={id} end={:?} ran_ms={ran_ms}",
-                    row.task, row.run, row.end
-                ),
-            );
-        }
-        self.note_checkpoint(row.task, &row.checkpoint);
-        match row.end {
-            RunEnd::Done => {
-                if let Some(executor) = self.executors.get_mut(id) {
-                    executor.note_done();
-                }
-                self.task_done(&row.task, now)
-            }
-            RunEnd::Failed => self.task_failed(id, row, now),
-            RunEnd::Broken | RunEnd::Lapsed | RunEnd::Orphaned | RunEnd::Stopped => false,
-        }
-    }
-
-    fn task_done(&mut self, task: &TaskId, now: Now) -> bool {
-        let Some(spec) = self.step_spec(task) else {
-            return false;
-        };
-        if spec.persistent {
-            return false;
-        }
-        let gang = spec.gang;
-        let Some(step) = self.step_mut(task) else {
-            return false;
-        };
-        let mut others = Vec::new();
-        let mut changed = false;
-        for (i, t) in step.tasks.iter_mut().enumerate() {
-            let mine = i == index(task);
-            if (mine || gang) && !t.done {
-                t.done = true;
-                step.done += 1;
-                changed = true;
-            }
-            if mine {
-                others.extend(t.active.iter().cloned());
-            }
-        }
-        for id in others {
-            self.stop_run(&id, *task, now);
-        }
-        changed
-    }
-
-    fn task_failed(&mut self, id: &ExecutorId, row: &EndedRow, now: Now) -> bool {
-        let job = row.task.step.job;
-        if let Some(executor) = self.executors.get_mut(id)
-            && executor.note_failure(job, now.mono)
-        {
-            self.log(
-                FleetEvent::ExecutorSuspected,
-                format!("executor={id}; failures of several jobs in a row"),
-            );
-        }
-        let Some(spec) = self.step_spec(&row.task) else {
-            return false;
-        };
-        if spec.persistent {
-            return false;
-        }
-        let most = self.jobs.get(&job).map_or(1, |j| self.rule(j).max_attempts);
-        let Some(t) = self.task_mut(&row.task) else {
-            return false;
-        };
-        if t.failed_runs.contains(&row.run) {
-            return false;
-        }
-        t.failed_runs.push(row.run);
-        t.failed_on.push(id.clone());
-        let failures = u32::try_from(t.failed_runs.len()).unwrap_or(u32::MAX);
-        let done = t.done;
-        if failures >= most && !done {
-            self.end_job(job, JobEnd::Failed, now);
-        }
-        true
-    }
-
     /// A run is surely over, without an end that tells how.
     pub(super) fn run_lost(&mut self, id: &ExecutorId, task: TaskId, run: &Run, now: Now) {
         let need = run.need;
@@ -454,24 +324,24 @@
         }
     }
 
-    fn inactive(&mut self, id: &ExecutorId, task: &TaskId) {
+    pub(super) fn inactive(&mut self, id: &ExecutorId, task: &TaskId) {
         if let Some(t) = self.task_mut(task) {
             t.active.retain(|e| e != id);
         }
     }
 
-    fn step_mut(&mut self, task: &TaskId) -> Option<&mut crate::fleet::Step> {
+    pub(super) fn step_mut(&mut self, task: &TaskId) -> Option<&mut crate::fleet::Step> {
         let job: JobId = task.step.job;
         let key = (task.step.occurrence, task.step.step);
         self.jobs.get_mut(&job)?.steps.get_mut(&key)
     }
 
-    fn task_mut(&mut self, task: &TaskId) -> Option<&mut crate::fleet::Task> {
+    pub(super) fn task_mut(&mut self, task: &TaskId) -> Option<&mut crate::fleet::Task> {
         self.step_mut(task)?.tasks.get_mut(index(task))
     }
 }
 
-fn index(task: &TaskId) -> usize {
+pub(super) fn index(task: &TaskId) -> usize {
     usize::try_from(task.index).unwrap_or(usize::MAX)
 }
 
--- a/src/fleet/commit_queue.rs
+++ b/src/fleet/commit_queue.rs
@@ -23,7 +23,7 @@
 pub struct CommitQueue {
     /// Jobs whose records differ from the store's.
     dirty: BTreeSet<JobId>,
-    /// Jobs of the commit under way; disjoint from nothing: a job may change meanwhile.
+    /// Jobs of the commit under way; one that changes meanwhile is also dirty again.
     in_flight: Vec<JobId>,
     call: Option<CallId>,
     next_at: Millis,
@@ -89,9 +89,4 @@
         self.roster |= roster;
         None
     }
-
-    /// Tells whether nothing waits to be written.
-    pub fn idle(&self) -> bool {
-        self.call.is_none() && self.dirty.is_empty() && !self.roster
-    }
 }
--- a/src/fleet/mod.rs
+++ b/src/fleet/mod.rs
@@ -6,7 +6,9 @@
 
 mod cell;
 mod cell_advice;
+mod cell_ends;
 mod cell_executors;
+mod cell_health;
 mod cell_jobs;
 mod cell_plan;
 mod cell_preempt;
