--- a/src/app/admin_api.rs
+++ b/src/app/admin_api.rs
@@ -82,7 +82,7 @@
         .route("/ready", get(ready))
         .route("/metrics", get(metrics_text))
         .merge(guarded)
-        .fallback(async || ApiError::new(ErrorKind::UnknownPath, "see docs/OPERATING.md"))
+        .fallback(async || ApiError::new(ErrorKind::UnknownPath, "see docs/OPERATIONS.md"))
         .with_state(shared)
 }
 
