Gangs that can never fit reserve nothing; only work in time reserves

Ruled out: lost advice calls, caps. Change: a step reserves only while it can be in time, and a gang only if it would fit into empty executors. The new test failed before (2 of 3 jobs done).

--- a/src/fleet/cell_plan.rs
+++ b/src/fleet/cell_plan.rs
@@ -33,8 +33,9 @@
         let candidates = self.candidates(now);
         let mut reserved = HashSet::new();
         for candidate in &candidates {
-            let placed = self.place_step(candidate.step, &mut reserved, now);
+            let placed = self.place_step(candidate.step, &reserved, now);
             if !placed && candidate.rank.prospect == Prospect::InTime {
+                self.reserve(candidate.step, &mut reserved);
                 self.preempt(candidate, now);
             }
         }
@@ -71,7 +72,7 @@
     }
 
     /// Places what it can of a step; false if room was missing.
-    fn place_step(&mut self, id: StepId, reserved: &mut HashSet<ExecutorId>, now: Now) -> bool {
+    fn place_step(&mut self, id: StepId, reserved: &HashSet<ExecutorId>, now: Now) -> bool {
         let Some((job, spec, step)) = self.lookup(&id) else {
             return true;
         };
@@ -86,11 +87,7 @@
         } else {
             self.place_each(id, &spec, &waiting, reserved, now)
         };
-        if placed || waiting.is_empty() {
-            return true;
-        }
-        self.reserve(id, &spec, reserved);
-        false
+        placed || waiting.is_empty()
     }
 
     /// Tells whether runs of an earlier owner may exist that have not been seen.
@@ -288,9 +285,10 @@
         unseen
     }
 
-    /// Keeps executors free for a large step that does not fit yet.
-    fn reserve(&self, id: StepId, spec: &StepSpec, reserved: &mut HashSet<ExecutorId>) {
-        let Some((job, _, step)) = self.lookup(&id) else {
+    /// Keeps executors free for a large step that does not fit yet but would fit into empty
+    /// executors.
+    fn reserve(&self, id: StepId, reserved: &mut HashSet<ExecutorId>) {
+        let Some((job, spec, step)) = self.lookup(&id) else {
             return;
         };
         let need = spec.counted();
@@ -304,6 +302,10 @@
             large && good && e.contact == Contact::Open && eligible(e, &rule.pool, spec)
         };
         let mut list: Vec<_> = self.executors.iter().filter(fits).collect();
+        let empty: Vec<Room> = list.iter().map(|(_, e)| empty_room(e)).collect();
+        if spec.gang && fit_all(spec, &empty, &vec![true; empty.len()]).is_none() {
+            return;
+        }
         list.sort_by_key(|(_, e)| {
             let free = e.free();
             std::cmp::Reverse((free.accelerators, free.cpu_milli))
@@ -325,6 +327,17 @@
         && spec.required_label.as_ref().is_none_or(labelled)
 }
 
+/// Returns what an executor would offer if nothing ran there.
+fn empty_room(executor: &Executor) -> Room {
+    Room {
+        free: executor.info.capacity,
+        capacity: executor.info.capacity,
+        doubtful: false,
+        near: true,
+        same_step: 0,
+    }
+}
+
 fn task_of(step: &Step, index: u32) -> Option<&Task> {
     step.tasks.get(usize::try_from(index).ok()?)
 }
--- a/tests/cell.rs
+++ b/tests/cell.rs
@@ -155,6 +155,21 @@
     assert_eq!(world.broken, Vec::<String>::new());
 }
 
+/// A gang wider than the pool keeps no executor free for itself.
+#[test]
+fn a_gang_that_can_never_fit_holds_nothing_up() {
+    let mut world = world(1, 3);
+    let mut wide = step(5, 8_000, 20_000);
+    wide.gang = true;
+    world.submit(job(1, "urgent", vec![wide]));
+    for id in 2..5 {
+        world.submit(job(id, "patient", vec![step(2, 4_000, 1_000)]));
+    }
+    world.run(1_500);
+    let done = (2..5).filter(|id| world.view(JobId(*id)) == Some(JobView::Completed));
+    assert_eq!(done.count(), 3);
+}
+
 /// An executor of another pool that does not answer a new owner still runs a tenant's tasks.
 #[test]
 fn a_cap_holds_while_an_executor_is_mute_after_a_takeover() {
