Why a job waits: reasons in the cell, the operators' routes, and a job's story from the logs

Cause: a refused call left a line without the job's id, so on-call could not get from an id to its cause; of a late job the log told when it started, not what had kept it; nothing on the platform answered an operator. Ruled out: the caller's request as the id of a line, as callers send none beside the job's id. Change: each refusal names job, reason and the ages of store contact and configuration, also 401, 404 and 504. The cell notes what kept a step (advice, cap, gang members, pause, room, takeover) and the next start tells it; 225 JobQueued is the owner's side of an acceptance. `/fleet/node`, `/fleet/summary`, `/fleet/why/JOB` beside the metrics; `fleet nodes|summary|why` and `log explain JOB [FILE...]` in the client (errors 4107, 4108). Placing is unchanged: what used to be "no room" still reserves and preempts. Tests: tests/cell_views.rs, tests/story.rs.

--- a/src/cli/client.rs
+++ b/src/cli/client.rs
@@ -78,6 +78,13 @@
         self.any(Method::GET, path, None::<&()>).await
     }
 
+    /// Reads from every node that was named.
+    pub async fn each<A: DeserializeOwned>(&self, path: &str) -> FromAll<A> {
+        let nodes = self.environment.nodes.iter();
+        self.gather(nodes.map(|n| (n.clone(), n.clone())).collect(), path)
+            .await
+    }
+
     /// Reads from every member that any given node knows of.
     pub async fn all<A: DeserializeOwned>(&self, path: &str) -> Result<FromAll<A>, CliError> {
         let status: StatusView = self.get("/admin/status").await?;
@@ -87,6 +94,14 @@
             .map(|m| (m.id.to_string(), m.admin_address.to_string()))
             .collect();
         nodes.sort();
+        Ok(self.gather(nodes, path).await)
+    }
+
+    async fn gather<A: DeserializeOwned>(
+        &self,
+        nodes: Vec<(String, String)>,
+        path: &str,
+    ) -> FromAll<A> {
         let calls = nodes.iter().map(|(id, address)| async move {
             let answer = self.call::<(), A>(address, Method::GET, path, None).await;
             (id.clone(), answer)
@@ -101,7 +116,7 @@
                 Err(_) => all.missing.push(id),
             }
         }
-        Ok(all)
+        all
     }
 
     /// Reads the configuration.
--- a/src/cli/command.rs
+++ b/src/cli/command.rs
@@ -1,7 +1,7 @@
 //! The commands of the client.
 
 use {
-    crate::cli::{Args, CliError, ExitKind, changes, views},
+    crate::cli::{Args, CliError, ExitKind, changes, fleet, log, views},
     pico_args::Arguments,
     std::fmt::Write,
 };
@@ -16,7 +16,7 @@
 }
 
 /// All commands.
-pub const COMMANDS: [Command; 15] = [
+pub const COMMANDS: [Command; 17] = [
     Command {
         name: "team",
         words: "list | set NAME --share N --limit N | remove NAME",
@@ -101,6 +101,18 @@
         about: "Reports service-level burn",
         example: "dragonflyferry report burn --html burn.html",
     },
+    Command {
+        name: "fleet",
+        words: "nodes | summary | why JOB",
+        about: "Asks nodes on the platform, at their metrics addresses",
+        example: "dragonflyferry --nodes 10.0.0.11:7009 fleet why 0123456789abcdef",
+    },
+    Command {
+        name: "log",
+        words: "explain JOB [FILE...]",
+        about: "Tells a job's story from the nodes' logs, given as files or on standard input",
+        example: "cat node-*.log | dragonflyferry log explain 0123456789abcdef",
+    },
     Command {
         name: "drain",
         words: "ADMIN-ADDRESS",
@@ -177,6 +189,8 @@
         "top" => views::top(args).await,
         "why" => views::why(args).await,
         "report" => views::report(args).await,
+        "fleet" => fleet::fleet(args).await,
+        "log" => log::log(args),
         "drain" => changes::drain(args).await,
         other => Err(CliError::usage(format!("there is no command `{other}`"))),
     }
--- a/src/cli/errors.rs
+++ b/src/cli/errors.rs
@@ -42,6 +42,10 @@
     },
     #[snafu(display("E4106 no data yet: no node has counted a request; send some work first"))]
     NoData,
+    #[snafu(display("E4107 no log line of a daemon on the platform was read; name its log files"))]
+    NoLines,
+    #[snafu(display("E4108 none of the nodes asked is the owner; name all nodes with --nodes"))]
+    NoOwner,
 }
 
 impl CliError {
@@ -56,8 +60,10 @@
     pub fn exit(&self) -> ExitKind {
         match self {
             Self::Usage { .. } => ExitKind::Usage,
-            Self::Unreachable { .. } => ExitKind::Unreachable,
-            Self::Refused { .. } | Self::Write { .. } | Self::NoData => ExitKind::Refused,
+            Self::NoOwner | Self::Unreachable { .. } => ExitKind::Unreachable,
+            Self::Refused { .. } | Self::Write { .. } | Self::NoData | Self::NoLines => {
+                ExitKind::Refused
+            }
             Self::Document { .. } => ExitKind::Document,
             Self::Conflict { .. } => ExitKind::Conflict,
         }
--- /dev/null
+++ b/src/cli/log.rs
@@ -0,0 +1,42 @@
+//! Commands that read the daemons' logs.
+
+use {
+    crate::{
+        cli::{Args, CliError, ExitKind, changes::print},
+        report::{LogLine, Story, Verdict},
+    },
+    std::io::Read,
+};
+
+/// `log explain JOB [FILE...]`
+pub fn log(mut args: Args) -> Result<ExitKind, CliError> {
+    let verb = args.word("verb: explain")?;
+    if verb != "explain" {
+        return Err(CliError::usage(format!("there is no `log {verb}`")));
+    }
+    let job = args.word("job")?;
+    let mut text = String::new();
+    let mut named = false;
+    while let Ok(path) = args.word("file") {
+        named = true;
+        let read = std::fs::read_to_string(&path);
+        text += &read.map_err(|e| CliError::usage(format!("cannot read {path}: {e}")))?;
+        text.push('\n');
+    }
+    args.finish()?;
+    if !named {
+        let read = std::io::stdin().read_to_string(&mut text);
+        read.map_err(|e| CliError::usage(format!("cannot read standard input: {e}")))?;
+    }
+    let lines: Vec<LogLine> = text.lines().filter_map(LogLine::parse).collect();
+    if lines.is_empty() {
+        return Err(CliError::NoLines);
+    }
+    let story = Story::new(&job, &lines);
+    print(args.output, &story, Story::text);
+    Ok(if story.verdict == Verdict::Missing {
+        ExitKind::Refused
+    } else {
+        ExitKind::Done
+    })
+}
--- a/src/cli/mod.rs
+++ b/src/cli/mod.rs
@@ -5,6 +5,8 @@
 mod client;
 mod command;
 mod errors;
+mod fleet;
+mod log;
 mod table;
 mod views;
 
--- a/src/cli/views.rs
+++ b/src/cli/views.rs
@@ -13,7 +13,7 @@
 type Done = Result<ExitKind, CliError>;
 
 /// Notes missing nodes on standard error; returns the exit code that tells of them.
-fn report_missing<T>(all: &FromAll<T>) -> ExitKind {
+pub fn report_missing<T>(all: &FromAll<T>) -> ExitKind {
     if all.missing.is_empty() {
         return ExitKind::Done;
     }
--- a/src/entry/daemon.rs
+++ b/src/entry/daemon.rs
@@ -3,8 +3,8 @@
 use {
     crate::{
         entry::{
-            EntryError, EventLog, Shared, config_watch, front, log_drain, membership, owner_link,
-            peer_server,
+            EntryError, EventLog, Shared, config_watch, front, log_drain, membership, operator,
+            owner_link, peer_server,
         },
         fleet::FleetEvent,
         platform::{NodeSettings, SETTINGS_VARIABLE},
@@ -47,7 +47,7 @@
     tokio::spawn(owner_link::run(shared.clone()));
     let owner = tokio::spawn(membership::own(shared.clone(), lease_rx));
     tokio::spawn(serve(readiness, front::ready_router(shared.clone())));
-    tokio::spawn(serve(metrics, front::metrics_router(shared.clone())));
+    tokio::spawn(serve(metrics, operator::router(shared.clone())));
     let (stop_tx, stop_rx) = watch::channel(false);
     let served = tokio::spawn(serve_until(callers, front::router(shared.clone()), stop_rx));
     until_stopped(&shared).await?;
--- a/src/entry/front.rs
+++ b/src/entry/front.rs
@@ -56,14 +56,6 @@
         .with_state(shared)
 }
 
-/// Returns the operators' metrics.
-pub fn metrics_router(shared: Arc<Shared>) -> Router {
-    let metrics = async |State(shared): State<Arc<Shared>>| shared.metrics();
-    Router::new()
-        .route("/metrics", axum::routing::get(metrics))
-        .with_state(shared)
-}
-
 /// A caller whose queue and key were checked.
 struct Caller {
     queue: Arc<QueueRule>,
@@ -77,11 +69,18 @@
 
 async fn handle(State(shared): State<Arc<Shared>>, req: Request<Body>) -> Answer {
     let Some(config) = shared.fresh_config() else {
-        return refuse(&shared, "configuration not fresh");
+        let named = req.uri().path().rsplit('/').next().unwrap_or("");
+        return refuse(&shared, named, "configuration not fresh");
     };
     let caller = match check(&config, &req) {
         Ok(caller) => caller,
-        Err(status) => return plain(status),
+        Err(status) => {
+            let path = req.uri().path();
+            let version = config.version;
+            let detail = format!("path={path} status={status} config_version={version}");
+            shared.event(FleetEvent::JobRefused, &detail);
+            return plain(status);
+        }
     };
     if caller.rest.is_empty() {
         return count(&shared, &caller).await;
@@ -186,7 +185,8 @@
             Err(StoreFault::Busy) if !unsure => {
                 busy += 1;
                 if busy >= BUSY_TRIES {
-                    return refuse(shared, "the store takes no writes");
+                    let named = id.to_string();
+                    return refuse(shared, &named, "the store takes no writes");
                 }
             }
             Err(_) => {
@@ -212,7 +212,7 @@
         Ok(Some(JobRecord::Ended { end, .. })) => json(state_body(JobView::of_end(end))),
         Ok(Some(JobRecord::Open(_))) => json(state_body(JobView::Pending)),
         Ok(None) => plain(StatusCode::GONE),
-        Err(()) => refuse(shared, "neither owner nor store answer"),
+        Err(()) => refuse(shared, &id.to_string(), "neither owner nor store answer"),
     }
 }
 
@@ -236,7 +236,7 @@
             Ok(Some(JobRecord::Open(_))) => {}
             Ok(Some(JobRecord::Ended { .. })) => return plain(StatusCode::OK),
             Ok(None) => return plain(StatusCode::GONE),
-            Err(()) => return refuse(shared, "the store does not answer"),
+            Err(()) => return refuse(shared, &id.to_string(), "the store does not answer"),
         }
         let txn = Transaction {
             set: vec![(keys::cancel(id), Vec::new(), 0)],
@@ -259,13 +259,15 @@
 async fn count(shared: &Shared, caller: &Caller) -> Answer {
     match shared.ask_waiting(caller.queue.name.clone()).await {
         Some(count) => json(waiting_body(count)),
-        None => refuse(shared, "the owner does not answer"),
+        None => refuse(shared, "none", "the owner does not answer"),
     }
 }
 
-/// Answers that nothing was done and when to come back.
-fn refuse(shared: &Shared, reason: &str) -> Answer {
-    let detail = format!("reason={reason} store_age_ms={}", shared.store_age());
+/// Answers that nothing was done and when to come back; `named` is the job as the call named
+/// it, also where it could not be checked.
+fn refuse(shared: &Shared, named: &str, reason: &str) -> Answer {
+    let (store, config) = (shared.store_age(), shared.config_age());
+    let detail = format!("job={named} reason={reason} store_age_ms={store} config_age_ms={config}");
     shared.event(FleetEvent::JobRefused, &detail);
     let mut answer = plain(StatusCode::SERVICE_UNAVAILABLE);
     let value = header::HeaderValue::from_static(RETRY_AFTER_S);
--- a/src/entry/mod.rs
+++ b/src/entry/mod.rs
@@ -10,6 +10,7 @@
 mod front;
 mod log_drain;
 mod membership;
+mod operator;
 mod owner;
 mod owner_link;
 mod owner_watch;
@@ -26,6 +27,7 @@
     errors::EntryError,
     event_log::{EventLog, LINES_PER_SECOND},
     log_drain::logger,
+    operator::{NodeView, router as operator_router},
     owner::{Claim, OwnerInput},
     owner_link::OwnerLink,
     peer_message::PeerMessage,
--- a/src/entry/owner.rs
+++ b/src/entry/owner.rs
@@ -9,7 +9,7 @@
         },
         fleet::{
             Advised, Cell, CellBounds, CellEffect, CellEvent, EpochRecord, ExecutorId, FleetEvent,
-            JobId, JobView, Now, OLD_OWNER_MS, Order, Submission,
+            FleetView, JobId, JobView, JobWhy, Now, OLD_OWNER_MS, Order, Submission,
         },
         platform::StoreFault,
     },
@@ -45,6 +45,13 @@
         job: JobId,
         tx: oneshot::Sender<Option<JobView>>,
     },
+    AskSummary {
+        tx: oneshot::Sender<FleetView>,
+    },
+    AskWhy {
+        job: JobId,
+        tx: oneshot::Sender<Option<JobWhy>>,
+    },
     AskWaiting {
         queue: Arc<str>,
         tx: oneshot::Sender<u64>,
@@ -182,6 +189,12 @@
             OwnerInput::AskState { job, tx } => {
                 let _ = tx.send(self.cell.view(job));
             }
+            OwnerInput::AskSummary { tx } => {
+                let _ = tx.send(self.cell.summary(now));
+            }
+            OwnerInput::AskWhy { job, tx } => {
+                let _ = tx.send(self.cell.why(job, now));
+            }
             OwnerInput::AskWaiting { queue, tx } => {
                 let _ = tx.send(self.cell.waiting(&queue) as u64);
             }
--- a/src/entry/shared.rs
+++ b/src/entry/shared.rs
@@ -3,7 +3,7 @@
 use {
     crate::{
         core::Millis,
-        entry::{EventLog, OwnerInput, OwnerLink, clock},
+        entry::{EventLog, NodeView, OwnerInput, OwnerLink, clock},
         fleet::{FleetConfig, FleetEvent, NodeRecord, OwnerRecord},
         platform::{ExecutorClient, NodeSettings, StoreClient},
     },
@@ -95,6 +95,11 @@
         clock::mono().saturating_sub(self.state().store_at)
     }
 
+    /// Returns how long ago a read confirmed the configuration, in ms.
+    pub fn config_age(&self) -> Millis {
+        clock::mono().saturating_sub(self.state().config_at)
+    }
+
     /// Notes that a read sent at `sent` confirmed the configuration.
     pub fn config_confirmed(&self, sent: Millis) {
         let mut state = self.state();
@@ -108,8 +113,7 @@
             .bounds
             .revoke_ms
             .saturating_sub(HIDDEN_CHANGE_MS);
-        let age = clock::mono().saturating_sub(self.state().config_at);
-        if age > limit {
+        if self.config_age() > limit {
             return None;
         }
         self.config.borrow().clone()
@@ -120,20 +124,34 @@
         !self.state().draining && self.store_age() < STORE_AWAY_MS && self.fresh_config().is_some()
     }
 
-    /// Returns the node's figures in the usual text format of metrics.
-    pub fn metrics(&self) -> String {
+    /// Returns the node's view of itself.
+    pub fn node_view(&self) -> NodeView {
         let state = self.state();
         let now = clock::mono();
-        let config = self.config.borrow().as_ref().map_or(0, |c| c.version);
-        let gauges = [
-            ("config_version", config),
-            ("config_age_ms", now.saturating_sub(state.config_at)),
-            ("store_age_ms", now.saturating_sub(state.store_at)),
-            ("nodes", state.nodes.len() as u64),
-            ("is_owner", u64::from(state.local_owner.is_some())),
-            ("draining", u64::from(state.draining)),
-        ];
-        self.events.text(&gauges)
+        NodeView {
+            node: self.node.clone(),
+            zone: self.settings.zone.clone(),
+            owner: self.owner.borrow().as_ref().map(|o| o.node.clone()),
+            is_owner: state.local_owner.is_some(),
+            config_version: self.config.borrow().as_ref().map_or(0, |c| c.version),
+            config_age_ms: now.saturating_sub(state.config_at),
+            store_age_ms: now.saturating_sub(state.store_at),
+            nodes: state.nodes.len(),
+            draining: state.draining,
+        }
+    }
+
+    /// Returns the node's figures in the usual text format of metrics.
+    pub fn metrics(&self) -> String {
+        let view = self.node_view();
+        self.events.text(&[
+            ("config_version", view.config_version),
+            ("config_age_ms", view.config_age_ms),
+            ("store_age_ms", view.store_age_ms),
+            ("nodes", view.nodes as u64),
+            ("is_owner", u64::from(view.is_owner)),
+            ("draining", u64::from(view.draining)),
+        ])
     }
 
     /// Begins a graceful stop.
--- a/src/fleet/cell_jobs.rs
+++ b/src/fleet/cell_jobs.rs
@@ -36,6 +36,12 @@
         job.excess = self.exceeds_rate(job.submission.tenant.as_ref(), now.mono);
         job.arrived = now.mono;
         job.due = now.mono + objective(&job);
+        let (inherited, excess) = (job.inherited, job.excess);
+        let due_in_ms = job.due - now.mono;
+        self.log(
+            FleetEvent::JobQueued,
+            format!("job={id} inherited={inherited} excess={excess} due_in_ms={due_in_ms}"),
+        );
         self.jobs.insert(id, job);
         if foreign {
             self.adopt_foreign(id, now);
--- a/src/fleet/cell_plan.rs
+++ b/src/fleet/cell_plan.rs
@@ -4,8 +4,8 @@
     crate::{
         core::{Millis, Resources},
         fleet::{
-            Cell, Contact, Executor, ExecutorId, Job, Now, RunNumber, Step, StepId, StepSpec, Task,
-            TaskId,
+            Blocked, Cell, Contact, Executor, ExecutorId, Job, Now, RunNumber, Step, StepId,
+            StepSpec, Task, TaskId,
             policy::{self, Prospect, Rank, Room},
         },
     },
@@ -33,8 +33,13 @@
         let candidates = self.candidates(now);
         let mut reserved = HashSet::new();
         for candidate in &candidates {
-            let placed = self.place_step(candidate.step, &reserved, now);
-            if !placed && candidate.rank.prospect == Prospect::InTime {
+            let blocked = self.place_step(candidate.step, &reserved, now);
+            self.note_blocked(candidate.step, blocked);
+            let lacks_room = matches!(
+                blocked,
+                Some(Blocked::Advice | Blocked::Members | Blocked::Room)
+            );
+            if lacks_room && candidate.rank.prospect == Prospect::InTime {
                 self.reserve(candidate.step, &mut reserved);
                 self.preempt(candidate, now);
             }
@@ -71,23 +76,43 @@
         list
     }
 
-    /// Places what it can of a step; false if room was missing.
-    fn place_step(&mut self, id: StepId, reserved: &HashSet<ExecutorId>, now: Now) -> bool {
-        let Some((job, spec, step)) = self.lookup(&id) else {
-            return true;
-        };
+    fn note_blocked(&mut self, id: StepId, blocked: Option<Blocked>) {
+        if let Some(job) = self.jobs.get_mut(&id.job) {
+            job.blocked = blocked;
+        }
+    }
+
+    /// Places what it can of a step; returns what kept the rest.
+    fn place_step(
+        &mut self,
+        id: StepId,
+        reserved: &HashSet<ExecutorId>,
+        now: Now,
+    ) -> Option<Blocked> {
+        let (job, spec, step) = self.lookup(&id)?;
         if job.inherited && !spec.duplicates && self.pool_unsettled(&self.rule(job).pool) {
-            return true;
+            return Some(Blocked::Takeover);
         }
         let spec = spec.clone();
         let waiting: Vec<u32> = waiting_tasks(step, now.mono);
-        let placed = if spec.gang {
-            let whole = waiting.len() == step.tasks.len();
-            whole && self.place_gang(id, &spec, reserved, now)
+        if waiting.is_empty() {
+            return Some(Blocked::Pause);
+        }
+        match () {
+            () if !spec.gang => self.place_each(id, &spec, &waiting, reserved, now),
+            () if waiting.len() < step.tasks.len() => Some(Blocked::Members),
+            () => self.place_gang(id, &spec, reserved, now),
+        }
+    }
+
+    /// Returns what a step lacks that found no executor.
+    fn lacking(&self, id: &StepId) -> Blocked {
+        let advised = self.lookup(id).map(|(job, _, _)| self.rule(job).advice);
+        if advised.flatten().is_some() {
+            Blocked::Advice
         } else {
-            self.place_each(id, &spec, &waiting, reserved, now)
-        };
-        placed || waiting.is_empty()
+            Blocked::Room
+        }
     }
 
     /// Tells whether runs of an earlier owner may exist that have not been seen.
@@ -145,7 +170,7 @@
         (ids, rooms)
     }
 
-    /// Places single tasks; false if one found no room.
+    /// Places single tasks; returns what kept the rest.
     fn place_each(
         &mut self,
         id: StepId,
@@ -153,12 +178,12 @@
         waiting: &[u32],
         reserved: &HashSet<ExecutorId>,
         now: Now,
-    ) -> bool {
+    ) -> Option<Blocked> {
         let need = spec.counted();
         let (ids, mut rooms) = self.rooms(&id, reserved, now);
         for index in waiting {
             if !self.within_cap(&id, &need) {
-                return true;
+                return Some(Blocked::Cap);
             }
             let failed_on = self.failed_on(&id, *index);
             let seen: Vec<Room> = rooms
@@ -175,7 +200,7 @@
                 policy::choose(&need, seen.iter())
             };
             let Some(chosen) = chosen else {
-                return false;
+                return Some(self.lacking(&id));
             };
             let room = &mut rooms[chosen];
             room.free = room.free.minus(&need);
@@ -186,22 +211,22 @@
             let number = self.next_run(&id, &[*index]);
             self.start(&ids[chosen], id, *index, number, now);
         }
-        true
+        None
     }
 
-    /// Places all members of a gang or none.
+    /// Places all members of a gang or none; returns what kept them.
     fn place_gang(
         &mut self,
         id: StepId,
         spec: &StepSpec,
         reserved: &HashSet<ExecutorId>,
         now: Now,
-    ) -> bool {
+    ) -> Option<Blocked> {
         let need = spec.counted();
         let mut all = Resources::default();
         (0..spec.count).for_each(|_| all.add(&need));
         if !self.within_cap(&id, &all) {
-            return true;
+            return Some(Blocked::Cap);
         }
         let (ids, rooms) = self.rooms(&id, reserved, now);
         let racks: HashSet<_> = ids
@@ -220,14 +245,14 @@
         }
         let any = vec![true; ids.len()];
         let Some(plan) = plan.or_else(|| fit_all(spec, &rooms, &any)) else {
-            return false;
+            return Some(self.lacking(&id));
         };
         let members: Vec<u32> = (0..spec.count).collect();
         let number = self.next_run(&id, &members);
         for (index, chosen) in members.iter().zip(plan) {
             self.start(&ids[chosen], id, *index, number, now);
         }
-        true
+        None
     }
 
     fn start(&mut self, executor: &ExecutorId, step: StepId, index: u32, run: RunNumber, now: Now) {
--- a/src/fleet/cell_runs.rs
+++ b/src/fleet/cell_runs.rs
@@ -56,15 +56,17 @@
             return;
         };
         let run = new_run(number, RunStage::Ordered, spec, ticket, now.mono);
-        if let Some(job) = self.jobs.get(&task.step.job).filter(|j| !j.started) {
-            let wait_ms = now.mono - job.arrived;
+        let job = self.jobs.get(&task.step.job);
+        let wait_ms = job.filter(|j| !j.started).map(|j| now.mono - j.arrived);
+        let waited = wait_ms.map_or_else(String::new, |ms| format!(" waited_ms={ms}"));
+        let blocked = job.and_then(|j| j.blocked);
+        let blocked = blocked.map_or_else(String::new, |b| format!(" blocked={b:?}"));
+        let detail = format!("task={task} run={number} executor={id}{waited}{blocked}");
+        if let Some(wait_ms) = wait_ms {
             self.effects.push(CellEffect::FirstStart { wait_ms });
         }
         self.track(id, task, run);
-        self.log(
-            FleetEvent::RunStarted,
-            format!("task={task} run={number} executor={id}"),
-        );
+        self.log(FleetEvent::RunStarted, detail);
         self.order_start(id, task, now);
     }
 
--- /dev/null
+++ b/src/fleet/cell_summary.rs
@@ -0,0 +1,85 @@
+//! The fleet in figures, for operators.
+
+use {
+    crate::{
+        core::{Millis, Resources},
+        fleet::{Cell, Contact, Executor, Now},
+    },
+    serde::{Deserialize, Serialize},
+    std::{collections::BTreeMap, sync::Arc},
+};
+
+/// Jobs of one queue.
+#[derive(Clone, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
+pub struct QueueView {
+    /// Jobs that have not started.
+    pub waiting: usize,
+    /// Jobs that have started and not ended.
+    pub active: usize,
+    /// Age of the oldest that has not started.
+    pub oldest_wait_ms: Millis,
+}
+
+/// What one organisation has running, beside its cap; 0 in a cap: none.
+#[derive(Clone, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
+pub struct TenantView {
+    pub used: Resources,
+    pub cap: Resources,
+}
+
+/// The owner's view of the fleet.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct FleetView {
+    pub token: u64,
+    /// Executors by state.
+    pub executors: BTreeMap<Arc<str>, usize>,
+    /// Executors of earlier owners whose runs are not known yet.
+    pub unsettled: usize,
+    pub queues: BTreeMap<Arc<str>, QueueView>,
+    pub tenants: BTreeMap<Arc<str>, TenantView>,
+}
+
+impl Cell {
+    /// Counts executors, jobs and what organisations have running.
+    pub fn summary(&self, now: Now) -> FleetView {
+        let mut executors: BTreeMap<Arc<str>, usize> = BTreeMap::new();
+        for executor in self.executors.values() {
+            let state = Arc::from(state_of(executor, now.mono));
+            *executors.entry(state).or_default() += 1;
+        }
+        let mut queues: BTreeMap<Arc<str>, QueueView> = BTreeMap::new();
+        for job in self.jobs.values().filter(|j| j.end.is_none()) {
+            let queue = queues.entry(job.submission.queue.name.clone()).or_default();
+            if job.started {
+                queue.active += 1;
+            } else {
+                queue.waiting += 1;
+                let age = now.mono.saturating_sub(job.arrived);
+                queue.oldest_wait_ms = queue.oldest_wait_ms.max(age);
+            }
+        }
+        let tenant = |(name, used): (&Arc<str>, &Resources)| {
+            let rule = self.config.tenants.get(name);
+            let cap = rule.map(|r| r.cap).unwrap_or_default();
+            (name.clone(), TenantView { used: *used, cap })
+        };
+        FleetView {
+            token: self.token,
+            executors,
+            unsettled: self.unsettled.len(),
+            queues,
+            tenants: self.tenant_use.iter().map(tenant).collect(),
+        }
+    }
+}
+
+fn state_of(executor: &Executor, now: Millis) -> &'static str {
+    match () {
+        () if executor.contact == Contact::Opening => "opening",
+        () if executor.contact == Contact::Silent || executor.misses > 0 => "silent",
+        () if !executor.listed => "left",
+        () if executor.info.draining => "draining",
+        () if executor.suspected_until > now => "suspected",
+        () => "open",
+    }
+}
--- a/src/fleet/event.rs
+++ b/src/fleet/event.rs
@@ -261,11 +261,12 @@
     AdviceFailed,
     CommitFailed,
     InvariantBroken,
+    JobQueued,
 }
 
 impl FleetEvent {
     /// All events, in the order of their numbers.
-    pub const ALL: [Self; 25] = [
+    pub const ALL: [Self; 26] = [
         Self::NodeStarted,
         Self::NodeStopping,
         Self::SettingsReloaded,
@@ -291,8 +292,14 @@
         Self::AdviceFailed,
         Self::CommitFailed,
         Self::InvariantBroken,
+        Self::JobQueued,
     ];
 
+    /// Returns the event with a number.
+    pub fn of_number(number: u16) -> Option<Self> {
+        Self::ALL.into_iter().find(|e| e.number() == number)
+    }
+
     /// Returns the number under which the event is catalogued.
     pub fn number(self) -> u16 {
         200 + self as u16
--- a/src/fleet/job.rs
+++ b/src/fleet/job.rs
@@ -4,8 +4,8 @@
     crate::{
         core::Millis,
         fleet::{
-            ExecutorId, JobEnd, JobProgress, RunNumber, StepId, StepProgress, StepSpec, Submission,
-            TaskId, TaskProgress,
+            Blocked, ExecutorId, JobEnd, JobProgress, RunNumber, StepId, StepProgress, StepSpec,
+            Submission, TaskId, TaskProgress,
         },
     },
     std::{
@@ -103,6 +103,8 @@
     pub inherited: bool,
     /// Beyond what is owed to the organisation.
     pub excess: bool,
+    /// What kept its tasks from starting when they were last considered.
+    pub blocked: Option<Blocked>,
     /// Set once the outcome is decided; callers see it when it is durable.
     pub end: Option<JobEnd>,
     pub end_durable: bool,
@@ -120,6 +122,7 @@
             started: progress.is_some(),
             inherited: false,
             excess: false,
+            blocked: None,
             end: None,
             end_durable: false,
         };
--- a/src/fleet/mod.rs
+++ b/src/fleet/mod.rs
@@ -13,6 +13,8 @@
 mod cell_plan;
 mod cell_preempt;
 mod cell_runs;
+mod cell_summary;
+mod cell_why;
 mod commit_queue;
 mod event;
 mod executor;
@@ -26,6 +28,8 @@
 
 pub use {
     cell::{Cell, CellBounds, JobView, Now, OLD_OWNER_MS},
+    cell_summary::{FleetView, QueueView, TenantView},
+    cell_why::{Blocked, JobWhy, StepWhy},
     commit_queue::CommitQueue,
     event::{
         Advised, CallFault, CellEffect, CellEvent, EndedRow, ExecutorInfo, FleetEvent, HoldAnswer,
--- /dev/null
+++ b/src/report/log_line.rs
@@ -0,0 +1,75 @@
+//! Lines of the daemons' logs as read back.
+
+use {
+    crate::{core::Millis, fleet::FleetEvent},
+    serde::Deserialize,
+    std::collections::BTreeMap,
+    time::{OffsetDateTime, format_description::well_known::Rfc3339},
+};
+
+/// One log line.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct LogLine {
+    /// Unix time, in ms.
+    pub at: Millis,
+    pub node: String,
+    pub event: FleetEvent,
+    pub detail: String,
+}
+
+#[derive(Deserialize)]
+struct JsonLine {
+    ts: String,
+    node: String,
+    event: u16,
+    #[serde(default)]
+    detail: String,
+}
+
+impl LogLine {
+    /// Reads a line; text before the first brace, such as a collector's prefix, is skipped.
+    /// None if it is no line of a daemon on the
+    /// platform.
+    pub fn parse(text: &str) -> Option<Self> {
+        let json = &text[text.find('{')?..];
+        let line: JsonLine = serde_json::from_str(json).ok()?;
+        let at = OffsetDateTime::parse(&line.ts, &Rfc3339).ok()?;
+        Some(Self {
+            at: u64::try_from(at.unix_timestamp_nanos() / 1_000_000).ok()?,
+            node: line.node,
+            event: FleetEvent::of_number(line.event)?,
+            detail: line.detail,
+        })
+    }
+
+    /// Splits the detail into fields; words without `=` belong to the field before them.
+    pub fn fields(&self) -> BTreeMap<&str, String> {
+        let mut fields: BTreeMap<&str, String> = BTreeMap::new();
+        let mut last = "";
+        for word in self.detail.split_whitespace() {
+            let word = word.trim_end_matches(';');
+            if let Some((name, value)) = word.split_once('=') {
+                last = name;
+                fields.insert(name, value.to_owned());
+            } else {
+                let value = fields.entry(last).or_default();
+                if !value.is_empty() {
+                    value.push(' ');
+                }
+                value.push_str(word);
+            }
+        }
+        fields
+    }
+
+    /// Tells whether the line names a job, or a step or task of it.
+    pub fn names(&self, job: &str) -> bool {
+        let fields = self.fields();
+        let named = |field: &str| {
+            let value = fields.get(field).map(String::as_str);
+            value.is_some_and(|v| v.split('.').next() == Some(job))
+        };
+        ["job", "step", "task"].into_iter().any(named)
+            || fields.get("path").is_some_and(|p| p.ends_with(job))
+    }
+}
--- /dev/null
+++ b/tests/cell_views.rs
@@ -0,0 +1,171 @@
+//! What operators are told of the fleet and of a job that waits.
+
+use {
+    axum::{body::Body, http::Request},
+    dragonflyferry::{
+        core::Resources,
+        entry::{EventLog, Shared, logger, operator_router},
+        fleet::{
+            Blocked, FleetConfig, JobId, JobSpec, Now, QueueRule, StepSpec, Submission, TenantRule,
+        },
+        platform::NodeSettings,
+    },
+    http_body_util::BodyExt,
+    standins::CellWorld,
+    std::sync::Arc,
+    tower::ServiceExt,
+};
+
+fn need(cpu_milli: u32) -> Resources {
+    Resources {
+        cpu_milli,
+        memory_mib: 100,
+        accelerators: 0,
+        slots: 0,
+    }
+}
+
+fn queue() -> QueueRule {
+    QueueRule {
+        name: Arc::from("urgent"),
+        host: Arc::from("h"),
+        prefix: Arc::from("/urgent/"),
+        pool: Arc::from("pool"),
+        priority: 0,
+        max_attempts: 4,
+        stretch_milli: 1_500,
+        objective_ms: 250,
+        advice: None,
+        public: true,
+    }
+}
+
+/// An organisation with 8 cores, on three executors of 8 cores.
+fn world() -> CellWorld {
+    let rule = TenantRule {
+        weight: 100,
+        cap: Resources {
+            memory_mib: 0,
+            ..need(8_000)
+        },
+    };
+    let config = FleetConfig {
+        version: 1,
+        queues: vec![Arc::new(queue())],
+        tenants: [(Arc::from("t"), rule)].into(),
+        body_bytes: 10_000,
+        ..FleetConfig::default()
+    };
+    let mut world = CellWorld::new(1, config);
+    for name in ["e1", "e2", "e3"] {
+        let capacity = Resources {
+            memory_mib: 10_000,
+            ..need(8_000)
+        };
+        world.add_executor(name, "pool", "r", capacity);
+    }
+    world.run(200);
+    world
+}
+
+fn job(id: u64, tenant: Option<&str>, count: u32, cpu_milli: u32) -> Submission {
+    Submission {
+        id: JobId(id),
+        queue: queue(),
+        tenant: tenant.map(Arc::from),
+        accepted_unix_ms: 0,
+        spec: JobSpec {
+            payload: Arc::from("text"),
+            steps: vec![StepSpec {
+                count,
+                need: need(cpu_milli),
+                estimate_ms: 5_000,
+                ..StepSpec::default()
+            }],
+            schedule: None,
+        },
+    }
+}
+
+fn now(world: &CellWorld) -> Now {
+    Now {
+        mono: world.now,
+        unix: 0,
+    }
+}
+
+#[test]
+fn a_job_at_its_cap_and_one_without_room_say_so() {
+    let mut world = world();
+    world.submit(job(1, Some("t"), 2, 4_000));
+    world.run(50);
+    world.submit(job(2, Some("t"), 1, 1_000));
+    world.submit(job(3, None, 3, 8_000));
+    let gone = world.executors.values_mut().last().expect("executor");
+    gone.cut = true;
+    world.run(2_000);
+    let at_cap = world.cell.why(JobId(2), now(&world)).expect("known");
+    assert_eq!(at_cap.blocked, Some(Blocked::Cap));
+    let no_room = world.cell.why(JobId(3), now(&world)).expect("known");
+    assert_eq!(no_room.blocked, Some(Blocked::Room));
+    insta::assert_yaml_snapshot!(no_room);
+    insta::assert_yaml_snapshot!(world.cell.summary(now(&world)));
+    assert_eq!(world.cell.why(JobId(9), now(&world)), None);
+}
+
+#[test]
+fn a_takeover_is_named_as_the_cause() {
+    let mut world = world();
+    world.submit(job(1, None, 1, 1_000));
+    world.run(50);
+    world.executors.values_mut().for_each(|e| e.cut = true);
+    world.replace_owner();
+    world.submit(job(2, None, 1, 1_000));
+    world.run(500);
+    let why = world.cell.why(JobId(2), now(&world)).expect("known");
+    assert_eq!(why.blocked, Some(Blocked::Takeover));
+    assert!(world.cell.summary(now(&world)).unsettled > 0);
+}
+
+const SETTINGS: &str = r#"
+node = "edge-a-1"
+zone = "a"
+portRange = [7180, 7195]
+[listen]
+front = "127.0.0.1:1"
+ready = "127.0.0.1:2"
+[bounds]
+holdMaxMs = 6000
+killGraceMs = 200
+graceS = 6
+status_s = 120
+revokeMs = 5000
+[platform]
+address = "127.0.0.1:3"
+ttlMinMs = 1000
+"#;
+
+async fn answer(path: &str) -> (u16, String) {
+    let settings = NodeSettings::from_toml(SETTINGS).expect("settings");
+    let (log, dropped) = logger("n1", std::io::sink());
+    let events = EventLog::new(log, dropped);
+    let shared = Arc::new(Shared::new(settings, Arc::from("n1"), events));
+    let req = Request::get(path).body(Body::empty()).expect("request");
+    let resp = operator_router(shared).oneshot(req).await.expect("answer");
+    let status = resp.status().as_u16();
+    let body = resp.into_body().collect().await.expect("body").to_bytes();
+    (status, String::from_utf8_lossy(&body).into_owned())
+}
+
+#[tokio::test]
+async fn a_node_that_is_not_the_owner_says_so() {
+    let (status, body) = answer("/fleet/node").await;
+    assert_eq!(status, 200);
+    assert!(body.contains(r#""is_owner":false"#), "{body}");
+    assert_eq!(answer("/fleet/summary").await.0, 421);
+    assert_eq!(answer("/fleet/why/0123456789abcdef").await.0, 421);
+    assert_eq!(answer("/fleet/why/x").await.0, 400);
+    let (status, body) = answer("/metrics").await;
+    assert_eq!(status, 200);
+    assert!(body.contains("dragonflyferry_is_owner 0"), "{body}");
+}
--- /dev/null
+++ b/tests/story.rs
@@ -0,0 +1,128 @@
+//! A job's story from the logs: refused, accepted and late, outcome not known.
+
+use dragonflyferry::{
+    fleet::FleetEvent,
+    report::{LogLine, Story, Verdict},
+};
+
+const JOB: &str = "0123456789abcdef";
+
+fn line(ms: u32, node: &str, event: FleetEvent, detail: &str) -> LogLine {
+    let text = format!(
+        "{node} {{\"msg\":\"{event:?}\",\"level\":\"INFO\",\"ts\":\"2026-07-02T12:06:{:02}.{:03}Z\",\
+         \"node\":\"{node}\",\"detail\":\"{detail}\",\"event\":{}}}",
+        ms / 1000,
+        ms % 1000,
+        event.number()
+    );
+    LogLine::parse(&text).expect("line")
+}
+
+#[test]
+fn a_refusal_names_its_cause_and_what_happened_around_it() {
+    let refused =
+        format!("job={JOB} reason=configuration not fresh store_age_ms=3600 config_age_ms=3700");
+    let lines = [
+        line(13_000, "n2", FleetEvent::StoreLost, "age_ms=2600"),
+        line(12_500, "n1", FleetEvent::StoreLost, "age_ms=2600"),
+        line(13_500, "n1", FleetEvent::JobRefused, &refused),
+        line(
+            13_600,
+            "n1",
+            FleetEvent::JobRefused,
+            "job=fedcba9876543210 reason=other",
+        ),
+    ];
+    let story = Story::new(JOB, &lines);
+    assert_eq!(story.verdict, Verdict::Refused);
+    insta::assert_snapshot!(story.text());
+}
+
+#[test]
+fn a_late_job_is_told_over_all_nodes_in_order_of_time() {
+    let started =
+        format!("task={JOB}.0.0.0 run=1048577 executor=i-1 waited_ms=3100 blocked=Takeover");
+    let lines = [
+        line(14_200, "n2", FleetEvent::RunStarted, &started),
+        line(
+            10_000,
+            "n1",
+            FleetEvent::JobAccepted,
+            &format!("job={JOB} queue=q"),
+        ),
+        line(11_000, "n2", FleetEvent::OwnerClaimed, "token=2"),
+        line(
+            11_100,
+            "n2",
+            FleetEvent::JobQueued,
+            &format!("job={JOB} inherited=true excess=false due_in_ms=1130"),
+        ),
+        line(
+            14_100,
+            "n2",
+            FleetEvent::ExecutorOpened,
+            "executor=i-1 running=0",
+        ),
+        line(
+            14_100,
+            "n2",
+            FleetEvent::ExecutorOpened,
+            "executor=i-9 running=0",
+        ),
+        line(
+            15_200,
+            "n2",
+            FleetEvent::RunEnded,
+            &format!("task={JOB}.0.0.0 run=1048577 executor=i-1 end=Done ran_ms=990"),
+        ),
+        line(
+            15_210,
+            "n2",
+            FleetEvent::JobEnded,
+            &format!("job={JOB} end=Completed"),
+        ),
+    ];
+    let story = Story::new(JOB, &lines);
+    assert_eq!(story.verdict, Verdict::Ended);
+    assert_eq!(story.longest_pause.map(|(ms, _)| ms), Some(3_100));
+    insta::assert_snapshot!(story.text());
+}
+
+#[test]
+fn an_unknown_outcome_is_settled_by_what_follows() {
+    let unknown = line(
+        10_000,
+        "n1",
+        FleetEvent::JobRefused,
+        &format!("job={JOB} reason=outcome of a write not known"),
+    );
+    let story = Story::new(JOB, std::slice::from_ref(&unknown));
+    assert_eq!(story.verdict, Verdict::OutcomeUnknown);
+    let queued = format!("job={JOB} inherited=false excess=false due_in_ms=250");
+    let lines = [line(10_400, "n2", FleetEvent::JobQueued, &queued), unknown];
+    assert_eq!(Story::new(JOB, &lines).verdict, Verdict::Accepted);
+}
+
+#[test]
+fn lines_of_others_and_text_that_is_no_line_are_left_out() {
+    assert_eq!(LogLine::parse("no line"), None);
+    assert_eq!(
+        LogLine::parse("{\"ts\":\"yesterday\",\"node\":\"n\",\"event\":210}"),
+        None
+    );
+    assert_eq!(
+        LogLine::parse("{\"ts\":\"2026-07-02T12:06:45Z\",\"node\":\"n\",\"event\":9999}"),
+        None
+    );
+    let story = Story::new(
+        JOB,
+        &[line(
+            1,
+            "n1",
+            FleetEvent::JobAccepted,
+            "job=fedcba9876543210",
+        )],
+    );
+    assert_eq!(story.verdict, Verdict::Missing);
+    assert_eq!(story.text(), format!("No line names {JOB}.\n"));
+}
