--- a/src/cli/changes.rs
+++ b/src/cli/changes.rs
@@ -5,10 +5,11 @@
         cli::{Args, CliError, Client, ExitKind, OutputFormat, Table},
         conf::{ConfError, Document, digest},
         core::{AdminReply, Config, ConfigChange, KeyGrant, TeamLimits, TeamName},
+        platform::NodeSettings,
     },
     hyper::Method,
     serde::Serialize,
-    std::sync::Arc,
+    std::{path::PathBuf, sync::Arc},
 };
 
 type Done = Result<ExitKind, CliError>;
@@ -142,8 +143,17 @@
     Ok(Document::from_yaml(&text)?)
 }
 
-/// `check FILE`
+/// `check FILE`: a document in YAML, or the platform's settings of a node in TOML.
 pub fn check(mut args: Args) -> Done {
+    let settings: Option<PathBuf> = args.rest.opt_value_from_str("--settings")?;
+    if let Some(path) = settings {
+        args.finish()?;
+        let settings = NodeSettings::read(&path)?;
+        print(args.output, &settings.vm, |vm| {
+            format!("the settings of {vm} are good\n")
+        });
+        return Ok(ExitKind::Done);
+    }
     let document = read_document(&mut args)?;
     args.finish()?;
     print(args.output, &document.queues.len(), |n| {
--- a/src/cli/command.rs
+++ b/src/cli/command.rs
@@ -31,8 +31,8 @@
     },
     Command {
         name: "check",
-        words: "FILE",
-        about: "Checks a document without a node",
+        words: "FILE | --settings FILE",
+        about: "Checks a document, or the platform's settings of a node, without a node",
         example: "dragonflyferry check league.yaml",
     },
     Command {
--- a/src/cli/errors.rs
+++ b/src/cli/errors.rs
@@ -1,7 +1,7 @@
 //! Errors and exit codes of the client; the numbers are in docs/ERRORS.md.
 
 use {
-    crate::{conf::ConfError, net::NetError},
+    crate::{conf::ConfError, net::NetError, platform::PlatformError},
     snafu::Snafu,
 };
 
@@ -33,6 +33,8 @@
     Refused { message: String },
     #[snafu(display("{source}"))]
     Document { source: ConfError },
+    #[snafu(display("{source}"))]
+    Settings { source: PlatformError },
     #[snafu(display("E4104 {message}; run `dragonflyferry history`, then try again"))]
     Conflict { message: String },
     #[snafu(display("E4105 cannot write {path}: {source}"))]
@@ -64,7 +66,7 @@
             Self::Refused { .. } | Self::Write { .. } | Self::NoData | Self::NoLines => {
                 ExitKind::Refused
             }
-            Self::Document { .. } => ExitKind::Document,
+            Self::Document { .. } | Self::Settings { .. } => ExitKind::Document,
             Self::Conflict { .. } => ExitKind::Conflict,
         }
     }
@@ -82,6 +84,12 @@
     }
 }
 
+impl From<PlatformError> for CliError {
+    fn from(source: PlatformError) -> Self {
+        Self::Settings { source }
+    }
+}
+
 impl From<NetError> for CliError {
     fn from(e: NetError) -> Self {
         let NetError::BadAnswer { message, .. } = &e else {
--- a/src/entry/mod.rs
+++ b/src/entry/mod.rs
@@ -29,7 +29,7 @@
     log_drain::logger,
     operator::{NodeView, router as operator_router},
     owner::{Claim, OwnerInput},
-    owner_link::OwnerLink,
+    owner_link::{OwnerLink, reconnect_pause},
     peer_message::PeerMessage,
     shared::Shared,
     store_calls::{StoreCall, StoreOutcome},
--- a/src/entry/owner_link.rs
+++ b/src/entry/owner_link.rs
@@ -22,9 +22,19 @@
 /// Time to establish a connection to the owner.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
 
-/// Time between attempts to reach the owner.
+/// Time between the first attempts to reach the owner.
 const RECONNECT_PAUSE: Duration = Duration::from_millis(100);
 
+/// Attempts at that pace: a new owner reads the store for up to 0.7 s before it serves.
+const QUICK_ATTEMPTS: u32 = 8;
+
+/// Longest time between attempts; a node that does not hear of a new owner, as its store is
+/// cut off, goes on calling the old one.
+const LONGEST_RECONNECT_PAUSE: Duration = Duration::from_millis(1_600);
+
+/// Time after which a connection counts as good, in ms.
+const SETTLED_MS: Millis = 1_000;
+
 /// Time between messages that show the connection alive.
 const PING_INTERVAL: Duration = Duration::from_millis(300);
 
@@ -152,6 +162,7 @@
 /// Keeps a connection to whichever node is the owner.
 pub async fn run(shared: Arc<Shared>) {
     let mut owner = shared.owner.subscribe();
+    let mut attempts = 0;
     loop {
         let record = owner.borrow_and_update().clone();
         let Some(record) = record.filter(|r| r.node != shared.node) else {
@@ -160,15 +171,31 @@
             }
             continue;
         };
+        let began = clock::mono();
         tokio::select! {
-            () = connect(&shared, &record) => {}
-            changed = owner.changed() => if changed.is_err() { return },
+            () = connect(&shared, &record) => attempts += 1,
+            changed = owner.changed() => {
+                if changed.is_err() { return }
+                attempts = 0;
+            }
         }
         shared.link.connected(None);
-        tokio::time::sleep(RECONNECT_PAUSE).await;
+        if clock::mono() > began + SETTLED_MS {
+            attempts = 0;
+        }
+        tokio::select! {
+            () = tokio::time::sleep(reconnect_pause(attempts)) => {}
+            _ = owner.changed() => attempts = 0,
+        }
     }
 }
 
+/// Returns how long to wait after so many connections in a row that broke at once.
+pub fn reconnect_pause(attempts: u32) -> Duration {
+    let doublings = attempts.saturating_sub(QUICK_ATTEMPTS).min(8);
+    (RECONNECT_PAUSE * (1 << doublings)).min(LONGEST_RECONNECT_PAUSE)
+}
+
 /// Connects and serves one connection until it breaks or goes silent.
 async fn connect(shared: &Arc<Shared>, record: &OwnerRecord) {
     let dial = TcpStream::connect(&*record.address);
--- a/src/report/story.rs
+++ b/src/report/story.rs
@@ -28,6 +28,8 @@
     pub text: String,
     /// Told by the job itself, not by what happened around it.
     pub own: bool,
+    /// Later lines of the same event and node that were left out, and the time of the last.
+    pub repeated: Option<(usize, Millis)>,
 }
 
 /// How a job's call ended, as far as the logs tell.
@@ -73,7 +75,9 @@
         let around = lines
             .iter()
             .filter(|l| window.contains(&l.at) && touches(l, &executors, &nodes));
-        let mut sentences: Vec<Sentence> = around.map(|l| sentence(l, false)).collect();
+        let mut around: Vec<&LogLine> = around.collect();
+        around.sort_by_key(|l| l.at);
+        let mut sentences = without_repeats(&around);
         sentences.extend(own.iter().map(|l| sentence(l, true)));
         sentences.sort_by_key(|s| s.at);
         let pauses = own.windows(2).map(|w| (w[1].at - w[0].at, w[0].at));
@@ -106,11 +110,16 @@
             };
             let mark = if s.own { ' ' } else { '|' };
             let at = format!("{sign}{}.{:03}", ms / 1000, ms % 1000);
-            let _ = writeln!(
+            let _ = write!(
                 text,
                 "{at:>9} s {mark} {} ({}: {})",
                 s.text, s.node, s.event
             );
+            if let Some((times, until)) = s.repeated {
+                let ms = until.saturating_sub(s.at);
+                let _ = write!(text, ", {times} more in {ms} ms");
+            }
+            text.push('\n');
         }
         if let Some((ms, at)) = self.longest_pause {
             let after = at.saturating_sub(start);
@@ -135,10 +144,7 @@
         | FleetEvent::StoreRegained
         | FleetEvent::PeerConnected
         | FleetEvent::PeerLost => nodes.contains(line.node.as_str()),
-        FleetEvent::ExecutorOpened
-        | FleetEvent::ExecutorSilent
-        | FleetEvent::ExecutorSuspected
-        | FleetEvent::ExecutorRestarted => {
+        event if is_of_executor(event) => {
             let named = line.fields().remove("executor");
             named.is_none_or(|e| executors.contains(&e))
         }
@@ -146,6 +152,16 @@
     }
 }
 
+fn is_of_executor(event: FleetEvent) -> bool {
+    matches!(
+        event,
+        FleetEvent::ExecutorOpened
+            | FleetEvent::ExecutorSilent
+            | FleetEvent::ExecutorSuspected
+            | FleetEvent::ExecutorRestarted
+    )
+}
+
 fn verdict(own: &[&LogLine]) -> Verdict {
     let has = |event| own.iter().any(|l| l.event == event);
     let stored =
@@ -211,7 +227,29 @@
         event: line.event.number(),
         text,
         own,
+        repeated: None,
+    }
+}
+
+/// Tells events around a job, each kind once for a node.
+fn without_repeats(around: &[&LogLine]) -> Vec<Sentence> {
+    let mut sentences: Vec<Sentence> = Vec::new();
+    for line in around {
+        let next = sentence(line, false);
+        // What happens to executors differs by executor.
+        let same = |s: &&mut Sentence| {
+            let executors = is_of_executor(line.event);
+            s.event == next.event && s.node == next.node && (!executors || s.text == next.text)
+        };
+        match sentences.iter_mut().find(same) {
+            Some(first) => {
+                let (times, _) = first.repeated.unwrap_or_default();
+                first.repeated = Some((times + 1, next.at));
+            }
+            None => sentences.push(next),
+        }
     }
+    sentences
 }
 
 type Fields<'a> = std::collections::BTreeMap<&'a str, String>;
--- a/tests/cell_views.rs
+++ b/tests/cell_views.rs
@@ -169,3 +169,11 @@
     assert_eq!(status, 200);
     assert!(body.contains("dragonflyferry_is_owner 0"), "{body}");
 }
+
+/// A node that calls an owner which is none any more slows down, but not at once.
+#[test]
+fn attempts_to_reach_the_owner_slow_down() {
+    let pause = |attempts| dragonflyferry::entry::reconnect_pause(attempts).as_millis();
+    assert_eq!([pause(0), pause(8)], [100, 100]);
+    assert_eq!([pause(9), pause(11), pause(50)], [200, 800, 1_600]);
+}
--- a/tests/policy.rs
+++ b/tests/policy.rs
@@ -2,7 +2,9 @@
 
 use dragonflyferry::{
     core::Resources,
-    fleet::policy::{Prospect, Rank, Room, Victim, choose, choose_spread, make_room, pace},
+    fleet::policy::{
+        Prospect, Rank, Room, Victim, choose, choose_spread, make_room, pace, round_pause_ms,
+    },
 };
 
 fn amount(cpu_milli: u32, accelerators: u32) -> Resources {
@@ -23,6 +25,15 @@
     }
 }
 
+/// A short queue for a small fleet is decided at once; a long one for a large fleet after
+/// at most 20 ms, far below the shortest objective.
+#[test]
+fn rounds_pause_only_for_long_queues_and_large_fleets() {
+    assert_eq!(round_pause_ms(5, 48), 0);
+    assert_eq!(round_pause_ms(40, 350), 20);
+    assert_eq!(round_pause_ms(100_000, 1_300), 20);
+}
+
 #[test]
 fn a_small_task_fills_the_smallest_gap() {
     let rooms = [
--- a/tests/story.rs
+++ b/tests/story.rs
@@ -88,6 +88,21 @@
     insta::assert_snapshot!(story.text());
 }
 
+#[test]
+fn what_repeats_around_a_job_is_told_once() {
+    let mut lines: Vec<LogLine> = (0..20)
+        .map(|i| line(10_000 + 100 * i, "n1", FleetEvent::PeerLost, "owner=n2"))
+        .collect();
+    let refused = format!("job={JOB} reason=neither owner nor store answer");
+    lines.push(line(11_000, "n1", FleetEvent::JobRefused, &refused));
+    let story = Story::new(JOB, &lines);
+    assert_eq!(story.sentences.len(), 2);
+    assert_eq!(
+        story.sentences[0].repeated.map(|(times, _)| times),
+        Some(19)
+    );
+}
+
 #[test]
 fn an_unknown_outcome_is_settled_by_what_follows() {
     let unknown = line(
