The strongest node owns the cell

Cause: on the grown fleets nodes differ from 0.12 to 0.5 of a core. Ruled out: the store (answers in 4 ms), the network (no connection lost), a longer lease, which would only lengthen the gap after each real loss. Change: the platform's settings state the processor share; nodes publish it beside their address, and claim in the order of strength, then name. An owner that finds a node twice as strong cedes once it has been in office for 0.5 s, not again within 30 s: after a loss of power the first node back claims, however weak. Tests: the succession in tests/cell_views.rs (pure).

--- a/src/entry/membership.rs
+++ b/src/entry/membership.rs
@@ -3,7 +3,10 @@
 use {
     crate::{
         core::Millis,
-        entry::{OwnerInput, Shared, clock, owner, owner::Claim, store_keys as keys},
+        entry::{
+            OwnerInput, Shared, clock, owner, owner::Claim, place_in_succession, should_cede,
+            store_keys as keys,
+        },
         fleet::{EpochRecord, FleetEvent, NodeRecord, OwnerRecord},
         platform::{StoreChange, StoreFault, StoreItem, Transaction},
     },
@@ -33,6 +36,17 @@
 /// Time by which the next node in order waits longer before it claims, so that mostly one does.
 const CLAIM_STAGGER: Duration = Duration::from_millis(60);
 
+/// Time in office after which an owner looks for a much stronger node, in ms: after a loss of
+/// power all nodes are back within about 0.3 s.
+const CEDE_AFTER_MS: Millis = 500;
+
+/// Time that a node which ceded leaves to others before it claims again.
+const CEDE_PAUSE: Duration = Duration::from_secs(1);
+
+/// Time before a node cedes once more, in ms: a stronger node that keeps failing must not
+/// interrupt the starts each time it is back.
+const CEDE_AGAIN_MS: Millis = 30_000;
+
 /// Holds the node's lease and key; publishes the lease's number.
 pub async fn keep_lease(shared: Arc<Shared>, lease: watch::Sender<Option<u64>>) {
     while !shared.draining() {
@@ -67,6 +81,7 @@
     let record = NodeRecord {
         node: shared.node.clone(),
         address: Arc::from(shared.settings.peers.to_string()),
+        cpu_milli: shared.settings.cpu_milli,
     };
     let value = keys::encode(&record).ok()?;
     let txn = Transaction {
@@ -131,6 +146,7 @@
 /// Claims ownership whenever there is no owner, and runs the cell while this node owns it.
 pub async fn own(shared: Arc<Shared>, lease: watch::Receiver<Option<u64>>) {
     let mut view = shared.owner.subscribe();
+    let mut ceded = None;
     loop {
         let vacant = {
             let record = view.borrow_and_update();
@@ -141,7 +157,7 @@
         if let (true, true, Some(id)) = (vacant, ready, id) {
             tokio::time::sleep(stagger(&shared)).await;
             if let Some(claim) = claim(&shared, id).await {
-                hold_office(&shared, claim, &mut view).await;
+                hold_office(&shared, claim, &mut view, &mut ceded).await;
                 continue;
             }
         }
@@ -156,9 +172,8 @@
 
 /// Returns how long this node lets others claim first.
 fn stagger(shared: &Shared) -> Duration {
-    let nodes = shared.nodes();
-    let place = nodes.iter().position(|n| n.node == shared.node);
-    CLAIM_STAGGER * u32::try_from(place.unwrap_or(0)).unwrap_or(0)
+    let place = place_in_succession(&shared.nodes(), &shared.node);
+    CLAIM_STAGGER * u32::try_from(place).unwrap_or(0)
 }
 
 /// Writes owner and epoch if there is no owner; none if another node was first.
@@ -228,8 +243,11 @@
     shared: &Arc<Shared>,
     claim: Claim,
     view: &mut watch::Receiver<Option<OwnerRecord>>,
+    ceded: &mut Option<Millis>,
 ) {
     let token = claim.epoch.token;
+    let began = clock::mono();
+    let may_cede = ceded.is_none_or(|at| began > at + CEDE_AGAIN_MS);
     let (tx, rx) = mpsc::unbounded_channel();
     let run = owner::run(shared.clone(), claim, tx.clone(), rx);
     tokio::pin!(run);
@@ -254,10 +272,26 @@
                 resign(shared, token).await;
                 return;
             }
+            () = outranked(shared, began), if may_cede => {
+                shared.event(FleetEvent::OwnerLost, "ceded to a stronger node");
+                let _ = tx.send(OwnerInput::Deposed);
+                let _ = (&mut run).await;
+                resign(shared, token).await;
+                *ceded = Some(clock::mono());
+                tokio::time::sleep(CEDE_PAUSE).await;
+                return;
+            }
         }
     }
 }
 
+/// Waits until a much stronger node lives, which has had time to settle.
+async fn outranked(shared: &Shared, began: Millis) {
+    while clock::mono() < began + CEDE_AFTER_MS || !should_cede(&shared.nodes(), &shared.node) {
+        tokio::time::sleep(PAUSE).await;
+    }
+}
+
 async fn stopping(shared: &Shared) {
     while !shared.draining() {
         tokio::time::sleep(PAUSE).await;
--- a/src/entry/mod.rs
+++ b/src/entry/mod.rs
@@ -19,6 +19,7 @@
 mod shared;
 mod store_calls;
 mod store_keys;
+mod succession;
 mod takeover;
 
 pub use {
@@ -33,4 +34,5 @@
     peer_message::PeerMessage,
     shared::Shared,
     store_calls::{StoreCall, StoreOutcome},
+    succession::{place_in_succession, should_cede},
 };
--- a/src/fleet/records.rs
+++ b/src/fleet/records.rs
@@ -91,6 +91,8 @@
 pub struct NodeRecord {
     pub node: Arc<str>,
     pub address: Arc<str>,
+    /// Processor time that its VM grants, in thousandths of a core; 0: not known.
+    pub cpu_milli: u32,
 }
 
 /// Executors that an owner may have used; the next owner settles each of them.
--- a/src/platform/settings.rs
+++ b/src/platform/settings.rs
@@ -15,6 +15,9 @@
     /// Name of the VM.
     pub vm: Arc<str>,
     pub zone: Arc<str>,
+    /// Processor time granted, in thousandths of a core as fast as the platform's usual one;
+    /// 0: not stated.
+    pub cpu_milli: u32,
     /// Where callers connect.
     pub callers: SocketAddr,
     /// Where the balancer asks whether the node is ready.
@@ -56,6 +59,8 @@
     platform: WirePlatform,
     advice: Option<SocketAddr>,
     #[serde(default)]
+    limits: WireLimits,
+    #[serde(default)]
     bounds: WireBounds,
 }
 
@@ -73,6 +78,19 @@
     ttl_min_ms: u64,
 }
 
+#[derive(Default, Deserialize)]
+struct WireLimits {
+    #[serde(rename = "cpuShare", default)]
+    cpu_share: f64,
+    /// Speed of a core relative to the usual one; the name misleads, as threads take turns.
+    #[serde(default = "one")]
+    cores: f64,
+}
+
+fn one() -> f64 {
+    1.0
+}
+
 #[derive(Default, Deserialize)]
 struct WireBounds {
     #[serde(rename = "holdMaxMs")]
@@ -122,6 +140,8 @@
         Ok(Self {
             vm: wire.node,
             zone: wire.zone,
+            cpu_milli: u32::try_from(whole_ms(wire.limits.cpu_share * wire.limits.cores * 1000.0))
+                .unwrap_or(u32::MAX),
             callers: wire.listen.front,
             readiness: wire.listen.ready,
             peers: SocketAddr::new(ip, first),
--- a/tests/cell_views.rs
+++ b/tests/cell_views.rs
@@ -177,3 +177,47 @@
     assert_eq!([pause(0), pause(8)], [100, 100]);
     assert_eq!([pause(9), pause(11), pause(50)], [200, 800, 1_600]);
 }
+
+mod succession {
+    use {
+        dragonflyferry::{
+            entry::{place_in_succession, should_cede},
+            fleet::NodeRecord,
+        },
+        std::sync::Arc,
+    };
+
+    fn nodes(strengths: &[(&str, u32)]) -> Vec<NodeRecord> {
+        let node = |(name, cpu_milli): &(&str, u32)| NodeRecord {
+            node: Arc::from(*name),
+            address: Arc::from("10.0.0.1:1"),
+            cpu_milli: *cpu_milli,
+        };
+        strengths.iter().map(node).collect()
+    }
+
+    /// After a loss of the owner the strongest node that lives claims first.
+    #[test]
+    fn the_strongest_claims_first_and_equals_by_name() {
+        let nodes = nodes(&[("a", 120), ("b", 500), ("c", 250), ("d", 500)]);
+        let place = |me| place_in_succession(&nodes, me);
+        assert_eq!(
+            [place("b"), place("d"), place("c"), place("a")],
+            [0, 1, 2, 3]
+        );
+        assert_eq!(place("not listed"), 0);
+    }
+
+    /// After a loss of power the first node back claims, however weak it is.
+    #[test]
+    fn an_owner_gives_way_to_a_much_stronger_node_only() {
+        let mixed = nodes(&[("a", 120), ("b", 500), ("c", 260)]);
+        assert!(should_cede(&mixed, "a"));
+        assert!(!should_cede(&mixed, "b"));
+        assert!(!should_cede(&mixed, "c"));
+        let equal = nodes(&[("a", 250), ("b", 250)]);
+        assert!(!should_cede(&equal, "a"));
+        let unknown = nodes(&[("a", 0), ("b", 500)]);
+        assert!(!should_cede(&unknown, "a"));
+    }
+}
