--- /dev/null
+++ b/standins/src/cell_sample.rs
@@ -0,0 +1,105 @@
+//! Small fleets and jobs for tests of the cell.
+
+use {
+    crate::CellWorld,
+    dragonflyferry::{
+        core::{Millis, Resources},
+        fleet::{FleetConfig, JobId, JobSpec, QueueRule, StepSpec, Submission},
+    },
+    std::sync::Arc,
+};
+
+/// Processor time of each executor of [`world`], in thousandths of a core.
+const EXECUTOR_CPU: u32 = 8_000;
+
+/// Memory of each executor of [`world`], in MiB.
+const EXECUTOR_MEMORY: u32 = 10_000;
+
+/// Executors in a rack of [`world`].
+const RACK: usize = 3;
+
+/// Returns a need of processor time and a little memory.
+pub fn need(cpu_milli: u32) -> Resources {
+    Resources {
+        cpu_milli,
+        memory_mib: 100,
+        accelerators: 0,
+        slots: 0,
+    }
+}
+
+/// Returns what each executor of [`world`] holds.
+pub fn capacity() -> Resources {
+    Resources {
+        memory_mib: EXECUTOR_MEMORY,
+        ..need(EXECUTOR_CPU)
+    }
+}
+
+/// Returns a queue of the pool `pool`, without advice, with 4 attempts.
+pub fn queue(name: &str, priority: u32) -> QueueRule {
+    QueueRule {
+        name: Arc::from(name),
+        host: Arc::from("h"),
+        prefix: Arc::from(format!("/{name}/")),
+        pool: Arc::from("pool"),
+        priority,
+        max_attempts: 4,
+        stretch_milli: 1_500,
+        objective_ms: 250,
+        advice: None,
+        public: true,
+    }
+}
+
+/// Returns a configuration with the queues `urgent` and `patient`.
+pub fn config() -> FleetConfig {
+    FleetConfig {
+        version: 1,
+        queues: vec![Arc::new(queue("urgent", 0)), Arc::new(queue("patient", 2))],
+        body_bytes: 10_000,
+        ..FleetConfig::default()
+    }
+}
+
+/// Returns a step of equal tasks.
+pub fn step(count: u32, cpu_milli: u32, estimate_ms: Millis) -> StepSpec {
+    StepSpec {
+        count,
+        need: need(cpu_milli),
+        estimate_ms,
+        ..StepSpec::default()
+    }
+}
+
+/// Returns a job of one of the queues of [`config`].
+pub fn job(id: u64, queue_name: &str, steps: Vec<StepSpec>) -> Submission {
+    let priority = if queue_name == "urgent" { 0 } else { 2 };
+    Submission {
+        id: JobId(id),
+        queue: queue(queue_name, priority),
+        tenant: None,
+        accepted_unix_ms: 0,
+        spec: JobSpec {
+            payload: Arc::from("text"),
+            steps,
+            schedule: None,
+        },
+    }
+}
+
+/// Returns a world of executors `e0`, `e1`… that are open.
+pub fn world(seed: u64, executors: usize) -> CellWorld {
+    world_of(seed, executors, config())
+}
+
+/// Returns the same with a configuration.
+pub fn world_of(seed: u64, executors: usize, config: FleetConfig) -> CellWorld {
+    let mut world = CellWorld::new(seed, config);
+    for i in 0..executors {
+        let rack = format!("r{}", i / RACK);
+        world.add_executor(&format!("e{i}"), "pool", &rack, capacity());
+    }
+    world.run(200);
+    world
+}
--- a/standins/src/lib.rs
+++ b/standins/src/lib.rs
@@ -4,6 +4,7 @@
 //! several cores with them in one thread under a seeded schedule of failures.
 
 mod cell_executor;
+pub mod cell_sample;
 pub mod cell_world;
 pub mod chaos;
 pub mod fleet;
--- a/tests/cell.rs
+++ b/tests/cell.rs
@@ -3,90 +3,16 @@
 use {
     dragonflyferry::{
         core::Resources,
-        fleet::{
-            FleetConfig, JobId, JobSpec, JobView, QueueRule, StepSpec, Submission, TenantRule,
-        },
+        fleet::{JobId, JobView, QueueRule, StepSpec, Submission, TenantRule},
     },
     rand::{Rng, SeedableRng, rngs::SmallRng},
-    standins::{CellWorld, Faults},
+    standins::{
+        CellWorld, Faults,
+        cell_sample::{config, job, need, queue, step, world, world_of},
+    },
     std::sync::Arc,
 };
 
-fn need(cpu_milli: u32) -> Resources {
-    Resources {
-        cpu_milli,
-        memory_mib: 100,
-        accelerators: 0,
-        slots: 0,
-    }
-}
-
-fn queue(name: &str, priority: u32) -> QueueRule {
-    QueueRule {
-        name: Arc::from(name),
-        host: Arc::from("h"),
-        prefix: Arc::from(format!("/{name}/")),
-        pool: Arc::from("pool"),
-        priority,
-        max_attempts: 4,
-        stretch_milli: 1_500,
-        objective_ms: 250,
-        advice: None,
-        public: true,
-    }
-}
-
-fn config() -> FleetConfig {
-    FleetConfig {
-        version: 1,
-        queues: vec![Arc::new(queue("urgent", 0)), Arc::new(queue("patient", 2))],
-        body_bytes: 10_000,
-        ..FleetConfig::default()
-    }
-}
-
-fn step(count: u32, cpu_milli: u32, estimate_ms: u64) -> StepSpec {
-    StepSpec {
-        count,
-        need: need(cpu_milli),
-        estimate_ms,
-        ..StepSpec::default()
-    }
-}
-
-fn job(id: u64, queue_name: &str, steps: Vec<StepSpec>) -> Submission {
-    let priority = if queue_name == "urgent" { 0 } else { 2 };
-    Submission {
-        id: JobId(id),
-        queue: queue(queue_name, priority),
-        tenant: None,
-        accepted_unix_ms: 0,
-        spec: JobSpec {
-            payload: Arc::from("text"),
-            steps,
-            schedule: None,
-        },
-    }
-}
-
-fn world(seed: u64, executors: usize) -> CellWorld {
-    world_of(seed, executors, config())
-}
-
-fn world_of(seed: u64, executors: usize, config: FleetConfig) -> CellWorld {
-    let mut world = CellWorld::new(seed, config);
-    for i in 0..executors {
-        let rack = format!("r{}", i / 3);
-        let capacity = Resources {
-            memory_mib: 10_000,
-            ..need(8_000)
-        };
-        world.add_executor(&format!("e{i}"), "pool", &rack, capacity);
-    }
-    world.run(200);
-    world
-}
-
 #[test]
 fn steps_run_in_order_and_the_job_completes() {
     let mut world = world(1, 3);
--- a/tests/cell_views.rs
+++ b/tests/cell_views.rs
@@ -5,41 +5,18 @@
     dragonflyferry::{
         core::Resources,
         entry::{EventLog, Shared, logger, operator_router},
-        fleet::{
-            Blocked, FleetConfig, JobId, JobSpec, Now, QueueRule, StepSpec, Submission, TenantRule,
-        },
+        fleet::{Blocked, JobId, Now, Submission, TenantRule},
         platform::NodeSettings,
     },
     http_body_util::BodyExt,
-    standins::CellWorld,
+    standins::{
+        CellWorld,
+        cell_sample::{config, job, need, step, world_of},
+    },
     std::sync::Arc,
     tower::ServiceExt,
 };
 
-fn need(cpu_milli: u32) -> Resources {
-    Resources {
-        cpu_milli,
-        memory_mib: 100,
-        accelerators: 0,
-        slots: 0,
-    }
-}
-
-fn queue() -> QueueRule {
-    QueueRule {
-        name: Arc::from("urgent"),
-        host: Arc::from("h"),
-        prefix: Arc::from("/urgent/"),
-        pool: Arc::from("pool"),
-        priority: 0,
-        max_attempts: 4,
-        stretch_milli: 1_500,
-        objective_ms: 250,
-        advice: None,
-        public: true,
-    }
-}
-
 /// An organisation with 8 cores, on three executors of 8 cores.
 fn world() -> CellWorld {
     let rule = TenantRule {
@@ -49,41 +26,15 @@
             ..need(8_000)
         },
     };
-    let config = FleetConfig {
-        version: 1,
-        queues: vec![Arc::new(queue())],
-        tenants: [(Arc::from("t"), rule)].into(),
-        body_bytes: 10_000,
-        ..FleetConfig::default()
-    };
-    let mut world = CellWorld::new(1, config);
-    for name in ["e1", "e2", "e3"] {
-        let capacity = Resources {
-            memory_mib: 10_000,
-            ..need(8_000)
-        };
-        world.add_executor(name, "pool", "r", capacity);
-    }
-    world.run(200);
-    world
+    let mut config = config();
+    config.tenants.insert(Arc::from("t"), rule);
+    world_of(1, 3, config)
 }
 
-fn job(id: u64, tenant: Option<&str>, count: u32, cpu_milli: u32) -> Submission {
+fn owned(id: u64, tenant: Option<&str>, count: u32, cpu_milli: u32) -> Submission {
     Submission {
-        id: JobId(id),
-        queue: queue(),
         tenant: tenant.map(Arc::from),
-        accepted_unix_ms: 0,
-        spec: JobSpec {
-            payload: Arc::from("text"),
-            steps: vec![StepSpec {
-                count,
-                need: need(cpu_milli),
-                estimate_ms: 5_000,
-                ..StepSpec::default()
-            }],
-            schedule: None,
-        },
+        ..job(id, "urgent", vec![step(count, cpu_milli, 5_000)])
     }
 }
 
@@ -97,10 +48,10 @@
 #[test]
 fn a_job_at_its_cap_and_one_without_room_say_so() {
     let mut world = world();
-    world.submit(job(1, Some("t"), 2, 4_000));
+    world.submit(owned(1, Some("t"), 2, 4_000));
     world.run(50);
-    world.submit(job(2, Some("t"), 1, 1_000));
-    world.submit(job(3, None, 3, 8_000));
+    world.submit(owned(2, Some("t"), 1, 1_000));
+    world.submit(owned(3, None, 3, 8_000));
     let gone = world.executors.values_mut().last().expect("executor");
     gone.cut = true;
     world.run(2_000);
@@ -116,11 +67,11 @@
 #[test]
 fn a_takeover_is_named_as_the_cause() {
     let mut world = world();
-    world.submit(job(1, None, 1, 1_000));
+    world.submit(owned(1, None, 1, 1_000));
     world.run(50);
     world.executors.values_mut().for_each(|e| e.cut = true);
     world.replace_owner();
-    world.submit(job(2, None, 1, 1_000));
+    world.submit(owned(2, None, 1, 1_000));
     world.run(500);
     let why = world.cell.why(JobId(2), now(&world)).expect("known");
     assert_eq!(why.blocked, Some(Blocked::Takeover));
