One copy each of an executor's state, its rack, a ticket's validity and the test settings

Cause, on reading the change: "open and answered the last call" stood in eight places, the obstacles to a start in Executor::usable and again in `why`, the rack as the last label in two, the validity of a ticket in two, amounts of a job's step beside WireAmounts::resources, the end of an office twice in hold_office, and one settings file in three tests. ExecutorRoom kept a copy of id and capacity that its info holds. Ruled out: one state for `summary` as well, whose words and order differ (an executor that is silent and off the list is "silent" there), as what operators read would change; one follower for the four watches, whose pauses and treatment of refusals differ. Change: Executor::answers and obstacle, ExecutorInfo::rack, StepAdvice::allows; usable is "no obstacle"; tests/samples/node.toml.

--- a/src/entry/membership.rs
+++ b/src/entry/membership.rs
@@ -251,7 +251,7 @@
     let (tx, rx) = mpsc::unbounded_channel();
     let run = owner::run(shared.clone(), claim, tx.clone(), rx);
     tokio::pin!(run);
-    loop {
+    let gives_way = loop {
         tokio::select! {
             result = &mut run => {
                 if result.is_err() {
@@ -266,22 +266,19 @@
                     let _ = tx.send(OwnerInput::Deposed);
                 }
             }
-            () = stopping(shared) => {
-                let _ = tx.send(OwnerInput::Deposed);
-                let _ = (&mut run).await;
-                resign(shared, token).await;
-                return;
-            }
-            () = outranked(shared, began), if may_cede => {
-                shared.event(FleetEvent::OwnerLost, "ceded to a stronger node");
-                let _ = tx.send(OwnerInput::Deposed);
-                let _ = (&mut run).await;
-                resign(shared, token).await;
-                *ceded = Some(clock::mono());
-                tokio::time::sleep(CEDE_PAUSE).await;
-                return;
-            }
+            () = stopping(shared) => break false,
+            () = outranked(shared, began), if may_cede => break true,
         }
+    };
+    if gives_way {
+        shared.event(FleetEvent::OwnerLost, "ceded to a stronger node");
+    }
+    let _ = tx.send(OwnerInput::Deposed);
+    let _ = (&mut run).await;
+    resign(shared, token).await;
+    if gives_way {
+        *ceded = Some(clock::mono());
+        tokio::time::sleep(CEDE_PAUSE).await;
     }
 }
 
--- a/src/fleet/cell_advice.rs
+++ b/src/fleet/cell_advice.rs
@@ -52,7 +52,7 @@
         let need = spec.counted();
         let mut stale: Vec<ExecutorId> = Vec::new();
         for room in rooms.with_room(&rule.pool, &need) {
-            let name = &room.id;
+            let name = &room.info.id;
             if !eligible(&room.info, &rule.pool, spec) {
                 continue;
             }
--- a/src/fleet/cell_executors.rs
+++ b/src/fleet/cell_executors.rs
@@ -95,7 +95,7 @@
     pub(super) fn unlist_missing(&mut self, now: Now) {
         for executor in self.executors.values_mut() {
             let overdue = |since: Millis| now.mono >= since + RETURN_MS;
-            let silent = executor.contact != Contact::Open || executor.misses > 0;
+            let silent = !executor.answers();
             if executor.missing_since.is_some_and(|s| silent || overdue(s)) {
                 executor.listed = false;
             }
@@ -147,8 +147,7 @@
     /// Returns what decides whether tasks can start on an executor.
     fn placing_facts(&self, id: &ExecutorId) -> Option<(bool, usize, usize, Resources)> {
         let e = self.executors.get(id)?;
-        let answers = e.contact == Contact::Open && e.misses == 0;
-        Some((answers, e.runs.len(), e.foreign.len(), e.used))
+        Some((e.answers(), e.runs.len(), e.foreign.len(), e.used))
     }
 
     fn take_answer(
@@ -378,7 +377,7 @@
         let Some(executor) = self.executors.get_mut(id) else {
             return;
         };
-        let open = executor.contact == Contact::Open && executor.misses == 0;
+        let open = executor.answers();
         let deadline_ms = if roster_known && executor.contact == Contact::Open {
             executor.clock_at(now.mono).map(|c| c + lease_ms)
         } else {
@@ -415,7 +414,7 @@
             return 0;
         };
         // A restart at the same address would take an old number for its own ends.
-        if executor.contact != Contact::Open || executor.misses > 0 {
+        if !executor.answers() {
             return 0;
         }
         while let Some(first) = executor.unacked.first_entry() {
--- a/src/fleet/cell_plan.rs
+++ b/src/fleet/cell_plan.rs
@@ -4,8 +4,8 @@
     crate::{
         core::{Millis, Resources},
         fleet::{
-            Blocked, Cell, Executor, ExecutorId, ExecutorInfo, Job, Now, RunNumber, Step, StepId,
-            StepSpec, Task, TaskId,
+            Blocked, Cell, ExecutorId, ExecutorInfo, Job, Now, RunNumber, Step, StepId, StepSpec,
+            Task, TaskId,
             cell_rooms::{ExecutorRoom, PlanRooms},
             policy::{self, Prospect, Rank, Room},
         },
@@ -147,7 +147,7 @@
     }
 
     /// Lists the executors that may run a step now.
-    pub(super) fn rooms(
+    fn rooms(
         &self,
         id: &StepId,
         plan: &PlanRooms,
@@ -163,12 +163,11 @@
         let need = spec.counted();
         let limit = spec.max_per_executor;
         for room in plan.with_room(&rule.pool, &need) {
-            let name = &room.id;
-            if reserved.contains(name) || !eligible(&room.info, &rule.pool, spec) {
-                continue;
-            }
-            let ticket = step.advice.good.get(name);
-            if rule.advice.is_some() && ticket.is_none_or(|t| t.until <= now.mono) {
+            let name = &room.info.id;
+            let allowed = !reserved.contains(name)
+                && eligible(&room.info, &rule.pool, spec)
+                && step.advice.allows(rule, name, now.mono);
+            if !allowed {
                 continue;
             }
             let same_step = if limit > 0 || spec.persistent {
@@ -181,11 +180,11 @@
                 continue;
             }
             ids.push(name.clone());
-            let rack = room.info.labels.last();
+            let near = spec.data_rack.is_none() || spec.data_rack.as_ref() == room.info.rack();
             rooms.push(Room {
                 free: room.free,
                 doubtful: room.doubtful,
-                near: spec.data_rack.is_none() || spec.data_rack.as_ref() == rack,
+                near,
                 same_step,
             });
         }
@@ -256,17 +255,12 @@
         }
         let pool = self.pool_of(&id);
         let (ids, rooms) = self.rooms(&id, plan, reserved, now);
-        let racks: HashSet<_> = ids
-            .iter()
-            .map(|e| self.executors.get(e).and_then(Executor::rack).cloned())
-            .collect();
+        let rack_of = |e: &ExecutorId| self.executors.get(e)?.info.rack().cloned();
+        let racks: HashSet<_> = ids.iter().map(rack_of).collect();
         let mut places = None;
         if spec.same_rack {
             for rack in racks {
-                let inside: Vec<bool> = ids
-                    .iter()
-                    .map(|e| self.executors.get(e).and_then(Executor::rack) == rack.as_ref())
-                    .collect();
+                let inside: Vec<bool> = ids.iter().map(|e| rack_of(e) == rack).collect();
                 places = places.or_else(|| fit_all(spec, &rooms, &inside));
             }
         }
@@ -339,13 +333,13 @@
             return;
         }
         let fits = |e: &&ExecutorRoom| {
-            let large = need.cpu_milli * LARGE_DIVISOR > e.capacity.cpu_milli
-                || need.accelerators * LARGE_DIVISOR > e.capacity.accelerators.max(1);
-            let good = || rule.advice.is_none() || step.advice.good.contains_key(&e.id);
+            let large = need.cpu_milli * LARGE_DIVISOR > e.info.capacity.cpu_milli
+                || need.accelerators * LARGE_DIVISOR > e.info.capacity.accelerators.max(1);
+            let good = || rule.advice.is_none() || step.advice.good.contains_key(&e.info.id);
             large && eligible(&e.info, &rule.pool, spec) && good()
         };
         let mut list: Vec<&ExecutorRoom> = pool.iter().filter(fits).collect();
-        let empty: Vec<Room> = list.iter().map(|e| empty_room(e.capacity)).collect();
+        let empty: Vec<Room> = list.iter().map(|e| empty_room(e.info.capacity)).collect();
         if spec.gang && fit_all(spec, &empty, &vec![true; empty.len()]).is_none() {
             return;
         }
@@ -353,7 +347,7 @@
         let wanted = usize::try_from(spec.count).unwrap_or(1).min(2);
         for room in list.into_iter().take(wanted) {
             if reserved.len() < most {
-                reserved.insert(room.id.clone());
+                reserved.insert(room.info.id.clone());
             }
         }
     }
--- a/src/fleet/cell_preempt.rs
+++ b/src/fleet/cell_preempt.rs
@@ -35,7 +35,7 @@
             if missing == 0 {
                 break;
             }
-            let name = &room.id;
+            let name = &room.info.id;
             let Some(executor) = self.executors.get(name) else {
                 continue;
             };
--- a/src/fleet/cell_rooms.rs
+++ b/src/fleet/cell_rooms.rs
@@ -17,9 +17,7 @@
 /// An executor that may take tasks.
 #[derive(Debug)]
 pub(super) struct ExecutorRoom {
-    pub id: ExecutorId,
     pub info: Arc<ExecutorInfo>,
-    pub capacity: Resources,
     /// What is left in this round.
     pub free: Resources,
     /// Upper bound of what stopping runs can free.
@@ -69,7 +67,7 @@
     pub fn take(&mut self, pool: &str, executor: &ExecutorId, need: &Resources) {
         let rooms = self.pools.get_mut(pool);
         let mut executors = rooms.into_iter().flat_map(|r| &mut r.executors);
-        if let Some(room) = executors.find(|e| e.id == *executor) {
+        if let Some(room) = executors.find(|e| e.info.id == *executor) {
             room.free = room.free.minus(need);
         }
     }
@@ -91,9 +89,7 @@
             let free = executor.free();
             let rooms = all.pools.entry(executor.info.pool.clone()).or_default();
             rooms.executors.push(ExecutorRoom {
-                id: id.clone(),
                 info: executor.info.clone(),
-                capacity: executor.info.capacity,
                 free,
                 reach: executor.reachable_room(),
                 doubtful: executor.doubtful(),
--- a/src/fleet/cell_runs.rs
+++ b/src/fleet/cell_runs.rs
@@ -4,8 +4,8 @@
     crate::{
         core::{CallId, Millis},
         fleet::{
-            CallFault, Cell, CellEffect, Contact, ExecutorId, FleetEvent, JobId, Now, Order, Run,
-            RunNumber, RunStage, StartOrder, StepSpec, TaskId,
+            CallFault, Cell, CellEffect, ExecutorId, FleetEvent, JobId, Now, Order, Run, RunNumber,
+            RunStage, StartOrder, StepSpec, TaskId,
         },
     },
     std::sync::Arc,
@@ -228,7 +228,7 @@
         let mut starts = Vec::new();
         let mut stops = Vec::new();
         for (id, executor) in &self.executors {
-            if executor.contact != Contact::Open || executor.misses > 0 {
+            if !executor.answers() {
                 continue;
             }
             for (task, run) in executor.runs.iter().filter(|(_, r)| r.call.is_none()) {
--- a/src/fleet/cell_summary.rs
+++ b/src/fleet/cell_summary.rs
@@ -76,7 +76,7 @@
 fn state_of(executor: &Executor, now: Millis) -> &'static str {
     match () {
         () if executor.contact == Contact::Opening => "opening",
-        () if executor.contact == Contact::Silent || executor.misses > 0 => "silent",
+        () if !executor.answers() => "silent",
         () if !executor.listed => "left",
         () if executor.info.draining => "draining",
         () if executor.suspected_until > now => "suspected",
--- a/src/fleet/cell_why.rs
+++ b/src/fleet/cell_why.rs
@@ -3,7 +3,7 @@
 use {
     crate::{
         core::Millis,
-        fleet::{Cell, Contact, Executor, JobId, JobView, Now, Step, StepId, cell_plan::eligible},
+        fleet::{Cell, Executor, JobId, JobView, Now, Step, StepId, cell_plan::eligible},
     },
     serde::{Deserialize, Serialize},
     std::{collections::BTreeMap, fmt, sync::Arc},
@@ -117,20 +117,14 @@
         };
         let rule = self.rule(job);
         let name = &executor.info.id;
-        let ticketed = || {
-            let ticket = step.advice.good.get(name);
-            rule.advice.is_none() || ticket.is_some_and(|t| t.until > now.mono)
-        };
         let same_step = executor.count_step(id);
+        if let Some(obstacle) = executor.obstacle(now.mono) {
+            return obstacle;
+        }
         match () {
-            () if !executor.listed => "not listed",
-            () if executor.contact == Contact::Opening => "not opened",
-            () if executor.contact == Contact::Silent || executor.misses > 0 => "silent",
-            () if executor.info.draining => "draining",
-            () if executor.suspected_until > now.mono => "suspected",
             () if !eligible(&executor.info, &rule.pool, spec) => "too small or wrong label",
             () if step.advice.bad.contains(name) => "advised against",
-            () if !ticketed() => "no advice yet",
+            () if !step.advice.allows(rule, name, now.mono) => "no advice yet",
             () if spec.max_per_executor > 0 && same_step >= spec.max_per_executor => "spread",
             () if !executor.free().holds(&spec.counted()) => "full",
             () => "free",
--- a/src/fleet/event.rs
+++ b/src/fleet/event.rs
@@ -27,6 +27,13 @@
     pub born: Option<u64>,
 }
 
+impl ExecutorInfo {
+    /// Returns the rack, which is the label that is not the kind.
+    pub fn rack(&self) -> Option<&Arc<str>> {
+        self.labels.last()
+    }
+}
+
 /// A row of the list of what runs on an executor.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub struct RunningRow {
--- a/src/fleet/executor.rs
+++ b/src/fleet/executor.rs
@@ -154,11 +154,6 @@
         }
     }
 
-    /// Returns the rack, which is the label that is not the kind.
-    pub fn rack(&self) -> Option<&Arc<str>> {
-        self.info.labels.last()
-    }
-
     /// Returns what is free; nothing while an unknown run may take any amount.
     pub fn free(&self) -> Resources {
         if self.foreign.is_empty() {
@@ -168,13 +163,26 @@
         }
     }
 
+    /// Tells whether it is open and answered the last call.
+    pub fn answers(&self) -> bool {
+        self.contact == Contact::Open && self.misses == 0
+    }
+
+    /// Returns the first reason why no new task may be started here, if there is one.
+    pub fn obstacle(&self, now: Millis) -> Option<&'static str> {
+        match () {
+            () if !self.listed => Some("not listed"),
+            () if self.contact == Contact::Opening => Some("not opened"),
+            () if !self.answers() => Some("silent"),
+            () if self.info.draining => Some("draining"),
+            () if self.suspected_until > now => Some("suspected"),
+            () => None,
+        }
+    }
+
     /// Tells whether new tasks may be started here.
     pub fn usable(&self, now: Millis) -> bool {
-        self.listed
-            && self.contact == Contact::Open
-            && self.misses == 0
-            && !self.info.draining
-            && self.suspected_until <= now
+        self.obstacle(now).is_none()
     }
 
     /// Estimates the executor's clock; never ahead of it.
--- a/src/fleet/job.rs
+++ b/src/fleet/job.rs
@@ -4,8 +4,8 @@
     crate::{
         core::Millis,
         fleet::{
-            Blocked, ExecutorId, JobEnd, JobProgress, RunNumber, StepId, StepProgress, StepSpec,
-            Submission, TaskId, TaskProgress,
+            Blocked, ExecutorId, JobEnd, JobProgress, QueueRule, RunNumber, StepId, StepProgress,
+            StepSpec, Submission, TaskId, TaskProgress,
         },
     },
     std::{
@@ -52,6 +52,15 @@
     pub not_before: Millis,
 }
 
+impl StepAdvice {
+    /// Tells whether a task may be started on an executor: no advice is needed, or a ticket
+    /// for it is still valid.
+    pub fn allows(&self, rule: &QueueRule, executor: &ExecutorId, now: Millis) -> bool {
+        let valid = |t: &Ticket| t.until > now;
+        rule.advice.is_none() || self.good.get(executor).is_some_and(valid)
+    }
+}
+
 /// One step of one occurrence.
 #[derive(Clone, Debug)]
 pub struct Step {
--- a/src/platform/wire_config.rs
+++ b/src/platform/wire_config.rs
@@ -72,11 +72,11 @@
 #[serde(rename_all = "camelCase")]
 pub(super) struct WireAmounts {
     #[serde(default)]
-    cpu: f64,
+    pub cpu: f64,
     #[serde(default)]
-    mem_mb: f64,
+    pub mem_mb: f64,
     #[serde(default)]
-    gpu: f64,
+    pub gpu: f64,
 }
 
 #[derive(Deserialize)]
--- a/src/platform/wire_job.rs
+++ b/src/platform/wire_job.rs
@@ -2,9 +2,12 @@
 
 use {
     crate::{
-        core::Resources,
         fleet::{JobSpec, JobView, Schedule, StepSpec},
-        platform::{PlatformError, settings::whole_ms, wire_config::whole},
+        platform::{
+            PlatformError,
+            settings::whole_ms,
+            wire_config::{WireAmounts, whole},
+        },
     },
     serde::Deserialize,
     std::sync::Arc,
@@ -103,14 +106,14 @@
 
 fn step_spec(step: WireStep) -> StepSpec {
     let filled = |s: &Arc<str>| !s.is_empty();
+    let need = WireAmounts {
+        cpu: step.cpu,
+        mem_mb: step.mem_mb,
+        gpu: step.gpu,
+    };
     StepSpec {
         count: step.count,
-        need: Resources {
-            cpu_milli: whole(step.cpu),
-            memory_mib: whole(step.mem_mb),
-            accelerators: whole(step.gpu),
-            slots: 0,
-        },
+        need: need.resources(),
         estimate_ms: whole_ms(step.estimate_ms),
         after: step.after,
         checkpoints: step.checkpoints,
--- a/tests/cell_views.rs
+++ b/tests/cell_views.rs
@@ -78,23 +78,7 @@
     assert!(world.cell.summary(now(&world)).unsettled > 0);
 }
 
-const SETTINGS: &str = r#"
-node = "edge-a-1"
-zone = "a"
-portRange = [7180, 7195]
-[listen]
-front = "127.0.0.1:1"
-ready = "127.0.0.1:2"
-[bounds]
-holdMaxMs = 6000
-killGraceMs = 200
-graceS = 6
-status_s = 120
-revokeMs = 5000
-[platform]
-address = "127.0.0.1:3"
-ttlMinMs = 1000
-"#;
+const SETTINGS: &str = include_str!("samples/node.toml");
 
 async fn answer(path: &str) -> (u16, String) {
     let settings = NodeSettings::from_toml(SETTINGS).expect("settings");
--- a/tests/client.rs
+++ b/tests/client.rs
@@ -5,23 +5,7 @@
     process::{Command, Output, Stdio},
 };
 
-const SETTINGS: &str = r#"
-node = "edge-a-1"
-zone = "a"
-portRange = [7180, 7195]
-[listen]
-front = "10.1.0.5:8686"
-ready = "10.1.0.5:8689"
-[bounds]
-holdMaxMs = 6000
-killGraceMs = 200
-graceS = 6
-status_s = 120
-revokeMs = 5000
-[platform]
-address = "10.200.1.7:8683"
-ttlMinMs = 1000
-"#;
+const SETTINGS: &str = include_str!("samples/node.toml");
 
 const LINE: &str = r#"{"msg":"JobRefused","level":"INFO","ts":"2026-07-02T12:06:45.641221843Z","node":"n1","detail":"job=0123456789abcdef reason=the store takes no writes store_age_ms=241 config_age_ms=90","event":211}"#;
 
--- a/tests/platform.rs
+++ b/tests/platform.rs
@@ -8,25 +8,7 @@
     std::{fs, path::Path},
 };
 
-const SETTINGS: &str = r#"
-node = "edge-a-1"
-zone = "a"
-portRange = [7180, 7195]
-somethingNew = { x = 1 }
-advice = "10.200.1.9:8683"
-[listen]
-front = "10.1.0.5:8686"
-ready = "10.1.0.5:8689"
-[bounds]
-holdMaxMs = 6000
-killGraceMs = 200
-graceS = 6
-status_s = 120
-revokeMs = 5000
-[platform]
-address = "10.200.1.7:8683"
-ttlMinMs = 1000
-"#;
+const SETTINGS: &str = include_str!("samples/node.toml");
 
 #[test]
 fn settings_are_read_and_new_fields_ignored() {
