Questions to the cell are closures: one input in place of four

Cause, on reading the change: state, waiting count, summary and why each had a variant of the owner's input, a channel and the same wait, three times over (caller's node, peer, operator). Ruled out: one enum of answers, which keeps the variants and adds a match. Change: OwnerInput::Question and Shared::ask_cell; peers' replies are still sent from a task of their own, so that a peer that does not read holds up nothing. Timeouts and status codes stay.

--- a/src/entry/mod.rs
+++ b/src/entry/mod.rs
@@ -16,6 +16,7 @@
 mod owner_watch;
 mod peer_message;
 mod peer_server;
+mod question;
 mod shared;
 mod store_calls;
 mod store_keys;
@@ -32,6 +33,7 @@
     owner::{Claim, OwnerInput},
     owner_link::{OwnerLink, reconnect_pause},
     peer_message::PeerMessage,
+    question::{NoReply, Question},
     shared::Shared,
     store_calls::{StoreCall, StoreOutcome},
     succession::{place_in_succession, should_cede},
--- a/src/entry/operator.rs
+++ b/src/entry/operator.rs
@@ -3,8 +3,8 @@
 use {
     crate::{
         core::Millis,
-        entry::{OwnerInput, Shared},
-        fleet::{FleetView, JobId, JobWhy},
+        entry::{NoReply, Shared},
+        fleet::{Cell, FleetView, JobId, JobWhy},
     },
     axum::{
         Json, Router,
@@ -14,7 +14,6 @@
     },
     serde::{Deserialize, Serialize},
     std::{sync::Arc, time::Duration},
-    tokio::sync::oneshot,
 };
 
 /// Time until the cell of this node counts as not answering.
@@ -57,8 +56,8 @@
 }
 
 async fn summary(State(shared): State<Arc<Shared>>) -> Result<Json<FleetView>, StatusCode> {
-    let (tx, rx) = oneshot::channel();
-    ask(&shared, OwnerInput::AskSummary { tx }, rx).await
+    let view = shared.ask_cell(ANSWER_TIMEOUT, Cell::summary).await;
+    view.map(Json).map_err(status_of)
 }
 
 async fn why(
@@ -66,24 +65,14 @@
     Path(job): Path<String>,
 ) -> Result<Json<Option<JobWhy>>, StatusCode> {
     let job: JobId = job.parse().map_err(|_| StatusCode::BAD_REQUEST)?;
-    let (tx, rx) = oneshot::channel();
-    ask(&shared, OwnerInput::AskWhy { job, tx }, rx).await
+    let ask = move |cell: &Cell, now| cell.why(job, now);
+    let why = shared.ask_cell(ANSWER_TIMEOUT, ask).await;
+    why.map(Json).map_err(status_of)
 }
 
-/// Asks the cell of this node; 421 if it has none.
-async fn ask<T>(
-    shared: &Shared,
-    question: OwnerInput,
-    rx: oneshot::Receiver<T>,
-) -> Result<Json<T>, StatusCode> {
-    let owner = shared
-        .local_owner()
-        .ok_or(StatusCode::MISDIRECTED_REQUEST)?;
-    let sent = owner.send(question);
-    sent.map_err(|_| StatusCode::MISDIRECTED_REQUEST)?;
-    match tokio::time::timeout(ANSWER_TIMEOUT, rx).await {
-        Ok(Ok(answer)) => Ok(Json(answer)),
-        Ok(Err(_)) => Err(StatusCode::MISDIRECTED_REQUEST),
-        Err(_) => Err(StatusCode::GATEWAY_TIMEOUT),
+fn status_of(fault: NoReply) -> StatusCode {
+    match fault {
+        NoReply::NotOwner => StatusCode::MISDIRECTED_REQUEST,
+        NoReply::TimedOut => StatusCode::GATEWAY_TIMEOUT,
     }
 }
--- a/src/entry/owner.rs
+++ b/src/entry/owner.rs
@@ -4,20 +4,17 @@
     crate::{
         core::{CallId, Millis},
         entry::{
-            Commit, PeerMessage, Shared, advice, clock, committer, event_log::Latency, owner_watch,
-            takeover,
+            Commit, PeerMessage, Question, Shared, advice, clock, committer, event_log::Latency,
+            owner_watch, takeover,
         },
         fleet::{
             Advised, Cell, CellBounds, CellEffect, CellEvent, EpochRecord, ExecutorId, FleetEvent,
-            FleetView, JobId, JobView, JobWhy, Now, OLD_OWNER_MS, Order, Submission,
+            JobId, Now, OLD_OWNER_MS, Order, Submission,
         },
         platform::StoreFault,
     },
     std::{collections::HashMap, sync::Arc, time::Duration},
-    tokio::{
-        sync::{mpsc, oneshot},
-        task::JoinSet,
-    },
+    tokio::{sync::mpsc, task::JoinSet},
 };
 
 /// Time between looks at what time alone changes.
@@ -41,21 +38,7 @@
     Cell(CellEvent),
     Submitted(Box<Submission>),
     Cancelled(JobId),
-    AskState {
-        job: JobId,
-        tx: oneshot::Sender<Option<JobView>>,
-    },
-    AskSummary {
-        tx: oneshot::Sender<FleetView>,
-    },
-    AskWhy {
-        job: JobId,
-        tx: oneshot::Sender<Option<JobWhy>>,
-    },
-    AskWaiting {
-        queue: Arc<str>,
-        tx: oneshot::Sender<u64>,
-    },
+    Question(Question),
     PeerUp {
         node: Arc<str>,
         tx: mpsc::Sender<PeerMessage>,
@@ -199,18 +182,7 @@
                 self.cell.step(CellEvent::Submitted(submission), now);
             }
             OwnerInput::Cancelled(job) => self.cell.step(CellEvent::Cancelled(job), now),
-            OwnerInput::AskState { job, tx } => {
-                let _ = tx.send(self.cell.view(job));
-            }
-            OwnerInput::AskSummary { tx } => {
-                let _ = tx.send(self.cell.summary(now));
-            }
-            OwnerInput::AskWhy { job, tx } => {
-                let _ = tx.send(self.cell.why(job, now));
-            }
-            OwnerInput::AskWaiting { queue, tx } => {
-                let _ = tx.send(self.cell.waiting(&queue) as u64);
-            }
+            OwnerInput::Question(question) => question.answer(&self.cell, now),
             OwnerInput::PeerUp { node, tx } => {
                 self.peers.insert(node, tx);
                 self.set_lanes(now);
--- a/src/entry/owner_link.rs
+++ b/src/entry/owner_link.rs
@@ -132,10 +132,9 @@
 
     /// Asks the owner for a job's state; the outer `None` means that it did not answer.
     pub async fn ask_state(&self, job: JobId) -> Option<Option<JobView>> {
-        if let Some(owner) = self.local_owner() {
-            let (tx, rx) = oneshot::channel();
-            owner.send(OwnerInput::AskState { job, tx }).ok()?;
-            return tokio::time::timeout(ASK_TIMEOUT, rx).await.ok()?.ok();
+        if self.local_owner().is_some() {
+            let reply = self.ask_cell(ASK_TIMEOUT, move |cell, _| cell.view(job));
+            return reply.await.ok();
         }
         let ask = |call| PeerMessage::AskState { call, job };
         match self.link.ask(ask).await? {
@@ -146,10 +145,9 @@
 
     /// Asks the owner how many jobs of a queue wait.
     pub async fn ask_waiting(&self, queue: Arc<str>) -> Option<u64> {
-        if let Some(owner) = self.local_owner() {
-            let (tx, rx) = oneshot::channel();
-            owner.send(OwnerInput::AskWaiting { queue, tx }).ok()?;
-            return tokio::time::timeout(ASK_TIMEOUT, rx).await.ok()?.ok();
+        if self.local_owner().is_some() {
+            let reply = self.ask_cell(ASK_TIMEOUT, move |cell, _| cell.waiting(&queue) as u64);
+            return reply.await.ok();
         }
         let ask = |call| PeerMessage::AskWaiting { call, queue };
         match self.link.ask(ask).await? {
--- a/src/entry/peer_server.rs
+++ b/src/entry/peer_server.rs
@@ -3,13 +3,13 @@
 use {
     crate::{
         core::Millis,
-        entry::{OwnerInput, PeerMessage, Shared, clock, peer_message::framing},
+        entry::{OwnerInput, PeerMessage, Question, Shared, clock, peer_message::framing},
     },
     futures_util::{SinkExt, StreamExt},
     std::{sync::Arc, time::Duration},
     tokio::{
         net::{TcpListener, TcpStream},
-        sync::{mpsc, oneshot},
+        sync::mpsc,
     },
     tokio_util::codec::Framed,
 };
@@ -93,12 +93,18 @@
         PeerMessage::Submitted(submission) => OwnerInput::Submitted(submission),
         PeerMessage::Cancelled(job) => OwnerInput::Cancelled(job),
         PeerMessage::AskState { call, job } => {
-            let reply = reply_later(tx, move |view| PeerMessage::State { call, view });
-            OwnerInput::AskState { job, tx: reply }
+            let tx = tx.clone();
+            OwnerInput::Question(Question::new(move |cell, _| {
+                let view = cell.view(job);
+                reply(tx, PeerMessage::State { call, view });
+            }))
         }
         PeerMessage::AskWaiting { call, queue } => {
-            let reply = reply_later(tx, move |count| PeerMessage::Waiting { call, count });
-            OwnerInput::AskWaiting { queue, tx: reply }
+            let tx = tx.clone();
+            OwnerInput::Question(Question::new(move |cell, _| {
+                let count = cell.waiting(&queue) as u64;
+                reply(tx, PeerMessage::Waiting { call, count });
+            }))
         }
         PeerMessage::Advice {
             call,
@@ -114,17 +120,10 @@
     owner.send(input).ok()
 }
 
-/// Returns a sender whose value becomes a message to the peer.
-fn reply_later<T: Send + 'static>(
-    tx: &mpsc::Sender<PeerMessage>,
-    message: impl FnOnce(T) -> PeerMessage + Send + 'static,
-) -> oneshot::Sender<T> {
-    let (reply, answer) = oneshot::channel();
-    let tx = tx.clone();
+/// Sends a reply without holding up the owner's task.
+fn reply(tx: mpsc::Sender<PeerMessage>, message: PeerMessage) {
     tokio::spawn(async move {
-        if let Ok(value) = answer.await {
-            let _ = tx.send(message(value)).await;
-        }
+        // The peer is gone if this fails.
+        let _ = tx.send(message).await;
     });
-    reply
 }
