Advice: name executors by what a step needs and the share that is permitted

Cause: a gang of the grown deployment needs tickets for 10 to 40 executors at the same moment.

Change: policy::choose_named picks known permissions first, then the executors with the most room, until the expected yield exceeds the need by 1.3 standard deviations; the share that is permitted is learned by queue. More than 100 names go out as parallel calls. A gang that does not fit now is not asked for again once its permitted executors are known; it waits with a reservation for all executors that it needs. A fourth of the advice slots stay free for quick calls. A ticket that an executor rejects is renewed. Rounds look only at the permitted executors of a step.

--- a/src/core/resources.rs
+++ b/src/core/resources.rs
@@ -53,6 +53,15 @@
         }
     }
 
+    /// Returns how many times `need` fits into this amount; `u32::MAX` for a need of nothing.
+    pub fn times_covered(&self, need: &Self) -> u32 {
+        let times = |whole: u32, part: u32| whole.checked_div(part).unwrap_or(u32::MAX);
+        times(self.cpu_milli, need.cpu_milli)
+            .min(times(self.memory_mib, need.memory_mib))
+            .min(times(self.accelerators, need.accelerators))
+            .min(times(self.slots, need.slots))
+    }
+
     /// Raises each resource to that of another amount where that is higher.
     pub fn max_assign(&mut self, other: &Self) {
         self.cpu_milli = self.cpu_milli.max(other.cpu_milli);
--- a/src/fleet/advice_slots.rs
+++ b/src/fleet/advice_slots.rs
@@ -7,8 +7,8 @@
     std::{collections::HashMap, sync::Arc},
 };
 
-/// Slots that slow calls leave free for quick ones.
-const RESERVED_SLOTS: usize = 1;
+/// Part of the slots that slow calls leave free for quick ones: a fourth.
+const RESERVED_DIVISOR: usize = 4;
 
 /// Duration in ms above which a call counts as slow: a quick call that waits longer for a slot
 /// would use up the slack of the most urgent queues (objective 250 ms).
@@ -35,6 +35,11 @@
         self.slots.values().any(Option::is_none)
     }
 
+    /// Returns whether a slot is free for a call that takes `cost_ms`.
+    pub fn is_free_for(&self, cost_ms: u64) -> bool {
+        self.find_free(cost_ms).is_some()
+    }
+
     /// Returns a node with a free slot for a call that takes `cost_ms`; `None` if all are in use or
     /// reserved for quicker calls.
     pub fn find_free(&self, cost_ms: u64) -> Option<Arc<str>> {
@@ -44,8 +49,8 @@
             .filter(|(_, call)| call.is_none())
             .map(|(node, _)| node)
             .collect();
-        let reserved = if cost_ms > SLOW_CALL_MS && self.slots.len() > RESERVED_SLOTS {
-            RESERVED_SLOTS
+        let reserved = if cost_ms > SLOW_CALL_MS && self.slots.len() > 1 {
+            (self.slots.len() / RESERVED_DIVISOR).max(1)
         } else {
             0
         };
--- a/src/fleet/cell.rs
+++ b/src/fleet/cell.rs
@@ -10,7 +10,7 @@
         fleet::{
             AdviceSlots, CellEffect, CellEvent, CommitQueue, Executor, ExecutorId, FencingToken,
             FleetConfig, FleetEvent, INCARNATIONS_PER_OWNER, Job, JobEnd, JobId, JobRecord,
-            QueueRule, RecoveredState, StepId, job::RUN_NUMBERS_PER_OWNER,
+            QueueRule, RecoveredState, StepId, job::RUN_NUMBERS_PER_OWNER, policy::AdviceYield,
         },
     },
     serde::{Deserialize, Serialize},
@@ -104,6 +104,8 @@
     pub advice_slots: AdviceSlots,
     /// Advice calls in flight: step, executors named, and when each times out.
     pub advice_calls: HashMap<CallId, (StepId, Vec<ExecutorId>, Millis)>,
+    /// Share of executors that the advice service permits, by queue.
+    pub advice_yields: HashMap<Arc<str>, AdviceYield>,
     /// Whether an event since the last round may let a task start.
     pub(super) needs_placement: bool,
     /// Earliest time of the next round.
@@ -143,6 +145,7 @@
             roster_sent: Vec::new(),
             advice_slots: AdviceSlots::default(),
             advice_calls: HashMap::new(),
+            advice_yields: HashMap::new(),
             needs_placement: true,
             next_round_at: now.mono,
             effects: Vec::new(),
--- a/src/fleet/cell_capacity.rs
+++ b/src/fleet/cell_capacity.rs
@@ -7,7 +7,7 @@
 use {
     crate::{
         core::Resources,
-        fleet::{Cell, ExecutorId, ExecutorInfo, Now},
+        fleet::{Cell, ExecutorId, ExecutorInfo, Now, StepId},
     },
     std::{
         collections::{HashMap, HashSet},
@@ -21,10 +21,17 @@
     pub info: Arc<ExecutorInfo>,
     /// What is still free in this round.
     pub free: Resources,
-    /// Upper bound of what is free once all preemptible runs are stopped.
-    free_after_preemption: Resources,
     /// The last task that ended there failed.
     pub recently_failed: bool,
+    /// Step for whose tasks it is kept free in this round.
+    reserved_for: Option<StepId>,
+}
+
+impl ExecutorCapacity {
+    /// Returns whether it is not reserved for another step.
+    pub fn is_open_to(&self, step: &StepId) -> bool {
+        self.reserved_for.is_none_or(|s| s == *step)
+    }
 }
 
 /// Executors of one pool that are schedulable and in the durable roster, in order of their ids.
@@ -34,6 +41,15 @@
     /// Upper bound, for each resource, of what is free on any of them; free capacity only
     /// shrinks in a round.
     max_free: Resources,
+    /// Number of reserved executors.
+    reserved: usize,
+}
+
+impl PoolCapacity {
+    fn position(&self, executor: &ExecutorId) -> Option<usize> {
+        let found = self.executors.binary_search_by(|e| e.info.id.cmp(executor));
+        found.ok()
+    }
 }
 
 /// Free capacity of all pools in one round.
@@ -52,36 +68,46 @@
         self.pools.get(pool).map_or(&[], |p| &p.executors)
     }
 
-    /// Lists the executors of a pool on which `need` is free.
-    pub fn with_free(
-        &self,
-        pool: &str,
-        need: &Resources,
-    ) -> impl Iterator<Item = &ExecutorCapacity> {
-        let capacity = self.pools.get(pool).filter(|r| r.max_free.covers(need));
-        let executors = capacity.into_iter().flat_map(|r| &r.executors);
-        executors.filter(|e| e.free.covers(need))
+    /// Returns a schedulable executor of a pool.
+    pub fn get(&self, pool: &str, executor: &ExecutorId) -> Option<&ExecutorCapacity> {
+        let pool = self.pools.get(pool)?;
+        pool.executors.get(pool.position(executor)?)
     }
 
-    /// Lists the executors of a pool on which stopping runs may free `need`.
-    pub fn with_preemptible(
-        &self,
-        pool: &str,
-        need: &Resources,
-    ) -> impl Iterator<Item = &ExecutorCapacity> {
-        let executors = self.in_pool(pool).iter();
-        executors.filter(|e| e.free_after_preemption.covers(need))
+    /// Returns whether no executor of a pool has `need` free.
+    pub fn lacks(&self, pool: &str, need: &Resources) -> bool {
+        let pool = self.pools.get(pool);
+        pool.is_none_or(|p| !p.max_free.covers(need))
     }
 
     /// Subtracts the need of a task that was started from the free capacity of its executor.
     pub fn allocate(&mut self, pool: &str, executor: &ExecutorId, need: &Resources) {
-        let capacity = self.pools.get_mut(pool);
-        let mut executors = capacity.into_iter().flat_map(|r| &mut r.executors);
-        if let Some(entry) = executors.find(|e| e.info.id == *executor) {
+        if let Some(entry) = self.get_mut(pool, executor) {
             entry.free = entry.free.saturating_sub(need);
         }
     }
 
+    /// Keeps an executor free for a step for the rest of the round.
+    pub fn reserve(&mut self, pool: &str, executor: &ExecutorId, step: StepId) {
+        let newly = self
+            .get_mut(pool, executor)
+            .is_some_and(|e| e.reserved_for.replace(step).is_none());
+        if let Some(pool) = self.pools.get_mut(pool) {
+            pool.reserved += usize::from(newly);
+        }
+    }
+
+    /// Counts the reserved executors of a pool.
+    pub fn reserved_count(&self, pool: &str) -> usize {
+        self.pools.get(pool).map_or(0, |p| p.reserved)
+    }
+
+    fn get_mut(&mut self, pool: &str, executor: &ExecutorId) -> Option<&mut ExecutorCapacity> {
+        let pool = self.pools.get_mut(pool)?;
+        let position = pool.position(executor)?;
+        pool.executors.get_mut(position)
+    }
+
     /// Returns whether runs of an earlier owner that this owner has not read may exist in a pool.
     pub fn has_unreconciled(&self, pool: &str) -> bool {
         self.unreconciled_pools.contains(pool)
@@ -104,8 +130,8 @@
             pool.executors.push(ExecutorCapacity {
                 info: executor.info.clone(),
                 free,
-                free_after_preemption: executor.free_after_preemption(),
                 recently_failed: executor.recently_failed(),
+                reserved_for: None,
             });
             pool.max_free.max_assign(&free);
         }
--- a/src/fleet/cell_plan.rs
+++ b/src/fleet/cell_plan.rs
@@ -10,7 +10,7 @@
             BlockReason, Cell, ExecutorId, ExecutorInfo, Job, Now, RunNumber, Step, StepId,
             StepSpec, Task, TaskId,
             cell_capacity::{CapacitySnapshot, ExecutorCapacity},
-            policy::{self, PlacementOption, Rank, Timeliness},
+            policy::{self, PlacementOption, Rank, Room, Timeliness},
         },
     },
     std::{collections::HashSet, sync::Arc},
@@ -20,10 +20,6 @@
 /// third of the pool.
 const RESERVED_DIVISOR: usize = 3;
 
-/// A task that needs more than a fourth of an executor counts as large: it only fits if small
-/// tasks are kept away.
-const LARGE_TASK_DIVISOR: u32 = 4;
-
 /// A step with waiting tasks, and its rank.
 #[derive(Clone, Copy, Debug)]
 pub(super) struct Candidate {
@@ -55,20 +51,23 @@
         let executor_count = self.executors.len();
         self.next_round_at = now.mono + policy::round_pause_ms(candidates.len(), executor_count);
         let mut snapshot = self.capacity_snapshot(now);
-        let mut reserved = HashSet::new();
+        let mut unadvised = Vec::new();
         for candidate in &candidates {
-            let reason = self.place_step(candidate.step, &mut snapshot, &reserved, now);
+            let reason = self.place_step(candidate.step, &mut snapshot, now);
             self.set_blocked(candidate.step, reason);
+            if !matches!(reason, None | Some(BlockReason::Cap | BlockReason::Members)) {
+                unadvised.push(candidate.step);
+            }
             let lacks_capacity = matches!(
                 reason,
                 Some(BlockReason::Advice | BlockReason::Members | BlockReason::Room)
             );
             if lacks_capacity && candidate.rank.timeliness == Timeliness::InTime {
-                self.reserve(candidate.step, &snapshot, &mut reserved);
+                self.reserve(candidate.step, &mut snapshot);
                 self.preempt(candidate, &snapshot, now);
             }
         }
-        self.request_advice(&candidates, &snapshot, now);
+        self.request_advice(&unadvised, &snapshot, now);
     }
 
     /// Lists the steps with waiting tasks whose dependencies are done, in the order of rank.
@@ -109,7 +108,6 @@
         &mut self,
         id: StepId,
         snapshot: &mut CapacitySnapshot,
-        reserved: &HashSet<ExecutorId>,
         now: Now,
     ) -> Option<BlockReason> {
         let (job, spec, step) = self.lookup_step(&id)?;
@@ -125,9 +123,9 @@
             return Some(BlockReason::Pause);
         }
         match () {
-            () if !spec.gang => self.place_each(id, &spec, &waiting, snapshot, reserved, now),
+            () if !spec.gang => self.place_each(id, &spec, &waiting, snapshot, now),
             () if waiting.len() < step.tasks.len() => Some(BlockReason::Members),
-            () => self.place_gang(id, &spec, snapshot, reserved, now),
+            () => self.place_gang(id, &spec, snapshot, now),
         }
     }
 
@@ -156,12 +154,31 @@
         job.map_or_else(|| Arc::from(""), |j| self.queue_rule(j).pool.clone())
     }
 
+    /// Lists the schedulable executors that the advice service permits for a step, by expired
+    /// tickets too; all of the pool if its queue needs no advice.
+    pub(super) fn permitted<'a>(
+        &'a self,
+        id: &StepId,
+        snapshot: &'a CapacitySnapshot,
+    ) -> Vec<&'a ExecutorCapacity> {
+        let Some((job, _, step)) = self.lookup_step(id) else {
+            return Vec::new();
+        };
+        let rule = self.queue_rule(job);
+        if rule.advice.is_none() {
+            return snapshot.in_pool(&rule.pool).iter().collect();
+        }
+        let names = step.advice.advised.keys();
+        names
+            .filter_map(|name| snapshot.get(&rule.pool, name))
+            .collect()
+    }
+
     /// Lists the executors that may run a task of a step now: ids and options, index by index.
     fn placement_options(
         &self,
         id: &StepId,
         snapshot: &CapacitySnapshot,
-        reserved: &HashSet<ExecutorId>,
         now: Now,
     ) -> (Vec<ExecutorId>, Vec<PlacementOption>) {
         let mut ids = Vec::new();
@@ -172,9 +189,13 @@
         let rule = self.queue_rule(job);
         let need = spec.allocation();
         let limit = spec.max_per_executor;
-        for entry in snapshot.with_free(&rule.pool, &need) {
+        if snapshot.lacks(&rule.pool, &need) {
+            return (ids, options);
+        }
+        for entry in self.permitted(id, snapshot) {
             let name = &entry.info.id;
-            let allowed = !reserved.contains(name)
+            let allowed = entry.is_open_to(id)
+                && entry.free.covers(&need)
                 && eligible(&entry.info, &rule.pool, spec)
                 && step.advice.is_allowed(rule, name, now.mono);
             if !allowed {
@@ -209,29 +230,24 @@
         spec: &StepSpec,
         waiting: &[u32],
         snapshot: &mut CapacitySnapshot,
-        reserved: &HashSet<ExecutorId>,
         now: Now,
     ) -> Option<BlockReason> {
         let need = spec.allocation();
         let pool = self.pool_of(&id);
-        let (ids, mut options) = self.placement_options(&id, snapshot, reserved, now);
+        let (ids, mut options) = self.placement_options(&id, snapshot, now);
         for index in waiting {
             if !self.within_cap(&id, &need, snapshot) {
                 return Some(BlockReason::Cap);
             }
             let failed_on = self.failed_on(&id, *index);
-            let task_options: Vec<PlacementOption> = options
-                .iter()
-                .zip(&ids)
-                .map(|(option, e)| PlacementOption {
-                    recently_failed: option.recently_failed || failed_on.contains(e),
-                    ..*option
-                })
-                .collect();
+            let task_options = options.iter().zip(&ids).map(|(option, e)| PlacementOption {
+                recently_failed: option.recently_failed || failed_on.contains(e),
+                ..*option
+            });
             let chosen = if spec.persistent {
-                policy::choose_spread(&need, task_options.iter())
+                policy::choose_spread(&need, task_options)
             } else {
-                policy::choose_best_fit(&need, task_options.iter())
+                policy::choose_best_fit(&need, task_options)
             };
             let Some(chosen) = chosen else {
                 return Some(self.no_capacity_reason(&id));
@@ -255,7 +271,6 @@
         id: StepId,
         spec: &StepSpec,
         snapshot: &mut CapacitySnapshot,
-        reserved: &HashSet<ExecutorId>,
         now: Now,
     ) -> Option<BlockReason> {
         let need = spec.allocation();
@@ -265,7 +280,7 @@
             return Some(BlockReason::Cap);
         }
         let pool = self.pool_of(&id);
-        let (ids, options) = self.placement_options(&id, snapshot, reserved, now);
+        let (ids, options) = self.placement_options(&id, snapshot, now);
         let rack_of = |e: &ExecutorId| self.executors.get(e)?.info.rack().cloned();
         let racks: HashSet<_> = ids.iter().map(rack_of).collect();
         let mut places = None;
@@ -309,9 +324,9 @@
         used.max().unwrap_or(0).max(base) + 1
     }
 
-    fn failed_on(&self, id: &StepId, index: u32) -> Vec<ExecutorId> {
+    fn failed_on(&self, id: &StepId, index: u32) -> &[ExecutorId] {
         let task = self.lookup_step(id).and_then(|(_, _, s)| task_of(s, index));
-        task.map(|t| t.failed_on.clone()).unwrap_or_default()
+        task.map_or(&[], |t| &t.failed_on)
     }
 
     /// Returns whether the tenant's cap allows `need` in addition to what runs. Unreconciled
@@ -331,40 +346,47 @@
         rule.allows(&used, need)
     }
 
-    /// Reserves executors for a large step that does not fit yet but would fit on empty
+    /// Reserves executors for a large task or a gang that does not fit yet but would fit on empty
     /// executors.
-    fn reserve(&self, id: StepId, snapshot: &CapacitySnapshot, reserved: &mut HashSet<ExecutorId>) {
-        let Some((job, spec, step)) = self.lookup_step(&id) else {
+    fn reserve(&self, id: StepId, snapshot: &mut CapacitySnapshot) {
+        let Some((job, spec, _)) = self.lookup_step(&id) else {
             return;
         };
         let need = spec.allocation();
-        let rule = self.queue_rule(job);
-        let pool = snapshot.in_pool(&rule.pool);
-        let max_reserved = pool.len() / RESERVED_DIVISOR;
-        if reserved.len() >= max_reserved {
+        let pool = &self.queue_rule(job).pool;
+        let max_reserved = snapshot.in_pool(pool).len() / RESERVED_DIVISOR;
+        let reservable = max_reserved.saturating_sub(snapshot.reserved_count(pool));
+        if reservable == 0 {
             return;
         }
-        let fits = |e: &&ExecutorCapacity| {
-            let large = need.cpu_milli * LARGE_TASK_DIVISOR > e.info.capacity.cpu_milli
-                || need.accelerators * LARGE_TASK_DIVISOR > e.info.capacity.accelerators.max(1);
-            let advised_or_exempt =
-                || rule.advice.is_none() || step.advice.advised.contains_key(&e.info.id);
-            large && eligible(&e.info, &rule.pool, spec) && advised_or_exempt()
+        let mut suitable = self.permitted(&id, snapshot);
+        suitable.retain(|e| e.is_open_to(&id) && eligible(&e.info, pool, spec));
+        let fits = |capacity: &Resources| {
+            let most = match spec.max_per_executor {
+                0 => spec.count,
+                limit => limit.min(spec.count),
+            };
+            capacity.times_covered(&need).min(most)
         };
-        let mut suitable: Vec<&ExecutorCapacity> = pool.iter().filter(fits).collect();
-        let empty: Vec<PlacementOption> = suitable
+        let room: Vec<Room> = suitable
             .iter()
-            .map(|e| empty_option(e.info.capacity))
+            .map(|e| Room {
+                fits_now: fits(&e.free),
+                fits_empty: fits(&e.info.capacity),
+            })
             .collect();
-        if spec.gang && fit_gang(spec, &empty, &vec![true; empty.len()]).is_none() {
-            return;
-        }
-        suitable.sort_by_key(|e| std::cmp::Reverse((e.free.accelerators, e.free.cpu_milli)));
-        let reserve_count = usize::try_from(spec.count).unwrap_or(1).min(2);
-        for entry in suitable.into_iter().take(reserve_count) {
-            if reserved.len() < max_reserved {
-                reserved.insert(entry.info.id.clone());
-            }
+        let chosen = if spec.gang {
+            policy::reserve_for_gang(spec.count, &room)
+        } else {
+            policy::reserve_for_large(spec.count, &room)
+        };
+        let names: Vec<ExecutorId> = chosen
+            .into_iter()
+            .take(reservable)
+            .map(|i| suitable[i].info.id.clone())
+            .collect();
+        for name in names {
+            snapshot.reserve(pool, &name, id);
         }
     }
 }
@@ -377,16 +399,6 @@
         && spec.required_label.as_ref().is_none_or(labelled)
 }
 
-/// Returns the placement option of an executor with this capacity if nothing ran there.
-fn empty_option(capacity: Resources) -> PlacementOption {
-    PlacementOption {
-        free: capacity,
-        recently_failed: false,
-        on_preferred_rack: true,
-        same_step: 0,
-    }
-}
-
 fn task_of(step: &Step, index: u32) -> Option<&Task> {
     step.tasks.get(usize::try_from(index).ok()?)
 }
@@ -408,7 +420,7 @@
     }
     let mut placement = Vec::new();
     for _ in 0..spec.count {
-        let chosen = policy::choose_best_fit(&need, options.iter())?;
+        let chosen = policy::choose_best_fit(&need, options.iter().copied())?;
         let option = &mut options[chosen];
         option.free = option.free.saturating_sub(&need);
         option.same_step += 1;
--- a/src/fleet/cell_preempt.rs
+++ b/src/fleet/cell_preempt.rs
@@ -32,7 +32,7 @@
             .count()
             .min(MAX_EXECUTORS_PER_STEP);
         let mut stops: Vec<(ExecutorId, TaskId)> = Vec::new();
-        for entry in snapshot.with_preemptible(&rule.pool, &need) {
+        for entry in self.permitted(&candidate.step, snapshot) {
             if remaining == 0 {
                 break;
             }
@@ -40,10 +40,12 @@
             let Some(executor) = self.executors.get(name) else {
                 continue;
             };
-            let has_advice = rule.advice.is_none() || step.advice.advised.contains_key(name);
+            if !executor.free_after_preemption().covers(&need) {
+                continue;
+            }
             let at_step_limit = spec.max_per_executor > 0
                 && executor.count_step_tasks(&candidate.step) >= spec.max_per_executor;
-            if !has_advice || !eligible(&executor.info, &rule.pool, spec) || at_step_limit {
+            if !eligible(&executor.info, &rule.pool, spec) || at_step_limit {
                 continue;
             }
             let (tasks, victims) = self.victims(executor, now);
--- a/src/fleet/cell_runs.rs
+++ b/src/fleet/cell_runs.rs
@@ -220,7 +220,10 @@
         if fault == CommandError::BadTicket
             && let Some(step) = self.step_mut(&task)
         {
-            step.advice.advised.remove(id);
+            // Its permission stands while the executor lives; the next call renews the ticket.
+            if let Some(ticket) = step.advice.advised.get_mut(id) {
+                ticket.expires_at = 0;
+            }
         }
         if tries > 1 {
             // An earlier start command without a reply may still be carried out.
--- a/src/fleet/job.rs
+++ b/src/fleet/job.rs
@@ -53,8 +53,9 @@
     pub advised: HashMap<ExecutorId, Ticket>,
     /// Executors that may not run the step.
     pub rejected: HashSet<ExecutorId>,
-    pub call_pending: bool,
-    /// Earliest next call after a failed one, in ms on the owner's monotonic clock.
+    /// Calls in flight.
+    pub calls_pending: u32,
+    /// Earliest next call, in ms on the owner's monotonic clock.
     pub not_before: Millis,
 }
 
@@ -95,6 +96,12 @@
     pub fn has_waiting(&self) -> bool {
         self.tasks.iter().any(|t| !t.done && t.active_on.is_empty())
     }
+
+    /// Counts the tasks that are neither active nor done.
+    pub fn count_waiting(&self) -> u32 {
+        let waits = |t: &&Task| !t.done && t.active_on.is_empty();
+        u32::try_from(self.tasks.iter().filter(waits).count()).unwrap_or(u32::MAX)
+    }
 }
 
 /// A job that has not ended, or whose runs have not all ended.
--- a/src/fleet/policy/mod.rs
+++ b/src/fleet/policy/mod.rs
@@ -4,16 +4,20 @@
 //! Pure functions on plain data, called by the cell in every round. Nothing here keeps state,
 //! reads a clock or sends a command.
 
+mod advice;
 mod order;
 mod pace;
 mod placement;
 mod preemption;
+mod reservation;
 mod throttle;
 
 pub use {
+    advice::{AdviceChoice, AdviceNeed, AdviceOption, AdviceYield, choose_named},
     order::{EXPIRED_TIMES, Rank, Timeliness},
     pace::round_pause_ms,
     placement::{PlacementOption, choose_best_fit, choose_spread},
     preemption::{Victim, choose_victims},
+    reservation::{Room, reserve_for_gang, reserve_for_large},
     throttle::best_effort_share,
 };
--- a/src/fleet/policy/placement.rs
+++ b/src/fleet/policy/placement.rs
@@ -20,9 +20,9 @@
 /// Takes the executor with the least free capacity left over, weighted by the scarcity of the
 /// resource, so that large gaps remain for large tasks when small and large tasks are mixed.
 /// Executors without recent failures and those on the preferred rack go first.
-pub fn choose_best_fit<'a>(
+pub fn choose_best_fit(
     need: &Resources,
-    options: impl Iterator<Item = &'a PlacementOption>,
+    options: impl Iterator<Item = PlacementOption>,
 ) -> Option<usize> {
     let fitting = options.enumerate().filter(|(_, o)| o.free.covers(need));
     let best = fitting.min_by_key(|(_, o)| {
@@ -40,9 +40,9 @@
 /// Spreads the tasks that serve users, so that the loss of one executor stops few of them.
 /// Executors without recent failures go first, then those with the fewest tasks of the same step,
 /// on the preferred rack, and with the least CPU left over.
-pub fn choose_spread<'a>(
+pub fn choose_spread(
     need: &Resources,
-    options: impl Iterator<Item = &'a PlacementOption>,
+    options: impl Iterator<Item = PlacementOption>,
 ) -> Option<usize> {
     let fitting = options.enumerate().filter(|(_, o)| o.free.covers(need));
     let best = fitting.min_by_key(|(_, o)| {
--- a/standins/src/cell_executor.rs
+++ b/standins/src/cell_executor.rs
@@ -276,10 +276,9 @@
             return Err(CommandError::Refused);
         };
         let spec = &submission.spec.steps[usize::from(start.task.step.step)];
-        let ticket = format!("{}@{}", start.task.step, self.info.id);
         let queue = config.queue(&submission.queue.name);
         let advised = queue.is_some_and(|q| q.advice.is_some());
-        if advised && start.ticket.as_deref() != Some(&*ticket) {
+        if advised && !self.accepts_ticket(start, now) {
             return Err(CommandError::BadTicket);
         }
         self.extend_lease(start.deadline_ms, now);
@@ -287,6 +286,14 @@
         Ok(CommandReply::Accepted)
     }
 
+    /// Returns whether a start carries a ticket for this step and executor that has not expired.
+    fn accepts_ticket(&self, start: &StartCommand, now: Millis) -> bool {
+        let ticket = start.ticket.as_deref().unwrap_or("");
+        let expected = format!("{}@{}@", start.task.step, self.info.id);
+        let expiry = ticket.strip_prefix(&*expected).map(str::parse::<Millis>);
+        matches!(expiry, Some(Ok(at)) if now <= at)
+    }
+
     fn add_run(&mut self, start: &StartCommand, spec: &StepSpec, now: Millis, fails: bool) {
         let need = spec.allocation();
         let mut used = need;
--- a/standins/src/cell_world.rs
+++ b/standins/src/cell_world.rs
@@ -31,6 +31,12 @@
 /// Interval at which a waiting renewal checks for ended runs, in ms.
 const RENEWAL_POLL_MS: Millis = 5;
 
+/// Validity of a ticket of the advice service, in ms.
+const TICKET_VALID_MS: Millis = 2_000;
+
+/// Time that a call to the advice service spends in transit, in ms.
+const ADVICE_TRANSIT_MS: Millis = 2;
+
 /// Unix time at the start of the simulation, in ms.
 const UNIX_START_MS: Millis = 1_700_000_000_000;
 
@@ -101,6 +107,10 @@
     pub log: Vec<String>,
     /// Interval between checks of the running tasks, in ms.
     pub check_interval_ms: Millis,
+    /// Calls to the advice service.
+    pub advice_calls: u64,
+    /// Time that the advice service spent on them, in ms.
+    pub advice_time: Millis,
     /// Wall-clock time spent in the cell.
     pub cell_time: Duration,
     /// Placement rounds.
@@ -132,6 +142,8 @@
             first_start: HashMap::new(),
             log: Vec::new(),
             check_interval_ms: 1,
+            advice_calls: 0,
+            advice_time: 0,
             cell_time: Duration::ZERO,
             rounds: 0,
             pending: BTreeMap::new(),
@@ -418,17 +430,25 @@
                 .fold(seed, |h, b| h.wrapping_mul(33) ^ u64::from(b));
             hash % 100 < u64::from(self.advised_percent)
         };
+        let submission = self.submissions.get(&step.job);
+        let rule = submission.and_then(|s| self.config.queue(&s.queue.name)?.advice);
+        let duration = rule.map_or(ADVICE_TRANSIT_MS, |r| {
+            r.call_cost_ms(executors.len()) + ADVICE_TRANSIT_MS
+        });
+        self.advice_calls += 1;
+        self.advice_time += duration;
+        let expires_at = self.now + duration + TICKET_VALID_MS;
         let to_advised = |e: &ExecutorId| AdvisedExecutor {
             executor: e.clone(),
-            ticket: Arc::from(format!("{step}@{e}")),
+            ticket: Arc::from(format!("{step}@{e}@{expires_at}")),
         };
         let advised = executors.iter().filter(permitted).map(to_advised).collect();
         let event = CellEvent::AdviceResult {
             call,
             advised: Some(advised),
-            valid_ms: 2_000,
+            valid_ms: TICKET_VALID_MS,
         };
-        self.schedule(30, Pending::Event(event, self.cell.token));
+        self.schedule(duration, Pending::Event(event, self.cell.token));
     }
 
     fn commit(&mut self, call: CallId, writes: Vec<StoreWrite>) {
--- a/tests/policy.rs
+++ b/tests/policy.rs
@@ -44,21 +44,24 @@
         option(resources(4_000, 0)),
     ];
     assert_eq!(
-        choose_best_fit(&resources(1_500, 0), options.iter()),
+        choose_best_fit(&resources(1_500, 0), options.iter().copied()),
         Some(1)
     );
     assert_eq!(
-        choose_best_fit(&resources(3_000, 0), options.iter()),
+        choose_best_fit(&resources(3_000, 0), options.iter().copied()),
         Some(2)
     );
-    assert_eq!(choose_best_fit(&resources(20_000, 0), options.iter()), None);
+    assert_eq!(
+        choose_best_fit(&resources(20_000, 0), options.iter().copied()),
+        None
+    );
 }
 
 #[test]
 fn a_task_that_needs_no_accelerator_leaves_them_free() {
     let options = [option(resources(3_000, 8)), option(resources(8_000, 0))];
     assert_eq!(
-        choose_best_fit(&resources(1_500, 0), options.iter()),
+        choose_best_fit(&resources(1_500, 0), options.iter().copied()),
         Some(1)
     );
 }
@@ -68,7 +71,7 @@
     let mut options = [option(resources(2_000, 0)), option(resources(16_000, 0))];
     options[0].recently_failed = true;
     assert_eq!(
-        choose_best_fit(&resources(1_500, 0), options.iter()),
+        choose_best_fit(&resources(1_500, 0), options.iter().copied()),
         Some(1)
     );
 }
@@ -77,7 +80,10 @@
 fn tasks_of_a_persistent_step_are_spread() {
     let mut options = [option(resources(8_000, 0)), option(resources(8_000, 0))];
     options[0].same_step = 1;
-    assert_eq!(choose_spread(&resources(1_500, 0), options.iter()), Some(1));
+    assert_eq!(
+        choose_spread(&resources(1_500, 0), options.iter().copied()),
+        Some(1)
+    );
 }
 
 /// A burst of late and in-time work of low and of urgent priority, and of expired urgent work.
