Entry: store a caller's job through the owner's node where the store rejects this one

Change: nodes report the age of their last success at the store with each ping and pong. A node whose own calls fail while another one has succeeded since has the owner's node make the call. Both attempts carry the condition that the job is not stored, so it is stored once; nothing was done only if both say so, otherwise the outcome is said to be unknown. A refusal says retry-after 0 where another node serves, otherwise the length of the outage so far, 1 to 4 s. A conflicting accept whose record is missing or unreadable is no longer answered 200.

--- a/src/entry/caller_api.rs
+++ b/src/entry/caller_api.rs
@@ -4,11 +4,11 @@
 
 use {
     crate::{
-        entry::{Shared, clock, event_log::Latency, store_keys as keys},
+        entry::{Shared, clock, event_log::Latency, retry_after_s, store_keys as keys},
         fleet::{FleetConfig, FleetEvent, JobId, JobRecord, JobStatus, QueueRule, Submission},
         platform::{
-            API_KEY_HEADER, DEADLINE_HEADER, READY_PATH, StoreError, Transaction, job_from_bytes,
-            job_state_body, queue_depth_body,
+            API_KEY_HEADER, DEADLINE_HEADER, READY_PATH, StoreError, StoreItem, Transaction,
+            job_from_bytes, job_state_body, queue_depth_body,
         },
     },
     axum::{
@@ -21,9 +21,6 @@
     std::{sync::Arc, time::Duration},
 };
 
-/// Timeout of a call to the store.
-const STORE_TIMEOUT: Duration = Duration::from_millis(700);
-
 /// Time between attempts to store a job or a cancellation.
 const STORE_RETRY_INTERVAL: Duration = Duration::from_millis(60);
 
@@ -36,10 +33,6 @@
 /// Deadline of a request without a deadline header, in ms.
 const DEFAULT_DEADLINE_MS: u64 = 3_000;
 
-/// Value of `retry-after` on a refusal, in seconds. Short, because other nodes accept the job at
-/// once.
-const RETRY_AFTER_S: &str = "1";
-
 /// Returns the routes for callers.
 pub fn router(shared: Arc<Shared>) -> Router {
     Router::new().fallback(handle).with_state(shared)
@@ -179,17 +172,15 @@
     let mut maybe_stored = false;
     let mut busy_attempts = 0;
     loop {
-        match shared.commit(&txn, STORE_TIMEOUT).await {
+        match shared.commit_for_caller(&txn).await {
             Ok(_) => {
                 return reply_accepted(shared, submission);
             }
             Err(StoreError::Conflict(items)) => {
-                let stored = items.first().filter(|i| i.revision > 0);
-                let stored = stored.and_then(|i| keys::decode(&i.key, &i.value).ok());
-                return match stored {
-                    Some(JobRecord::Open(old)) => reply_accepted(shared, old),
-                    _ => empty(StatusCode::OK),
-                };
+                if let Some(reply) = reply_stored(shared, id, &items) {
+                    return reply;
+                }
+                maybe_stored = true;
             }
             Err(StoreError::Busy) if !maybe_stored => {
                 busy_attempts += 1;
@@ -206,6 +197,20 @@
     }
 }
 
+/// Replies to a job whose record is in the store already; `None` if the record is missing, so that
+/// the job may be stored after all.
+fn reply_stored(shared: &Shared, id: JobId, items: &[StoreItem]) -> Option<Reply> {
+    let item = items.iter().find(|i| i.revision > 0)?;
+    Some(match keys::decode(&item.key, &item.value) {
+        Ok(JobRecord::Open(old)) => reply_accepted(shared, old),
+        Ok(JobRecord::Ended { .. }) => empty(StatusCode::OK),
+        Err(e) => {
+            shared.log_event(FleetEvent::BadEntry, &e.to_string());
+            outcome_unknown(shared, id)
+        }
+    })
+}
+
 fn reply_accepted(shared: &Shared, submission: Submission) -> Reply {
     let detail = format!("job={} queue={}", submission.id, submission.queue.name);
     shared.log_event(FleetEvent::JobAccepted, &detail);
@@ -227,7 +232,7 @@
 
 /// Reads a job's record from the store; `Err` if it cannot be read or decoded.
 async fn read_record(shared: &Shared, id: JobId) -> Result<Option<JobRecord>, ()> {
-    match shared.get(&keys::job(id), STORE_TIMEOUT).await {
+    match shared.get_for_caller(&keys::job(id)).await {
         Ok(Some(item)) => {
             let record = keys::decode(&item.key, &item.value);
             record.map(Some).map_err(|e| {
@@ -252,7 +257,7 @@
             ..Transaction::default()
         };
         loop {
-            if shared.commit(&txn, STORE_TIMEOUT).await.is_ok() {
+            if shared.commit_for_caller(&txn).await.is_ok() {
                 shared.notify_cancelled(id);
                 return empty(StatusCode::OK);
             }
@@ -276,10 +281,15 @@
 /// possibly not valid.
 fn refuse(shared: &Shared, job: &str, reason: &str) -> Reply {
     let (store, config) = (shared.store_age_ms(), shared.config_age_ms());
-    let detail = format!("job={job} reason={reason} store_age_ms={store} config_age_ms={config}");
+    let another_serves = shared.another_node_serves();
+    let retry_after_s = retry_after_s(another_serves, store);
+    let detail = format!(
+        "job={job} reason={reason} store_age_ms={store} config_age_ms={config} \
+         another_serves={another_serves} retry_after_s={retry_after_s}"
+    );
     shared.log_event(FleetEvent::JobRefused, &detail);
     let mut reply = empty(StatusCode::SERVICE_UNAVAILABLE);
-    let value = header::HeaderValue::from_static(RETRY_AFTER_S);
+    let value = header::HeaderValue::from(retry_after_s);
     reply.headers_mut().insert(header::RETRY_AFTER, value);
     reply
 }
--- a/src/entry/mod.rs
+++ b/src/entry/mod.rs
@@ -20,9 +20,11 @@
 mod owner_watch;
 mod peer_message;
 mod peer_server;
+mod refusal;
 mod shared;
 mod store_calls;
 mod store_keys;
+mod store_relay;
 mod takeover;
 
 pub use {
@@ -37,6 +39,8 @@
     owner::{OwnerInput, OwnershipClaim},
     owner_link::{OwnerLink, reconnect_backoff},
     peer_message::PeerMessage,
+    refusal::retry_after_s,
     shared::Shared,
     store_calls::{StoreCall, StoreOutcome},
+    store_relay::{RelayedCall, RelayedOutcome},
 };
--- a/src/entry/owner_link.rs
+++ b/src/entry/owner_link.rs
@@ -5,8 +5,12 @@
 use {
     crate::{
         core::Millis,
-        entry::{OwnerInput, PeerMessage, Shared, advice, clock, peer_message::frame_codec},
+        entry::{
+            OwnerInput, PeerMessage, RelayedCall, RelayedOutcome, Shared, advice, clock,
+            peer_message::frame_codec,
+        },
         fleet::{FleetEvent, JobId, JobStatus, OwnerRecord, Submission},
+        platform::StoreError,
     },
     futures_util::{SinkExt, StreamExt},
     std::{
@@ -53,6 +57,7 @@
 enum Reply {
     Status(Option<JobStatus>),
     QueueDepth(u64),
+    Relayed(RelayedOutcome),
 }
 
 /// The connection to the owner, and the requests that wait for a reply.
@@ -73,6 +78,10 @@
         self.inner.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
+    fn is_connected(&self) -> bool {
+        self.inner().tx.is_some()
+    }
+
     fn notify(&self, message: PeerMessage) {
         let tx = self.inner().tx.clone();
         if let Some(tx) = tx {
@@ -144,7 +153,28 @@
         let request = |call| PeerMessage::StatusRequest { call, job };
         match self.owner_link.request(request).await? {
             Reply::Status(status) => Some(status),
-            Reply::QueueDepth(_) => None,
+            Reply::QueueDepth(_) | Reply::Relayed(_) => None,
+        }
+    }
+
+    /// Returns whether the owner's node can make calls to the store for this one.
+    pub fn has_store_relay(&self) -> bool {
+        self.owner_link.is_connected() && self.local_owner().is_none() && self.another_node_serves()
+    }
+
+    /// Has the owner's node make a call to the store; none if it was not sent.
+    pub async fn relay(&self, relayed: RelayedCall) -> Option<RelayedOutcome> {
+        let unknown = match relayed {
+            RelayedCall::Commit(_) => RelayedOutcome::Commit(Err(StoreError::Unknown)),
+            RelayedCall::Get(_) => RelayedOutcome::Get(Err(StoreError::Unknown)),
+        };
+        if !self.owner_link.is_connected() {
+            return None;
+        }
+        let request = |call| PeerMessage::RelayRequest { call, relayed };
+        match self.owner_link.request(request).await {
+            Some(Reply::Relayed(outcome)) => Some(outcome),
+            _ => Some(unknown),
         }
     }
 
@@ -159,7 +189,7 @@
         let request = |call| PeerMessage::QueueDepthRequest { call, queue };
         match self.owner_link.request(request).await? {
             Reply::QueueDepth(count) => Some(count),
-            Reply::Status(_) => None,
+            Reply::Relayed(_) | Reply::Status(_) => None,
         }
     }
 }
@@ -236,6 +266,7 @@
             _ = ping.tick() => {
                 if clock::mono() > received_at + IDLE_TIMEOUT_MS { break }
                 let _ = tx.try_send(PeerMessage::Ping);
+                let _ = tx.try_send(shared.health());
             }
         }
     }
@@ -247,6 +278,10 @@
         Some(PeerMessage::StatusReply { call, status }) => {
             shared.owner_link.complete(call, Reply::Status(status));
         }
+        Some(PeerMessage::Health { store_age_ms }) => shared.record_peer_health(store_age_ms),
+        Some(PeerMessage::RelayReply { call, outcome }) => {
+            shared.owner_link.complete(call, Reply::Relayed(outcome));
+        }
         Some(PeerMessage::QueueDepthReply { call, count }) => {
             shared.owner_link.complete(call, Reply::QueueDepth(count));
         }
--- a/src/entry/peer_message.rs
+++ b/src/entry/peer_message.rs
@@ -3,7 +3,11 @@
 //! they must not be reordered.
 
 use {
-    crate::fleet::{AdvisedExecutor, ExecutorId, JobId, JobStatus, StepId, Submission},
+    crate::{
+        core::Millis,
+        entry::{RelayedCall, RelayedOutcome},
+        fleet::{AdvisedExecutor, ExecutorId, JobId, JobStatus, StepId, Submission},
+    },
     bytes::Bytes,
     serde::{Deserialize, Serialize},
     std::sync::Arc,
@@ -60,6 +64,20 @@
         /// How long the tickets are valid, in ms; 0 if unknown.
         valid_ms: u64,
     },
+    /// Follows each ping and pong.
+    Health {
+        /// Time since the sender last reached the store, in ms.
+        store_age_ms: Millis,
+    },
+    /// The entry node, which the store rejects, has the owner's node make a call to the store.
+    RelayRequest {
+        call: u64,
+        relayed: RelayedCall,
+    },
+    RelayReply {
+        call: u64,
+        outcome: RelayedOutcome,
+    },
 }
 
 impl PeerMessage {
--- a/src/entry/peer_server.rs
+++ b/src/entry/peer_server.rs
@@ -67,7 +67,7 @@
                 if let PeerMessage::Hello { node } = message {
                     peer = Some(node.clone());
                     let _ = owner.send(OwnerInput::PeerUp { node, tx: tx.clone() });
-                } else if on_message(&owner, &tx, message).is_none() {
+                } else if on_message(&shared, &owner, &tx, message).is_none() {
                     break;
                 }
             }
@@ -83,6 +83,7 @@
 
 /// Passes a message to the owner task; `None` if this node is no longer the owner.
 fn on_message(
+    shared: &Arc<Shared>,
     owner: &mpsc::UnboundedSender<OwnerInput>,
     tx: &mpsc::Sender<PeerMessage>,
     message: PeerMessage,
@@ -90,6 +91,20 @@
     let input = match message {
         PeerMessage::Ping => {
             let _ = tx.try_send(PeerMessage::Pong);
+            let _ = tx.try_send(shared.health());
+            return Some(());
+        }
+        PeerMessage::Health { store_age_ms } => {
+            shared.record_peer_health(store_age_ms);
+            return Some(());
+        }
+        PeerMessage::RelayRequest { call, relayed } => {
+            let (shared, tx) = (shared.clone(), tx.clone());
+            tokio::spawn(async move {
+                let outcome = shared.make_relayed_call(relayed).await;
+                // Fails only if the connection is closed.
+                let _ = tx.send(PeerMessage::RelayReply { call, outcome }).await;
+            });
             return Some(());
         }
         PeerMessage::Submitted(submission) => OwnerInput::Submitted(submission),
--- a/src/entry/shared.rs
+++ b/src/entry/shared.rs
@@ -5,7 +5,7 @@
 use {
     crate::{
         core::Millis,
-        entry::{EventLog, NodeStatus, OwnerInput, OwnerLink, clock},
+        entry::{EventLog, NodeStatus, OwnerInput, OwnerLink, PeerMessage, clock},
         fleet::{FleetConfig, FleetEvent, NodeRecord, OwnerRecord},
         platform::{ExecutorClient, NodeSettings, StoreClient},
     },
@@ -22,6 +22,10 @@
 /// changes for a second before its history is dropped.
 const MISSED_CHANGE_MS: Millis = 1_500;
 
+/// Time for which the success of another node at the store says that it serves, in ms: nodes
+/// report it every 300 ms.
+const PEER_HEALTH_MS: Millis = 1_000;
+
 /// State of one node; one per process, behind an `Arc`.
 #[derive(Debug)]
 pub struct Shared {
@@ -45,8 +49,12 @@
 struct State {
     /// When the latest read that confirmed the configuration was sent.
     config_confirmed_at: Millis,
-    /// When a call to the store last succeeded.
+    /// When a call to the store last succeeded; the start of the process before the first one.
     store_success_at: Millis,
+    /// When the first call to the store failed since the last success.
+    store_failing_since: Option<Millis>,
+    /// When another node last reached the store, as far as nodes connected to this one reported.
+    peer_store_success_at: Millis,
     /// Whether `StoreLost` was logged and `StoreRegained` was not yet.
     store_lost: bool,
     draining: bool,
@@ -65,7 +73,10 @@
             owner_link: OwnerLink::default(),
             owner: watch::channel(None).0,
             config: watch::channel(None).0,
-            state: Mutex::new(State::default()),
+            state: Mutex::new(State {
+                store_success_at: clock::mono(),
+                ..State::default()
+            }),
             settings,
             event_log,
         }
@@ -79,6 +90,7 @@
     pub fn record_store_success(&self) {
         let mut state = self.state();
         state.store_success_at = clock::mono();
+        state.store_failing_since = None;
         if std::mem::take(&mut state.store_lost) {
             drop(state);
             self.log_event(FleetEvent::StoreRegained, "");
@@ -89,7 +101,9 @@
     /// `STORE_LOST_MS`.
     pub fn record_store_failure(&self) {
         let mut state = self.state();
-        let age = clock::mono().saturating_sub(state.store_success_at);
+        let now = clock::mono();
+        state.store_failing_since.get_or_insert(now);
+        let age = now.saturating_sub(state.store_success_at);
         if age > STORE_LOST_MS && !state.store_lost {
             state.store_lost = true;
             drop(state);
@@ -102,6 +116,28 @@
         clock::mono().saturating_sub(self.state().store_success_at)
     }
 
+    /// Returns the message that reports this node's access to the store to another node.
+    pub fn health(&self) -> PeerMessage {
+        let store_age_ms = self.store_age_ms();
+        PeerMessage::Health { store_age_ms }
+    }
+
+    /// Records that a connected node reached the store `store_age_ms` ago.
+    pub fn record_peer_health(&self, store_age_ms: Millis) {
+        let success_at = clock::mono().saturating_sub(store_age_ms);
+        let mut state = self.state();
+        state.peer_store_success_at = state.peer_store_success_at.max(success_at);
+    }
+
+    /// Returns whether the store rejects this node while it serves another one.
+    pub fn another_node_serves(&self) -> bool {
+        let state = self.state();
+        let peer_success_at = state.peer_store_success_at;
+        let recent = clock::mono().saturating_sub(peer_success_at) < PEER_HEALTH_MS;
+        let since = state.store_failing_since;
+        recent && since.is_some_and(|since| peer_success_at > since)
+    }
+
     /// Returns the age of the latest confirmation of the configuration, in ms.
     pub fn config_age_ms(&self) -> Millis {
         clock::mono().saturating_sub(self.state().config_confirmed_at)
--- a/src/platform/errors.rs
+++ b/src/platform/errors.rs
@@ -2,7 +2,11 @@
 //!
 //! Returned by this folder to the entry layer and the command line, which log or print them.
 
-use {crate::platform::StoreItem, snafu::Snafu};
+use {
+    crate::platform::StoreItem,
+    serde::{Deserialize, Serialize},
+    snafu::Snafu,
+};
 
 /// Why the platform's settings, a message or a record could not be used. `message` says what is
 /// wrong.
@@ -26,7 +30,7 @@
 }
 
 /// Why a call to the store failed.
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, Deserialize, Serialize)]
 pub enum StoreError {
     /// A condition did not hold; holds the current state of the items that conditions named.
     Conflict(Vec<StoreItem>),
--- a/src/platform/store_client.rs
+++ b/src/platform/store_client.rs
@@ -15,7 +15,7 @@
 };
 
 /// A key of the store with its value.
-#[derive(Clone, Debug, PartialEq)]
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
 pub struct StoreItem {
     pub key: String,
     pub value: Vec<u8>,
@@ -33,7 +33,7 @@
 }
 
 /// An atomic change of several keys under conditions. The store takes at most 32 entries.
-#[derive(Clone, Debug, Default)]
+#[derive(Clone, Debug, Default, Deserialize, Serialize)]
 pub struct Transaction {
     /// Keys and the revision that each must have; 0: the key must not exist.
     pub expect: Vec<(String, u64)>,
