Order: a step counts as in time while the rest of its chain still is

Cause: Timeliness looked at the age of a job, so that a chain of 8 s with 2 s to go took the place of work that could still be in time. Change: the estimated rest of the chain counts.

--- a/src/fleet/cell_jobs.rs
+++ b/src/fleet/cell_jobs.rs
@@ -235,12 +235,5 @@
 /// stretched by its queue's factor, and the queue's fixed part.
 fn objective(job: &Job) -> Millis {
     let rule = &job.submission.queue;
-    let mut path_ms: Vec<Millis> = Vec::new();
-    for step in &job.submission.spec.steps {
-        let dependencies = step.depends_on.iter().map(|s| path_ms.get(usize::from(*s)));
-        let max_path_ms = dependencies.flatten().max().copied().unwrap_or(0);
-        path_ms.push(max_path_ms + step.estimate_ms);
-    }
-    let max_path_ms = path_ms.into_iter().max().unwrap_or(0);
-    rule.objective_ms + max_path_ms * rule.stretch_milli / 1000
+    rule.objective_ms + job.critical_path_ms() * rule.stretch_milli / 1000
 }
--- a/src/fleet/cell_plan.rs
+++ b/src/fleet/cell_plan.rs
@@ -74,20 +74,22 @@
     fn candidates(&self, now: Now) -> Vec<Candidate> {
         let mut list = Vec::new();
         for job in self.jobs.values().filter(|j| j.end.is_none()) {
-            let timeliness = if job.submission.spec.is_persistent() {
-                Timeliness::InTime
-            } else {
-                Timeliness::new(now.mono - job.received_at, job.due - job.received_at)
-            };
-            let rank = Rank {
-                expired: timeliness == Timeliness::Expired,
-                priority: self.queue_rule(job).priority,
-                timeliness,
-                over_rate: job.over_rate,
-                due: job.due,
-            };
+            let age = now.mono.saturating_sub(job.received_at);
+            let objective = job.due - job.received_at;
             for (key, step) in &job.steps {
                 if step.has_waiting() && job.dependencies_done(key.0, key.1) {
+                    let timeliness = if job.submission.spec.is_persistent() {
+                        Timeliness::InTime
+                    } else {
+                        Timeliness::new(age, job.remaining_ms(key.1), objective)
+                    };
+                    let rank = Rank {
+                        expired: timeliness == Timeliness::Expired,
+                        priority: self.queue_rule(job).priority,
+                        timeliness,
+                        over_rate: job.over_rate,
+                        due: job.due,
+                    };
                     let step = job.step_id(*key);
                     list.push(Candidate { rank, step });
                 }
--- a/src/fleet/job.rs
+++ b/src/fleet/job.rs
@@ -120,6 +120,9 @@
     pub received_at: Millis,
     /// End of its objective, in ms on the same clock; based on the estimated run times.
     pub due: Millis,
+    /// Estimated time from the start of each step to the end of the last step that depends on it,
+    /// in ms.
+    remaining_ms: Vec<Millis>,
     /// Whether any task was ever started, or has stored progress.
     pub started: bool,
     /// Taken over from an earlier owner, which may have started tasks of it.
@@ -140,12 +143,14 @@
         progress: Option<&JobProgress>,
         now_unix_ms: Millis,
     ) -> Self {
+        let remaining_ms = remaining_times(&submission.spec.steps);
         let mut job = Self {
             submission,
             steps: BTreeMap::new(),
             occurrences: 0,
             received_at: 0,
             due: 0,
+            remaining_ms,
             started: progress.is_some(),
             recovered: false,
             over_rate: false,
@@ -165,6 +170,17 @@
         self.submission.spec.steps.get(usize::from(step))
     }
 
+    /// Returns the estimated time from the start of a step to the end of the job, in ms.
+    pub fn remaining_ms(&self, step: u16) -> Millis {
+        let remaining = self.remaining_ms.get(usize::from(step));
+        remaining.copied().unwrap_or(0)
+    }
+
+    /// Returns the estimated time of the longest chain of dependent steps, in ms.
+    pub fn critical_path_ms(&self) -> Millis {
+        self.remaining_ms.iter().copied().max().unwrap_or(0)
+    }
+
     /// Returns when the next occurrence is due, in Unix ms; `None` without a schedule or if all
     /// occurrences were added.
     pub fn next_due_unix_ms(&self) -> Option<Millis> {
@@ -288,6 +304,21 @@
     }
 }
 
+/// Returns for each step the estimated time from its start to the end of the last step that
+/// depends on it, in ms. Steps depend on earlier ones only.
+fn remaining_times(steps: &[StepSpec]) -> Vec<Millis> {
+    let mut remaining: Vec<Millis> = steps.iter().map(|s| s.estimate_ms).collect();
+    for (i, step) in steps.iter().enumerate().rev() {
+        for dependency in step.depends_on.iter().map(|d| usize::from(*d)) {
+            if dependency < i {
+                let chain = steps[dependency].estimate_ms + remaining[i];
+                remaining[dependency] = remaining[dependency].max(chain);
+            }
+        }
+    }
+    remaining
+}
+
 fn task_progress(task: &Task) -> TaskProgress {
     TaskProgress {
         done: task.done,
--- a/src/fleet/policy/order.rs
+++ b/src/fleet/policy/order.rs
@@ -19,11 +19,16 @@
 pub const EXPIRED_TIMES: Millis = 3;
 
 impl Timeliness {
-    /// Returns the timeliness of a job of this age and objective, both in ms.
-    pub fn new(age: Millis, objective: Millis) -> Self {
+    /// Returns the timeliness of a job of this age and objective whose remaining steps take
+    /// `remaining`, all in ms.
+    ///
+    /// Answers an overload: a job that can no longer end within its objective does not take the
+    /// place of one that can.
+    pub fn new(age: Millis, remaining: Millis, objective: Millis) -> Self {
+        let end = age + remaining;
         match () {
-            () if age <= objective => Self::InTime,
-            () if age <= objective * EXPIRED_TIMES => Self::Late,
+            () if end <= objective => Self::InTime,
+            () if end <= objective * EXPIRED_TIMES => Self::Late,
             () => Self::Expired,
         }
     }
--- a/tests/policy.rs
+++ b/tests/policy.rs
@@ -90,7 +90,7 @@
 #[test]
 fn a_full_pool_serves_urgent_work_first_and_expired_work_last() {
     let rank = |priority, age| {
-        let timeliness = Timeliness::new(age, 1_000);
+        let timeliness = Timeliness::new(age, 0, 1_000);
         Rank {
             expired: timeliness == Timeliness::Expired,
             priority,
