--- a/src/fleet/cell_advice.rs
+++ b/src/fleet/cell_advice.rs
@@ -270,6 +270,11 @@
             .entry(queue)
             .or_default()
             .record(new.0, new.1);
+        let named = requested.len();
+        self.log(
+            FleetEvent::StepAdvised,
+            format!("step={id} named={named} renewed={known} permitted={permitted}"),
+        );
     }
 
     /// Handles calls without a reply as failed once their timeout has passed.
--- a/src/fleet/event.rs
+++ b/src/fleet/event.rs
@@ -308,11 +308,12 @@
     CommitFailed,
     InvariantBroken,
     JobQueued,
+    StepAdvised,
 }
 
 impl FleetEvent {
     /// All events, in the order of their numbers.
-    pub const ALL: [Self; 26] = [
+    pub const ALL: [Self; 27] = [
         Self::NodeStarted,
         Self::NodeStopping,
         Self::SettingsReloaded,
@@ -339,6 +340,7 @@
         Self::CommitFailed,
         Self::InvariantBroken,
         Self::JobQueued,
+        Self::StepAdvised,
     ];
 
     /// Returns the event with this catalogue number; `None` if there is none.
