--- a/src/fleet/cell_advice.rs
+++ b/src/fleet/cell_advice.rs
@@ -40,7 +40,7 @@
 const ADVICE_TIMEOUT_MARGIN_MS: Millis = 2_500;
 
 /// Cost of the executors named at no noticeable cost, in percent of a call's fixed part.
-const MINOR_COST_PERCENT: u64 = 10;
+const MINOR_COST_PERCENT: u64 = 40;
 
 impl Cell {
     /// Requests advice for steps that did not fit, in the order of `steps`, while a slot is free.
