Preemption: stop patient work on the executors reserved for a gang

Change: where all members fit on the reserved executors once the checkpointing runs of less urgent queues are stopped, these are stopped, and tickets are asked for while they end.

--- a/src/fleet/cell_advice.rs
+++ b/src/fleet/cell_advice.rs
@@ -165,7 +165,11 @@
         if valid_fits >= waiting {
             return Vec::new();
         }
-        let mut choice = choose(&|entry, _| entry.free);
+        let mut choice = if spec.gang {
+            choose(&|_, executor| executor.free_after_stops())
+        } else {
+            choose(&|entry, _| entry.free)
+        };
         if may_preempt && !choice.sufficient {
             choice = choose(&|_, executor| executor.free_after_preemption());
         }
--- a/src/fleet/cell_plan.rs
+++ b/src/fleet/cell_plan.rs
@@ -63,8 +63,9 @@
                 Some(BlockReason::Advice | BlockReason::Members | BlockReason::Room)
             );
             if lacks_capacity && candidate.rank.timeliness == Timeliness::InTime {
-                self.reserve(candidate.step, &mut snapshot);
+                let reserved = self.reserve(candidate.step, &mut snapshot);
                 self.preempt(candidate, &snapshot, now);
+                self.preempt_for_gang(candidate, &reserved, now);
             }
         }
         self.request_advice(&unadvised, &snapshot, now);
@@ -355,17 +356,17 @@
     }
 
     /// Reserves executors for a large task or a gang that does not fit yet but would fit on empty
-    /// executors.
-    fn reserve(&self, id: StepId, snapshot: &mut CapacitySnapshot) {
+    /// executors, and returns them.
+    fn reserve(&self, id: StepId, snapshot: &mut CapacitySnapshot) -> Vec<ExecutorId> {
         let Some((job, spec, _)) = self.lookup_step(&id) else {
-            return;
+            return Vec::new();
         };
         let need = spec.allocation();
         let pool = &self.queue_rule(job).pool;
         let max_reserved = snapshot.in_pool(pool).len() / RESERVED_DIVISOR;
         let reservable = max_reserved.saturating_sub(snapshot.reserved_count(pool));
         if reservable == 0 {
-            return;
+            return Vec::new();
         }
         let mut suitable = self.permitted(&id, snapshot);
         suitable.retain(|e| e.is_open_to(&id) && eligible(&e.info, pool, spec));
@@ -393,9 +394,10 @@
             .take(reservable)
             .map(|i| suitable[i].info.id.clone())
             .collect();
-        for name in names {
-            snapshot.reserve(pool, &name, id);
+        for name in &names {
+            snapshot.reserve(pool, name, id);
         }
+        names
     }
 }
 
--- a/src/fleet/cell_preempt.rs
+++ b/src/fleet/cell_preempt.rs
@@ -62,6 +62,50 @@
         }
     }
 
+    /// Stops lower-priority runs on the executors reserved for a gang, if all its members fit
+    /// there then.
+    pub(super) fn preempt_for_gang(
+        &mut self,
+        candidate: &Candidate,
+        reserved: &[ExecutorId],
+        now: Now,
+    ) {
+        let Some((_, spec, _)) = self.lookup_step(&candidate.step) else {
+            return;
+        };
+        if !spec.gang {
+            return;
+        }
+        let need = spec.allocation();
+        let mut missing = spec.count;
+        let mut stops: Vec<(ExecutorId, TaskId)> = Vec::new();
+        for name in reserved {
+            let Some(executor) = self.executors.get(name) else {
+                continue;
+            };
+            let (tasks, victims) = self.victims(executor, now);
+            let available = executor.free_after_stops();
+            let (members, chosen) = policy::choose_gang_victims(
+                &need,
+                missing,
+                &available,
+                candidate.rank.priority,
+                &victims,
+            );
+            missing -= members;
+            stops.extend(chosen.into_iter().map(|i| (name.clone(), tasks[i])));
+            if missing == 0 {
+                break;
+            }
+        }
+        if missing > 0 {
+            return;
+        }
+        for (executor, task) in stops {
+            self.stop_run(&executor, task, now);
+        }
+    }
+
     /// Lists the confirmed runs of an executor with the facts that decide whether to stop them,
     /// index by index.
     fn victims(&self, executor: &Executor, now: Now) -> (Vec<TaskId>, Vec<Victim>) {
--- a/src/fleet/policy/mod.rs
+++ b/src/fleet/policy/mod.rs
@@ -18,7 +18,7 @@
     order::{EXPIRED_TIMES, Rank, Timeliness},
     pace::round_pause_ms,
     placement::{PlacementOption, choose_best_fit, choose_spread},
-    preemption::{Victim, choose_victims},
+    preemption::{Victim, choose_gang_victims, choose_victims},
     reservation::{Room, reserve_for_gang, reserve_for_large},
     speed::{RunTimeFactor, needs_speed},
     throttle::best_effort_share,
--- a/src/fleet/policy/preemption.rs
+++ b/src/fleet/policy/preemption.rs
@@ -48,3 +48,27 @@
     }
     free.covers(need).then_some(chosen)
 }
+
+/// Chooses the runs to stop on one executor so that as many members of a gang fit as possible, up
+/// to `members`; returns their number and the runs as indexes into `victims`.
+///
+/// Meant for a pool full of patient work that saves its progress: a gang needs its room at one
+/// moment, and the work that it displaces can wait.
+pub fn choose_gang_victims(
+    need: &Resources,
+    members: u32,
+    free_after_stops: &Resources,
+    priority: u32,
+    victims: &[Victim],
+) -> (u32, Vec<usize>) {
+    let mut best = (0, Vec::new());
+    let mut total = Resources::default();
+    for count in 1..=members {
+        total.add(need);
+        match choose_victims(&total, free_after_stops, priority, victims) {
+            Some(chosen) => best = (count, chosen),
+            None => break,
+        }
+    }
+    best
+}
