--- a/src/fleet/cell_executors.rs
+++ b/src/fleet/cell_executors.rs
@@ -10,7 +10,7 @@
         fleet::{
             Cell, CellEffect, CommandError, CommandReply, Executor, ExecutorCommand, ExecutorId,
             ExecutorInfo, FleetEvent, JobId, Now, RenewCommand, RenewReply, RosterEntry, Run,
-            RunStage, RunningRow, Session, TaskId, executor::ClockReading,
+            RunStage, RunningRow, Session, TaskId, executor::ClockReading, policy,
         },
     },
     std::{collections::HashSet, sync::Arc},
@@ -303,6 +303,15 @@
             run.percent = row.percent;
             run.progressed_at = now.mono;
         }
+        let (measured_at, measured_percent) = run.measured;
+        let elapsed_ms = now.mono.saturating_sub(measured_at);
+        if elapsed_ms >= policy::MIN_PROGRESS_MS {
+            run.measured = (now.mono, row.percent);
+            let percent = row.percent.saturating_sub(measured_percent);
+            executor
+                .run_time
+                .record_progress(elapsed_ms, percent, run.measured_estimate_ms);
+        }
         run.load = row.load;
         let resend_stop = run.stage == RunStage::StopAccepted && run.stage_since < sent;
         self.record_checkpoint(row.task, &row.checkpoint);
--- a/src/fleet/cell_runs.rs
+++ b/src/fleet/cell_runs.rs
@@ -403,6 +403,7 @@
         share_percent: 100,
         best_effort: spec.best_effort,
         finishes_independently: !spec.persistent && !spec.gang,
+        measured: (now, 0),
         measured_estimate_ms: 0,
         preemptible: spec.checkpoints && !spec.gang && !spec.persistent,
         latency_target_ms: spec.latency_target_ms,
--- a/src/fleet/executor.rs
+++ b/src/fleet/executor.rs
@@ -78,6 +78,8 @@
     pub progressed_at: Millis,
     /// Part of full speed that a best-effort run is allowed, in percent.
     pub share_percent: u32,
+    /// When its progress was last compared, and the percentage then.
+    pub measured: (Millis, u32),
     /// Estimated run time in ms; 0 if its duration says nothing of the executor, as that of a
     /// gang's member or of a run that resumed.
     pub measured_estimate_ms: Millis,
--- a/src/fleet/policy/mod.rs
+++ b/src/fleet/policy/mod.rs
@@ -20,6 +20,6 @@
     placement::{PlacementOption, choose_best_fit, choose_spread},
     preemption::{Victim, choose_gang_victims, choose_victims},
     reservation::{Room, reserve_for_gang, reserve_for_large},
-    speed::{RunTimeFactor, needs_speed},
+    speed::{MIN_PROGRESS_MS, RunTimeFactor, needs_speed},
     throttle::best_effort_share,
 };
--- a/src/fleet/policy/speed.rs
+++ b/src/fleet/policy/speed.rs
@@ -1,45 +1,54 @@
-//! Speed of executors, learned from the run times that they report.
+//! Speed of executors, learned from the run times and the progress that they report.
 //!
 //! Answers a pool of unlike machines: an urgent task with half its run time to spare is late on a
 //! slow one, while patient work is not.
 
 use crate::core::Millis;
 
-/// Weight of one run in the average, in percent.
-const RUN_WEIGHT_PERCENT: f64 = 10.0;
+/// Weight of a run that has ended in the average.
+const RUN_WEIGHT: f64 = 0.1;
 
-/// Range of the ratio of one run's time to its estimate that counts; estimates may be far off.
-const RATIO_RANGE: (f64, f64) = (0.25, 4.0);
+/// Weight of one second of a run's progress in the average: a machine that turns slow ends no runs
+/// that would show it.
+const PROGRESS_WEIGHT_PER_S: f64 = 0.25;
 
-/// Steps by which two executors differ in [`RunTimeFactor::percent`].
+/// Shortest time between two reports of progress that are compared, in ms; reports are rounded to
+/// percent.
+pub const MIN_PROGRESS_MS: Millis = 200;
+
+/// Range of the ratio of a run's time to its estimate that counts; estimates may be far off.
+const RATIO_RANGE: (f64, f64) = (0.25, 8.0);
+
+/// Steps of [`RunTimeFactor::percent`].
 const PERCENT_STEP: u32 = 10;
 
 /// Ratio of run times to their estimates, as a moving average over recent runs.
-#[derive(Clone, Copy, Debug, PartialEq)]
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
 pub struct RunTimeFactor {
     /// Natural logarithm of the ratio.
     log_ratio: f64,
 }
 
-impl Default for RunTimeFactor {
-    fn default() -> Self {
-        Self { log_ratio: 0.0 }
-    }
-}
-
 impl RunTimeFactor {
-    /// Counts a run that was done after `ran_ms`, relative to the usual ratio of its queue.
+    /// Counts a run that was done after `ran_ms`.
     pub fn record(&mut self, ran_ms: Millis, estimate_ms: Millis) {
-        if estimate_ms == 0 {
-            return;
+        if estimate_ms > 0 {
+            self.add(to_f64(ran_ms) / to_f64(estimate_ms), RUN_WEIGHT);
         }
-        #[expect(
-            clippy::cast_precision_loss,
-            reason = "run times are far below 2^52 ms"
-        )]
-        let ratio = ran_ms as f64 / estimate_ms as f64;
+    }
+
+    /// Counts the progress that a run made in `elapsed_ms`, in percent of its whole.
+    pub fn record_progress(&mut self, elapsed_ms: Millis, percent: u32, estimate_ms: Millis) {
+        if estimate_ms > 0 {
+            let worked_ms = to_f64(estimate_ms) * f64::from(percent) / 100.0;
+            let weight = PROGRESS_WEIGHT_PER_S * (to_f64(elapsed_ms) / 1_000.0).min(1.0);
+            self.add(to_f64(elapsed_ms) / worked_ms.max(1.0), weight);
+        }
+    }
+
+    fn add(&mut self, ratio: f64, weight: f64) {
         let log_ratio = ratio.clamp(RATIO_RANGE.0, RATIO_RANGE.1).ln();
-        self.log_ratio += (log_ratio - self.log_ratio) * RUN_WEIGHT_PERCENT / 100.0;
+        self.log_ratio += (log_ratio - self.log_ratio) * weight;
     }
 
     /// Returns the run time there in percent of the estimate, in steps of 10.
@@ -48,13 +57,18 @@
         #[expect(
             clippy::cast_possible_truncation,
             clippy::cast_sign_loss,
-            reason = "between 25 and 400"
+            reason = "between 25 and 800"
         )]
         let percent = percent as u32;
         (percent + PERCENT_STEP / 2) / PERCENT_STEP * PERCENT_STEP
     }
 }
 
+#[expect(clippy::cast_precision_loss, reason = "times are far below 2^52 ms")]
+fn to_f64(ms: Millis) -> f64 {
+    ms as f64
+}
+
 /// Returns whether a step should run on fast executors: its job has less time to spare than the
 /// step itself takes.
 pub fn needs_speed(slack_ms: Millis, estimate_ms: Millis) -> bool {
