Faults known before: lost replies to claims, preemption beside reservations, logs of suspicions

- A lost reply to a claim or a release could leave the owner key naming a node that does not run the cell while its lease is renewed: such a node now claims again, under a higher token.
- Preemption stopped runs on executors reserved for another step, and for tasks in a backoff.
- log explain dropped ExecutorSuspected lines, whose details had free words behind the executor's id; it tells advice and what a refused caller was told.
- The search for executors to name is a struct of its own, in place of one long function.

--- a/src/entry/membership.rs
+++ b/src/entry/membership.rs
@@ -156,9 +156,7 @@
     loop {
         let no_owner = {
             let record = owner_rx.borrow_and_update();
-            record
-                .as_ref()
-                .is_none_or(|r| is_earlier_incarnation(&shared, r))
+            record.as_ref().is_none_or(|r| names_this_node(&shared, r))
         };
         let ready = shared.config.borrow().is_some() && !shared.is_draining();
         let id = *lease.borrow();
@@ -173,9 +171,10 @@
     }
 }
 
-/// Returns whether the owner is an earlier incarnation of this node: same address, other name.
-fn is_earlier_incarnation(shared: &Shared, record: &OwnerRecord) -> bool {
-    *record.address == *shared.settings.peer_address.to_string() && record.node != shared.node
+/// Returns whether a record names this node as the owner while it does not run the cell: it was
+/// written by an earlier incarnation, or by a claim or release whose reply was lost.
+fn names_this_node(shared: &Shared, record: &OwnerRecord) -> bool {
+    *record.address == *shared.settings.peer_address.to_string()
 }
 
 /// Returns how long this node waits for better-ranked nodes to claim first.
@@ -195,7 +194,7 @@
     let current = owner
         .as_ref()
         .and_then(|i| keys::decode::<OwnerRecord>(&i.key, &i.value).ok());
-    if current.is_some_and(|r| !is_earlier_incarnation(shared, &r)) {
+    if current.is_some_and(|r| !names_this_node(shared, &r)) {
         return None;
     }
     let last = match &epoch {
--- a/src/fleet/cell_advice.rs
+++ b/src/fleet/cell_advice.rs
@@ -7,7 +7,8 @@
     crate::{
         core::{CallId, Millis, Resources},
         fleet::{
-            AdvisedExecutor, Cell, CellEffect, Executor, ExecutorId, FleetEvent, Now, StepId,
+            AdviceRule, AdvisedExecutor, Cell, CellEffect, Executor, ExecutorId, FleetEvent, Now,
+            QueueRule, Step, StepId, StepSpec,
             cell_capacity::{CapacitySnapshot, ExecutorCapacity},
             cell_plan::eligible,
             job::Ticket,
@@ -107,24 +108,43 @@
         snapshot: &CapacitySnapshot,
         now: Now,
     ) -> Vec<ExecutorId> {
-        let Some((job, spec, step)) = self.lookup_step(id) else {
+        let Some(search) = self.search_executors(id, snapshot, now) else {
             return Vec::new();
         };
-        let rule = self.queue_rule(job);
-        let Some(advice) = rule.advice else {
+        if search.valid_fits >= search.waiting {
             return Vec::new();
+        }
+        let choice = if search.spec.gang {
+            search.choose_for_gang()
+        } else {
+            search.choose_for_tasks()
         };
-        let need = spec.allocation();
-        let waiting = step.count_waiting();
-        let fits = |executor: &Executor, free: &Resources| {
-            let fits = free.times_covered(&need).min(waiting);
-            match spec.max_per_executor {
-                0 => fits,
-                limit => fits.min(limit.saturating_sub(executor.count_step_tasks(id))),
-            }
+        let names = choice.named.iter().map(|i| search.names(*i).clone());
+        names.collect()
+    }
+
+    /// Collects what a step lacks and the executors that a call may name for it; `None` if its
+    /// queue needs no advice.
+    fn search_executors<'a>(
+        &'a self,
+        id: &'a StepId,
+        snapshot: &'a CapacitySnapshot,
+        now: Now,
+    ) -> Option<ExecutorSearch<'a>> {
+        let (job, spec, step) = self.lookup_step(id)?;
+        let rule = self.queue_rule(job);
+        let mut search = ExecutorSearch {
+            id,
+            spec,
+            step,
+            rule,
+            advice: rule.advice?,
+            yield_percent: self.advice_yield(&rule.name).percent(),
+            in_a_hurry: job.needs_speed(id.step, now.mono),
+            waiting: step.count_waiting(),
+            valid_fits: 0,
+            candidates: Vec::new(),
         };
-        let mut valid_fits = 0;
-        let mut asked: Vec<(&ExecutorCapacity, &Executor)> = Vec::new();
         for entry in snapshot.in_pool(&rule.pool) {
             let name = &entry.info.id;
             let open = entry.is_open_to(id) && eligible(&entry.info, &rule.pool, spec);
@@ -132,68 +152,21 @@
                 continue;
             };
             match step.advice.advised.get(name) {
-                Some(t) if t.expires_at > now.mono => valid_fits += fits(executor, &entry.free),
+                Some(ticket) if ticket.expires_at > now.mono => {
+                    search.valid_fits += search.fits(executor, &entry.free);
+                }
                 _ if step.advice.rejected.contains(name) => {}
-                _ => asked.push((entry, executor)),
-            }
-        }
-        let may_preempt = rule.priority == 0;
-        let in_a_hurry = job.needs_speed(id.step, now.mono);
-        let choose = |free: &dyn Fn(&ExecutorCapacity, &Executor) -> Resources| -> AdviceChoice {
-            let options: Vec<AdviceOption> = asked
-                .iter()
-                .map(|(entry, executor)| AdviceOption {
-                    fits: fits(executor, &free(entry, executor)),
-                    permitted: step.advice.advised.contains_key(&entry.info.id),
-                    run_time_percent: if in_a_hurry {
-                        entry.run_time_percent
-                    } else {
-                        100
-                    },
-                    spread_key: spread_key(id, &entry.info.id),
-                })
-                .collect();
-            let need = AdviceNeed {
-                tasks: waiting.saturating_sub(valid_fits),
-                gang: spec.gang,
-                yield_percent: self.advice_yield(&rule.name).percent(),
-                min_named: minor_executors(advice.call_cost_us, advice.executor_cost_us),
-                max_named: MAX_CALL_EXECUTORS * MAX_STEP_CALLS,
-            };
-            policy::choose_named(&need, &options)
-        };
-        if valid_fits >= waiting {
-            return Vec::new();
-        }
-        let mut choice = if spec.gang {
-            choose(&|_, executor| executor.free_after_stops())
-        } else {
-            choose(&|entry, _| entry.free)
-        };
-        if may_preempt && !choice.sufficient {
-            choice = choose(&|_, executor| executor.free_after_preemption());
-        }
-        if spec.gang && !choice.sufficient {
-            // No call now lets the gang start; one is of use only to learn which executors it
-            // may wait for.
-            let known = asked
-                .iter()
-                .filter(|(entry, _)| step.advice.advised.contains_key(&entry.info.id));
-            let known_fits: u32 = known.map(|(e, x)| fits(x, &e.info.capacity)).sum();
-            if known_fits + valid_fits >= waiting {
-                return Vec::new();
+                _ => search.candidates.push((entry, executor)),
             }
-            choice = choose(&|entry, _| entry.info.capacity);
         }
-        let names = choice.named.iter().map(|i| asked[*i].0.info.id.clone());
-        names.collect()
+        Some(search)
     }
 
     fn advice_yield(&self, queue: &str) -> policy::AdviceYield {
         self.advice_yields.get(queue).copied().unwrap_or_default()
     }
 
-    fn step_state_mut(&mut self, id: &StepId) -> Option<&mut crate::fleet::Step> {
+    pub(super) fn step_state_mut(&mut self, id: &StepId) -> Option<&mut Step> {
         let job = self.jobs.get_mut(&id.job)?;
         job.steps.get_mut(&(id.occurrence, id.step))
     }
@@ -293,6 +266,103 @@
     }
 }
 
+/// The executors that a call may name for a step, and what the step lacks.
+struct ExecutorSearch<'a> {
+    id: &'a StepId,
+    spec: &'a StepSpec,
+    step: &'a Step,
+    rule: &'a QueueRule,
+    advice: AdviceRule,
+    /// Share of executors that the service permits for the queue, in percent.
+    yield_percent: u32,
+    in_a_hurry: bool,
+    /// Tasks that wait.
+    waiting: u32,
+    /// Of these, tasks that fit on executors with a valid ticket.
+    valid_fits: u32,
+    /// Executors without a valid ticket that are not known to be rejected.
+    candidates: Vec<(&'a ExecutorCapacity, &'a Executor)>,
+}
+
+impl ExecutorSearch<'_> {
+    fn names(&self, index: usize) -> &ExecutorId {
+        &self.candidates[index].0.info.id
+    }
+
+    /// Returns how many tasks of the step fit into `free` of an executor.
+    fn fits(&self, executor: &Executor, free: &Resources) -> u32 {
+        let fits = free
+            .times_covered(&self.spec.allocation())
+            .min(self.waiting);
+        match self.spec.max_per_executor {
+            0 => fits,
+            limit => fits.min(limit.saturating_sub(executor.count_step_tasks(self.id))),
+        }
+    }
+
+    fn choose(&self, free: impl Fn(&ExecutorCapacity, &Executor) -> Resources) -> AdviceChoice {
+        let option = |(entry, executor): &(&ExecutorCapacity, &Executor)| AdviceOption {
+            fits: self.fits(executor, &free(entry, executor)),
+            permitted: self.is_permitted(&entry.info.id),
+            run_time_percent: if self.in_a_hurry {
+                entry.run_time_percent
+            } else {
+                100
+            },
+            spread_key: spread_key(self.id, &entry.info.id),
+        };
+        let options: Vec<AdviceOption> = self.candidates.iter().map(option).collect();
+        let need = AdviceNeed {
+            tasks: self.waiting.saturating_sub(self.valid_fits),
+            gang: self.spec.gang,
+            yield_percent: self.yield_percent,
+            min_named: minor_executors(self.advice.call_cost_us, self.advice.executor_cost_us),
+            max_named: MAX_CALL_EXECUTORS * MAX_STEP_CALLS,
+        };
+        policy::choose_named(&need, &options)
+    }
+
+    /// Chooses executors with free capacity; if they do not suffice and the queue may preempt
+    /// others, those where it could.
+    fn choose_for_tasks(&self) -> AdviceChoice {
+        let choice = self.choose(|entry, _| entry.free);
+        if choice.sufficient || self.rule.priority > 0 {
+            return choice;
+        }
+        self.choose(|_, executor| executor.free_after_preemption())
+    }
+
+    /// Chooses executors for all members at once. While they do not fit, a call is of use only to
+    /// learn which executors the gang may wait for.
+    fn choose_for_gang(&self) -> AdviceChoice {
+        let choice = self.choose(|_, executor| executor.free_after_stops());
+        if choice.sufficient {
+            return choice;
+        }
+        if self.rule.priority == 0 {
+            let choice = self.choose(|_, executor| executor.free_after_preemption());
+            if choice.sufficient {
+                return choice;
+            }
+        }
+        let permitted = self
+            .candidates
+            .iter()
+            .filter(|(entry, _)| self.is_permitted(&entry.info.id));
+        let permitted_fits: u32 = permitted
+            .map(|(entry, executor)| self.fits(executor, &entry.info.capacity))
+            .sum();
+        if permitted_fits + self.valid_fits >= self.waiting {
+            return AdviceChoice::default();
+        }
+        self.choose(|entry, _| entry.info.capacity)
+    }
+
+    fn is_permitted(&self, executor: &ExecutorId) -> bool {
+        self.step.advice.advised.contains_key(executor)
+    }
+}
+
 /// Returns how many executors a call can name for a minor part of its fixed cost.
 fn minor_executors(call_cost_us: u64, executor_cost_us: u64) -> usize {
     let minor_us = call_cost_us * MINOR_COST_PERCENT / 100;
--- a/src/fleet/cell_health.rs
+++ b/src/fleet/cell_health.rs
@@ -21,7 +21,7 @@
         executor.mark_suspected(now.mono);
         self.log(
             FleetEvent::ExecutorSuspected,
-            format!("executor={id}; no run moves; stopped={}", stuck.len()),
+            format!("executor={id} stopped={} cause=no run moves", stuck.len()),
         );
         for task in stuck {
             self.stop_run(id, task, now);
--- a/src/fleet/cell_plan.rs
+++ b/src/fleet/cell_plan.rs
@@ -414,9 +414,9 @@
 }
 
 fn waiting_tasks(step: &Step, now: Millis) -> Vec<u32> {
-    let waits = |t: &Task| !t.done && t.active_on.is_empty() && t.not_before <= now;
     let tasks = (0u32..).zip(&step.tasks);
-    tasks.filter(|(_, t)| waits(t)).map(|(i, _)| i).collect()
+    let waiting = tasks.filter(|(_, t)| t.is_waiting(now));
+    waiting.map(|(i, _)| i).collect()
 }
 
 /// Chooses an executor for each member of a gang, by index; `None` if one does not fit.
--- a/src/fleet/cell_preempt.rs
+++ b/src/fleet/cell_preempt.rs
@@ -28,7 +28,7 @@
         let mut remaining = step
             .tasks
             .iter()
-            .filter(|t| !t.done && t.active_on.is_empty())
+            .filter(|t| t.is_waiting(now.mono))
             .count()
             .min(MAX_EXECUTORS_PER_STEP);
         let mut stops: Vec<(ExecutorId, TaskId)> = Vec::new();
@@ -45,7 +45,8 @@
             }
             let at_step_limit = spec.max_per_executor > 0
                 && executor.count_step_tasks(&candidate.step) >= spec.max_per_executor;
-            if !eligible(&executor.info, &rule.pool, spec) || at_step_limit {
+            let open = entry.is_open_to(&candidate.step);
+            if !open || !eligible(&executor.info, &rule.pool, spec) || at_step_limit {
                 continue;
             }
             let (tasks, victims) = self.victims(executor, now);
--- a/src/fleet/cell_run_ends.rs
+++ b/src/fleet/cell_run_ends.rs
@@ -116,7 +116,7 @@
         {
             self.log(
                 FleetEvent::ExecutorSuspected,
-                format!("executor={id}; failures of several jobs in a row"),
+                format!("executor={id} cause=failures of several jobs in a row"),
             );
         }
         let Some(spec) = self.step_spec(&row.task) else {
--- a/src/fleet/cell_runs.rs
+++ b/src/fleet/cell_runs.rs
@@ -7,8 +7,8 @@
     crate::{
         core::{CallId, Millis},
         fleet::{
-            Cell, CellEffect, CommandError, ExecutorCommand, ExecutorId, FleetEvent, JobId, Now,
-            Run, RunNumber, RunStage, StartCommand, StepSpec, TaskId,
+            Cell, CellEffect, CommandError, ExecutorCommand, ExecutorId, FleetEvent, Now, Run,
+            RunNumber, RunStage, StartCommand, StepSpec, TaskId,
         },
     },
     std::sync::Arc,
@@ -363,9 +363,7 @@
     }
 
     pub(super) fn step_mut(&mut self, task: &TaskId) -> Option<&mut crate::fleet::Step> {
-        let job: JobId = task.step.job;
-        let key = (task.step.occurrence, task.step.step);
-        self.jobs.get_mut(&job)?.steps.get_mut(&key)
+        self.step_state_mut(&task.step)
     }
 
     fn task(&self, task: &TaskId) -> Option<&crate::fleet::Task> {
--- a/src/fleet/job.rs
+++ b/src/fleet/job.rs
@@ -38,6 +38,13 @@
     pub not_before: Millis,
 }
 
+impl Task {
+    /// Returns whether it is neither done nor active nor in a backoff.
+    pub fn is_waiting(&self, now: Millis) -> bool {
+        !self.done && self.active_on.is_empty() && self.not_before <= now
+    }
+}
+
 /// Proof from the advice service that tasks of one step may start on one executor.
 #[derive(Clone, Debug)]
 pub struct Ticket {
--- a/src/report/job_timeline.rs
+++ b/src/report/job_timeline.rs
@@ -246,6 +246,12 @@
         FleetEvent::AdviceFailed => {
             format!("the advice service did not answer for {}", field("step"))
         }
+        FleetEvent::StepAdvised => format!(
+            "the advice service permitted {} of {} executors for {}",
+            field("permitted"),
+            field("named"),
+            field("step")
+        ),
         FleetEvent::JobQueued => describe_queued(&fields),
         _ => line.detail.clone(),
     };
@@ -291,7 +297,12 @@
         ),
         _ => String::new(),
     };
-    format!("refused: {}{ages}", field("reason"))
+    let retry = match fields.get("retry_after_s").map(String::as_str) {
+        Some("0") => "; told to come back at once, as another node serves".to_owned(),
+        Some(seconds) => format!("; told to come back after {seconds} s"),
+        None => String::new(),
+    };
+    format!("refused: {}{ages}{retry}", field("reason"))
 }
 
 fn describe_start(fields: &Fields<'_>) -> String {
--- a/tests/story.rs
+++ b/tests/story.rs
@@ -143,3 +143,26 @@
     assert_eq!(story.outcome, LoggedOutcome::Missing);
     assert_eq!(story.text(), format!("No line names {JOB}.\n"));
 }
+
+/// A suspicion of an executor that runs a task of the job belongs to its story, and so do the
+/// advice for its steps and what a refused caller was told.
+#[test]
+fn advice_refusals_and_suspicions_are_told() {
+    let refused = format!(
+        "job={JOB} reason=configuration not fresh store_age_ms=900 config_age_ms=3600 \
+         another_serves=true retry_after_s=0"
+    );
+    let advised = format!("step={JOB}.0.0 named=30 renewed=0 permitted=9");
+    let started = format!("task={JOB}.0.0.0 run=1 executor=i-1 waited_ms=30 blocked=Advice");
+    let suspected = "executor=i-1 cause=failures of several jobs in a row";
+    let lines = [
+        line(9_000, "n1", FleetEvent::JobRefused, &refused),
+        line(10_000, "n2", FleetEvent::StepAdvised, &advised),
+        line(10_010, "n2", FleetEvent::RunStarted, &started),
+        line(10_900, "n2", FleetEvent::ExecutorSuspected, suspected),
+    ];
+    let text = JobTimeline::new(JOB, &lines).text();
+    assert!(text.contains("told to come back at once"), "{text}");
+    assert!(text.contains("permitted 9 of 30 executors"), "{text}");
+    assert!(text.contains("failures of several jobs in a row"), "{text}");
+}
