Read as a newcomer: one name for advised executors, plain names, a pure test of partial outages

'Permitted' and 'advised' named one thing, and 'permitted' also the rate of a tenant; 'in a hurry' and 'needs speed' another. Speed spoke of machines, the platform's word. Whether another node serves is a pure function with a test. The log field of event 226 is advised= now; nothing else changes.

--- a/src/entry/mod.rs
+++ b/src/entry/mod.rs
@@ -41,7 +41,7 @@
     owner_link::{OwnerLink, reconnect_backoff, run as run_owner_link},
     peer_message::PeerMessage,
     peer_server::run as run_peer_server,
-    refusal::retry_after_s,
+    refusal::{another_node_serves, retry_after_s},
     shared::Shared,
     store_calls::{StoreCall, StoreOutcome},
     store_relay::{RelayedCall, RelayedOutcome},
--- a/src/entry/shared.rs
+++ b/src/entry/shared.rs
@@ -5,7 +5,9 @@
 use {
     crate::{
         core::Millis,
-        entry::{EventLog, NodeStatus, OwnerInput, OwnerLink, PeerMessage, clock},
+        entry::{
+            EventLog, NodeStatus, OwnerInput, OwnerLink, PeerMessage, another_node_serves, clock,
+        },
         fleet::{FleetConfig, FleetEvent, NodeRecord, OwnerRecord},
         platform::{ExecutorClient, NodeSettings, StoreClient},
     },
@@ -22,10 +24,6 @@
 /// changes for a second before its history is dropped.
 const MISSED_CHANGE_MS: Millis = 1_500;
 
-/// Time for which the success of another node at the store says that it serves, in ms: nodes
-/// report it every 300 ms.
-const PEER_HEALTH_MS: Millis = 1_000;
-
 /// State of one node; one per process, behind an `Arc`.
 #[derive(Debug)]
 pub struct Shared {
@@ -133,9 +131,7 @@
     pub fn another_node_serves(&self) -> bool {
         let state = self.state();
         let peer_success_at = state.peer_store_success_at;
-        let recent = clock::mono().saturating_sub(peer_success_at) < PEER_HEALTH_MS;
-        let since = state.store_failing_since;
-        recent && since.is_some_and(|since| peer_success_at > since)
+        another_node_serves(state.store_failing_since, peer_success_at, clock::mono())
     }
 
     /// Returns the age of the latest confirmation of the configuration, in ms.
--- a/src/fleet/cell.rs
+++ b/src/fleet/cell.rs
@@ -104,7 +104,7 @@
     pub advice_slots: AdviceSlots,
     /// Advice calls in flight: step, executors named, and when each times out.
     pub advice_calls: HashMap<CallId, (StepId, Vec<ExecutorId>, Millis)>,
-    /// Share of executors that the advice service permits, by queue.
+    /// Share of executors that the advice service advises, by queue.
     pub advice_yields: HashMap<Arc<str>, AdviceYield>,
     /// Whether an event since the last round may let a task start.
     pub(super) needs_placement: bool,
--- a/src/fleet/cell_advice.rs
+++ b/src/fleet/cell_advice.rs
@@ -119,7 +119,7 @@
         } else {
             search.choose_for_tasks()
         };
-        let names = choice.named.iter().map(|i| search.names(*i).clone());
+        let names = choice.named.iter().map(|i| search.executor_id(*i).clone());
         names.collect()
     }
 
@@ -140,7 +140,7 @@
             rule,
             advice: rule.advice?,
             yield_percent: self.advice_yield(&rule.name).percent(),
-            in_a_hurry: job.needs_speed(id.step, now.mono),
+            needs_speed: job.needs_speed(id.step, now.mono),
             waiting: step.count_waiting(),
             valid_fits: 0,
             candidates: Vec::new(),
@@ -233,7 +233,7 @@
             };
             step.advice.advised.insert(entry.executor, ticket);
         }
-        let permitted = requested.len() - rejected.len();
+        let advised_count = requested.len() - rejected.len();
         for executor in rejected {
             step.advice.advised.remove(&executor);
             step.advice.rejected.insert(executor);
@@ -241,7 +241,7 @@
         let count = |n: usize| u32::try_from(n).unwrap_or(u32::MAX);
         let new = (
             count(requested.len() - known),
-            count(permitted.saturating_sub(known)),
+            count(advised_count.saturating_sub(known)),
         );
         self.advice_yields
             .entry(queue)
@@ -250,7 +250,7 @@
         let named = requested.len();
         self.log(
             FleetEvent::StepAdvised,
-            format!("step={id} named={named} renewed={known} permitted={permitted}"),
+            format!("step={id} named={named} renewed={known} advised={advised_count}"),
         );
     }
 
@@ -273,9 +273,9 @@
     step: &'a Step,
     rule: &'a QueueRule,
     advice: AdviceRule,
-    /// Share of executors that the service permits for the queue, in percent.
+    /// Share of executors that the service advises for the queue, in percent.
     yield_percent: u32,
-    in_a_hurry: bool,
+    needs_speed: bool,
     /// Tasks that wait.
     waiting: u32,
     /// Of these, tasks that fit on executors with a valid ticket.
@@ -285,7 +285,7 @@
 }
 
 impl ExecutorSearch<'_> {
-    fn names(&self, index: usize) -> &ExecutorId {
+    fn executor_id(&self, index: usize) -> &ExecutorId {
         &self.candidates[index].0.info.id
     }
 
@@ -303,8 +303,8 @@
     fn choose(&self, free: impl Fn(&ExecutorCapacity, &Executor) -> Resources) -> AdviceChoice {
         let option = |(entry, executor): &(&ExecutorCapacity, &Executor)| AdviceOption {
             fits: self.fits(executor, &free(entry, executor)),
-            permitted: self.is_permitted(&entry.info.id),
-            run_time_percent: if self.in_a_hurry {
+            advised: self.is_advised(&entry.info.id),
+            run_time_percent: if self.needs_speed {
                 entry.run_time_percent
             } else {
                 100
@@ -345,20 +345,20 @@
                 return choice;
             }
         }
-        let permitted = self
+        let advised = self
             .candidates
             .iter()
-            .filter(|(entry, _)| self.is_permitted(&entry.info.id));
-        let permitted_fits: u32 = permitted
+            .filter(|(entry, _)| self.is_advised(&entry.info.id));
+        let advised_fits: u32 = advised
             .map(|(entry, executor)| self.fits(executor, &entry.info.capacity))
             .sum();
-        if permitted_fits + self.valid_fits >= self.waiting {
+        if advised_fits + self.valid_fits >= self.waiting {
             return AdviceChoice::default();
         }
         self.choose(|entry, _| entry.info.capacity)
     }
 
-    fn is_permitted(&self, executor: &ExecutorId) -> bool {
+    fn is_advised(&self, executor: &ExecutorId) -> bool {
         self.step.advice.advised.contains_key(executor)
     }
 }
--- a/src/fleet/cell_plan.rs
+++ b/src/fleet/cell_plan.rs
@@ -157,9 +157,9 @@
         job.map_or_else(|| Arc::from(""), |j| self.queue_rule(j).pool.clone())
     }
 
-    /// Lists the schedulable executors that the advice service permits for a step, by expired
+    /// Lists the schedulable executors that the advice service advises for a step, by expired
     /// tickets too; all of the pool if its queue needs no advice.
-    pub(super) fn permitted<'a>(
+    pub(super) fn advised_executors<'a>(
         &'a self,
         id: &StepId,
         snapshot: &'a CapacitySnapshot,
@@ -195,8 +195,8 @@
         if snapshot.lacks(&rule.pool, &need) {
             return (ids, options);
         }
-        let in_a_hurry = job.needs_speed(id.step, now.mono);
-        for entry in self.permitted(id, snapshot) {
+        let needs_speed = job.needs_speed(id.step, now.mono);
+        for entry in self.advised_executors(id, snapshot) {
             let name = &entry.info.id;
             let allowed = entry.is_open_to(id)
                 && entry.free.covers(&need)
@@ -221,7 +221,7 @@
                 free: entry.free,
                 recently_failed: entry.recently_failed,
                 on_preferred_rack,
-                run_time_percent: if in_a_hurry {
+                run_time_percent: if needs_speed {
                     entry.run_time_percent
                 } else {
                     0
@@ -368,7 +368,7 @@
         if reservable == 0 {
             return Vec::new();
         }
-        let mut suitable = self.permitted(&id, snapshot);
+        let mut suitable = self.advised_executors(&id, snapshot);
         suitable.retain(|e| e.is_open_to(&id) && eligible(&e.info, pool, spec));
         let fits = |capacity: &Resources| {
             let most = match spec.max_per_executor {
--- a/src/fleet/cell_preempt.rs
+++ b/src/fleet/cell_preempt.rs
@@ -32,7 +32,7 @@
             .count()
             .min(MAX_EXECUTORS_PER_STEP);
         let mut stops: Vec<(ExecutorId, TaskId)> = Vec::new();
-        for entry in self.permitted(&candidate.step, snapshot) {
+        for entry in self.advised_executors(&candidate.step, snapshot) {
             if remaining == 0 {
                 break;
             }
--- a/src/fleet/cell_runs.rs
+++ b/src/fleet/cell_runs.rs
@@ -224,7 +224,7 @@
         if fault == CommandError::BadTicket
             && let Some(step) = self.step_mut(&task)
         {
-            // Its permission stands while the executor lives; the next call renews the ticket.
+            // The advice stands while the executor lives; the next call renews the ticket.
             if let Some(ticket) = step.advice.advised.get_mut(id) {
                 ticket.expires_at = 0;
             }
--- a/src/fleet/policy/advice.rs
+++ b/src/fleet/policy/advice.rs
@@ -1,6 +1,6 @@
 //! Choice of the executors that calls to the advice service name for one step.
 //!
-//! Answers a pool of hundreds of executors of which the service permits a part: a call takes
+//! Answers a pool of hundreds of executors of which the service advises a part: a call takes
 //! longer with each executor named, and tickets expire before a gang that got too few has asked
 //! for the rest.
 
@@ -9,8 +9,8 @@
 pub struct AdviceOption {
     /// Tasks of the step that fit there.
     pub fits: u32,
-    /// Whether an earlier reply permitted it and only its ticket has expired.
-    pub permitted: bool,
+    /// Whether an earlier reply advised it and only its ticket has expired.
+    pub advised: bool,
     /// Run time there in percent of the usual one.
     pub run_time_percent: u32,
     /// Order among equal executors; differs by step, so that steps spread over the pool.
@@ -24,7 +24,7 @@
     pub tasks: u32,
     /// All tasks must fit at once, or none starts.
     pub gang: bool,
-    /// Share of executors that the service permits for the queue, in percent.
+    /// Share of executors that the service advises for the queue, in percent.
     pub yield_percent: u32,
     /// Executors named at no noticeable cost; the choice has at least as many.
     pub min_named: usize,
@@ -37,22 +37,22 @@
 pub struct AdviceChoice {
     /// Indexes into the options.
     pub named: Vec<usize>,
-    /// Whether the permitted ones among them will probably hold all tasks.
+    /// Whether the advised ones among them will probably hold all tasks.
     pub sufficient: bool,
 }
 
-/// Standard deviations by which the expected yield must exceed the need, in tenths: nine calls
-/// of ten then suffice.
-const YIELD_MARGIN_TENTHS: f64 = 13.0;
+/// Standard deviations by which the expected yield must exceed the need: nine calls of ten then
+/// suffice.
+const YIELD_MARGIN: f64 = 1.3;
 
 /// Tasks of a step without a gang that count for one executor: more than that on one executor
 /// rarely shortens the step.
 const MAX_SPREAD_FITS: u32 = 3;
 
-/// Chooses the executors to name, in the order of preference: those with a known permission, then
+/// Chooses the executors to name, in the order of preference: those known to be advised, then
 /// those with room for more tasks, then the faster ones.
 ///
-/// Stops once the expected number of tasks that fit on permitted executors exceeds the need by a
+/// Stops once the expected number of tasks that fit on advised executors exceeds the need by a
 /// margin. Executors on which nothing fits are left out.
 pub fn choose_named(need: &AdviceNeed, options: &[AdviceOption]) -> AdviceChoice {
     let max_fits = if need.gang {
@@ -66,7 +66,7 @@
         let option = &options[*i];
         let fits = std::cmp::Reverse(option.fits.min(max_fits));
         (
-            !option.permitted,
+            !option.advised,
             fits,
             option.run_time_percent,
             option.spread_key,
@@ -76,7 +76,7 @@
     let (mut mean, mut variance) = (0.0, 0.0);
     let needed = f64::from(need.tasks);
     for i in order {
-        let margin = YIELD_MARGIN_TENTHS / 10.0 * f64::sqrt(variance);
+        let margin = YIELD_MARGIN * f64::sqrt(variance);
         choice.sufficient = mean - margin >= needed;
         let enough = choice.sufficient && choice.named.len() >= need.min_named;
         if enough || choice.named.len() >= need.max_named {
@@ -84,7 +84,7 @@
         }
         let option = &options[i];
         let fits = f64::from(option.fits.min(need.tasks));
-        let chance = if option.permitted {
+        let chance = if option.advised {
             1.0
         } else {
             f64::from(need.yield_percent.clamp(1, 100)) / 100.0
@@ -93,16 +93,16 @@
         variance += chance * (1.0 - chance) * fits * fits;
         choice.named.push(i);
     }
-    let margin = YIELD_MARGIN_TENTHS / 10.0 * f64::sqrt(variance);
+    let margin = YIELD_MARGIN * f64::sqrt(variance);
     choice.sufficient = mean - margin >= needed;
     choice
 }
 
-/// Share of executors that the service permits for one queue, learned from its replies.
+/// Share of executors that the service advises for one queue, learned from its replies.
 #[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
 pub struct AdviceYield {
     named: u32,
-    permitted: u32,
+    advised: u32,
 }
 
 /// Executors named after which older replies count half.
@@ -112,18 +112,18 @@
 const YIELD_PRIOR: u32 = 10;
 
 impl AdviceYield {
-    /// Counts a reply that permitted some of the executors named for the first time.
-    pub fn record(&mut self, named: u32, permitted: u32) {
+    /// Counts a reply that advised some of the executors named for the first time.
+    pub fn record(&mut self, named: u32, advised: u32) {
         if self.named > YIELD_WINDOW {
             self.named /= 2;
-            self.permitted /= 2;
+            self.advised /= 2;
         }
         self.named += named;
-        self.permitted += permitted.min(named);
+        self.advised += advised.min(named);
     }
 
-    /// Returns the share of permitted executors in percent; half before any reply.
+    /// Returns the share of advised executors in percent; half before any reply.
     pub fn percent(&self) -> u32 {
-        (self.permitted * 100 + YIELD_PRIOR * 50) / (self.named + YIELD_PRIOR)
+        (self.advised * 100 + YIELD_PRIOR * 50) / (self.named + YIELD_PRIOR)
     }
 }
--- a/src/fleet/policy/placement.rs
+++ b/src/fleet/policy/placement.rs
@@ -21,7 +21,7 @@
 ///
 /// Takes the executor with the least free capacity left over, weighted by the scarcity of the
 /// resource, so that large gaps remain for large tasks when small and large tasks are mixed.
-/// Executors without recent failures, those on the preferred rack and, for tasks in a hurry, the
+/// Executors without recent failures, those on the preferred rack and, for tasks that need speed, the
 /// faster ones go first.
 pub fn choose_best_fit(
     need: &Resources,
--- a/src/fleet/policy/reservation.rs
+++ b/src/fleet/policy/reservation.rs
@@ -12,8 +12,8 @@
     pub fits_empty: u32,
 }
 
-/// An executor that holds up to this many tasks runs mostly large ones; more of them fit without
-/// a reservation.
+/// A task counts as large if at most this many fit on an empty executor; smaller ones find room
+/// without a reservation.
 const MAX_LARGE_FITS: u32 = 3;
 
 /// Executors reserved for single large tasks of one step.
--- a/src/fleet/policy/speed.rs
+++ b/src/fleet/policy/speed.rs
@@ -1,6 +1,6 @@
 //! Speed of executors, learned from the run times and the progress that they report.
 //!
-//! Answers a pool of unlike machines: an urgent task with half its run time to spare is late on a
+//! Answers a pool of executors of unlike speed: an urgent task with half its run time to spare is late on a
 //! slow one, while patient work is not.
 
 use crate::core::Millis;
@@ -8,8 +8,8 @@
 /// Weight of a run that has ended in the average.
 const RUN_WEIGHT: f64 = 0.1;
 
-/// Weight of one second of a run's progress in the average: a machine that turns slow ends no runs
-/// that would show it.
+/// Weight of one second of a run's progress in the average: an executor that turns slow ends no
+/// runs that would show it.
 const PROGRESS_WEIGHT_PER_S: f64 = 0.25;
 
 /// Shortest time between two reports of progress that are compared, in ms; reports are rounded to
--- a/src/report/job_timeline.rs
+++ b/src/report/job_timeline.rs
@@ -247,8 +247,8 @@
             format!("the advice service did not answer for {}", field("step"))
         }
         FleetEvent::StepAdvised => format!(
-            "the advice service permitted {} of {} executors for {}",
-            field("permitted"),
+            "the advice service advised {} of {} executors for {}",
+            field("advised"),
             field("named"),
             field("step")
         ),
--- a/tests/policy.rs
+++ b/tests/policy.rs
@@ -3,7 +3,7 @@
 
 use dragonflyferry::{
     core::Resources,
-    entry::retry_after_s,
+    entry::{another_node_serves, retry_after_s},
     fleet::policy::{
         AdviceNeed, AdviceOption, AdviceYield, PlacementOption, Rank, Room, RunTimeFactor,
         Timeliness, Victim, best_effort_share, choose_best_fit, choose_gang_victims, choose_named,
@@ -171,10 +171,10 @@
     assert_eq!(shares, [100, 50, 25, 12, 0, 10, 20]);
 }
 
-fn advice_option(fits: u32, permitted: bool, spread_key: u64) -> AdviceOption {
+fn advice_option(fits: u32, advised: bool, spread_key: u64) -> AdviceOption {
     AdviceOption {
         fits,
-        permitted,
+        advised,
         run_time_percent: 100,
         spread_key,
     }
@@ -188,7 +188,7 @@
     max_named: 300,
 };
 
-/// A gang of 20 with room for 3 members on each executor, of which three in ten are permitted,
+/// A gang of 20 with room for 3 members on each executor, of which three in ten are advised,
 /// names about 35: their expected yield of 10 is the 7 that it needs and a margin.
 #[test]
 fn calls_name_what_a_gang_needs_and_a_margin() {
@@ -203,7 +203,7 @@
 }
 
 #[test]
-fn calls_name_known_permissions_first_and_no_full_executor() {
+fn calls_name_advised_executors_first_and_no_full_executor() {
     let mut options: Vec<_> = (0..10).map(|i| advice_option(5, false, i)).collect();
     options.extend((10..13).map(|i| advice_option(7, true, i)));
     options.push(advice_option(0, true, 13));
@@ -221,7 +221,7 @@
 }
 
 #[test]
-fn the_permitted_share_is_learned_from_replies() {
+fn the_advised_share_is_learned_from_replies() {
     let mut share = AdviceYield::default();
     assert_eq!(share.percent(), 50);
     for _ in 0..20 {
@@ -325,3 +325,12 @@
     assert_eq!(retry_after_s(false, 2_500), 2);
     assert_eq!(retry_after_s(false, 60_000), 4);
 }
+
+/// In an outage for all nodes none succeeds after the first failure; in one for a part, others do.
+#[test]
+fn another_nodes_success_counts_after_the_first_failure_only() {
+    assert!(!another_node_serves(None, 10_000, 10_100));
+    assert!(!another_node_serves(Some(10_000), 9_900, 10_100));
+    assert!(another_node_serves(Some(10_000), 10_050, 10_100));
+    assert!(!another_node_serves(Some(10_000), 10_050, 11_500));
+}
--- a/tests/story.rs
+++ b/tests/story.rs
@@ -152,7 +152,7 @@
         "job={JOB} reason=configuration not fresh store_age_ms=900 config_age_ms=3600 \
          another_serves=true retry_after_s=0"
     );
-    let advised = format!("step={JOB}.0.0 named=30 renewed=0 permitted=9");
+    let advised = format!("step={JOB}.0.0 named=30 renewed=0 advised=9");
     let started = format!("task={JOB}.0.0.0 run=1 executor=i-1 waited_ms=30 blocked=Advice");
     let suspected = "executor=i-1 cause=failures of several jobs in a row";
     let lines = [
@@ -163,6 +163,6 @@
     ];
     let text = JobTimeline::new(JOB, &lines).text();
     assert!(text.contains("told to come back at once"), "{text}");
-    assert!(text.contains("permitted 9 of 30 executors"), "{text}");
+    assert!(text.contains("advised 9 of 30 executors"), "{text}");
     assert!(text.contains("failures of several jobs in a row"), "{text}");
 }
