Log what a takeover reads and waits for, and why a run counts as ended

The record of the duplicate runs could not tell the hypotheses apart: no line says which executors a new owner waits for and why it stops waiting, why a run counts as ended without its end, which ends are left for later, when an executor leaves the roster, or that an owner goes on without the store.

--- a/src/entry/owner.rs
+++ b/src/entry/owner.rs
@@ -76,6 +76,8 @@
     tx: mpsc::UnboundedSender<OwnerInput>,
     commits: mpsc::UnboundedSender<Commit>,
     peers: HashMap<Arc<str>, mpsc::Sender<PeerMessage>>,
+    /// Whether the store was reached within [`OWNER_STEP_DOWN_MS`] at the last round.
+    confirmed: bool,
     stepped_down: bool,
     tasks: JoinSet<()>,
 }
@@ -109,6 +111,7 @@
         tx: tx.clone(),
         commits,
         peers: HashMap::new(),
+        confirmed: true,
         stepped_down: false,
         tasks: JoinSet::new(),
     };
@@ -170,6 +173,7 @@
                 () = next_round_due(due) => {}
             }
             let now = clock::now();
+            self.log_confirmation();
             if !self.is_isolated() {
                 self.cell.plan(now);
             }
@@ -180,6 +184,19 @@
         }
     }
 
+    /// Logs when the store was not reached for [`OWNER_STEP_DOWN_MS`], and when it is again.
+    fn log_confirmation(&mut self) {
+        let age_ms = self.shared.store_age_ms();
+        let confirmed = age_ms <= OWNER_STEP_DOWN_MS;
+        if confirmed != self.confirmed {
+            self.confirmed = confirmed;
+            let (peers, sends) = (self.peers.len(), !self.is_isolated());
+            let detail = format!("age_ms={age_ms} peers={peers} sends_commands={sends}");
+            self.shared
+                .log_event(FleetEvent::OwnershipUnconfirmed, &detail);
+        }
+    }
+
     /// Returns whether another node may own the cell without this node's knowledge: neither the
     /// store nor half of the other nodes can be reached.
     fn is_isolated(&self) -> bool {
--- a/src/fleet/cell.rs
+++ b/src/fleet/cell.rs
@@ -169,6 +169,9 @@
         for id in recovered.cancelled {
             cell.cancel(id, now);
         }
+        let (jobs, executors) = (cell.jobs.len(), &cell.unreconciled);
+        let detail = format!("token={token} jobs={jobs} executors={executors:?}");
+        cell.log(FleetEvent::TakeoverRead, detail);
         cell
     }
 
@@ -269,8 +272,19 @@
             return;
         }
         let executors = &self.executors;
-        self.unreconciled
-            .retain(|id| executors.get(id).is_some_and(|e| e.listed));
+        let listed = |id: &ExecutorId| executors.get(id).is_some_and(|e| e.listed);
+        let (kept, dropped) = std::mem::take(&mut self.unreconciled)
+            .into_iter()
+            .partition(listed);
+        self.unreconciled = kept;
+        let dropped: HashSet<ExecutorId> = dropped;
+        if !dropped.is_empty() {
+            let waited_ms = now.mono - self.took_over_at;
+            self.log(
+                FleetEvent::ExecutorSilent,
+                format!("not listed after a takeover; waited_ms={waited_ms} executors={dropped:?}"),
+            );
+        }
     }
 
     fn tick(&mut self, now: Now) {
--- a/src/fleet/cell_executors.rs
+++ b/src/fleet/cell_executors.rs
@@ -10,7 +10,7 @@
         fleet::{
             Cell, CellEffect, CommandError, CommandReply, Executor, ExecutorCommand, ExecutorId,
             ExecutorInfo, FleetEvent, JobId, Now, RenewCommand, RenewReply, RosterEntry, Run,
-            RunStage, RunningRow, Session, TaskId, executor::ClockReading, policy,
+            RunLoss, RunStage, RunningRow, Session, TaskId, executor::ClockReading, policy,
         },
     },
     std::{collections::HashSet, sync::Arc},
@@ -122,7 +122,7 @@
             format!("executor={id} lost_runs={}", runs.len()),
         );
         for (task, run) in runs {
-            self.on_run_lost(id, task, &run, now);
+            self.on_run_lost(id, task, &run, RunLoss::IncarnationEnded, now);
         }
         for job in self.jobs.values_mut() {
             for step in job.steps.values_mut() {
@@ -357,7 +357,7 @@
                 return;
             };
             if let Some(run) = executor.remove_run(&task) {
-                self.on_run_lost(id, task, &run, now);
+                self.on_run_lost(id, task, &run, RunLoss::NotListed, now);
             }
         }
     }
@@ -501,7 +501,11 @@
         }
         // Nothing runs there and no command is open, so the next owner need not wait for it.
         for id in removable {
-            self.executors.remove(&id);
+            if let Some(executor) = self.executors.remove(&id) {
+                let unacked = executor.unacked.len();
+                let detail = format!("executor={id} unacked={unacked}");
+                self.log(FleetEvent::ExecutorRemoved, detail);
+            }
             self.commit_queue.roster_dirty = true;
         }
     }
@@ -522,7 +526,7 @@
                 return;
             };
             if let Some(run) = executor.remove_run(&task) {
-                self.on_run_lost(id, task, &run, now);
+                self.on_run_lost(id, task, &run, RunLoss::LeaseExpired, now);
             }
         }
     }
--- a/src/fleet/cell_run_ends.rs
+++ b/src/fleet/cell_run_ends.rs
@@ -15,6 +15,11 @@
         let job = row.task.step.job;
         let known = self.jobs.contains_key(&job) || self.ended_jobs.contains_key(&job);
         if !known && now.mono < self.took_over_at + UNKNOWN_JOB_GRACE_MS {
+            let (seq, task, run, end) = (row.seq, row.task, row.run, row.end);
+            self.log(
+                FleetEvent::EndDeferred,
+                format!("executor={id} seq={seq} task={task} run={run} end={end:?}"),
+            );
             return false;
         }
         let Some(executor) = self.executors.get_mut(id) else {
--- a/src/fleet/cell_runs.rs
+++ b/src/fleet/cell_runs.rs
@@ -8,7 +8,7 @@
         core::{CallId, Millis},
         fleet::{
             Cell, CellEffect, CommandError, ExecutorCommand, ExecutorId, FleetEvent, Now, Run,
-            RunNumber, RunStage, StartCommand, StepSpec, TaskId,
+            RunLoss, RunNumber, RunStage, StartCommand, StepSpec, TaskId,
         },
     },
     std::sync::Arc,
@@ -236,7 +236,7 @@
         }
         let executor = self.executors.get_mut(id);
         if let Some(run) = executor.and_then(|e| e.remove_run(&task)) {
-            self.on_run_lost(id, task, &run, now);
+            self.on_run_lost(id, task, &run, RunLoss::StartRefused, now);
         }
         if let Some(t) = self.task_mut(&task) {
             t.not_before = now.mono + REFUSED_TASK_BACKOFF_MS;
@@ -275,7 +275,29 @@
 
     /// Handles a run that certainly no longer runs but whose end was not reported; the caller has
     /// removed it from its executor. A gang loses all its members.
-    pub(super) fn on_run_lost(&mut self, id: &ExecutorId, task: TaskId, run: &Run, now: Now) {
+    pub(super) fn on_run_lost(
+        &mut self,
+        id: &ExecutorId,
+        task: TaskId,
+        run: &Run,
+        loss: RunLoss,
+        now: Now,
+    ) {
+        let (number, stage) = (run.number, run.stage);
+        let evidence = self.executors.get(id).map_or_else(String::new, |e| {
+            let clock = e.estimate_clock(now.mono).unwrap_or(0);
+            let lease_end = e.max_lease_end_ms;
+            format!(
+                " clock_ms={clock} lease_end_ms={lease_end} listed={}",
+                e.listed
+            )
+        });
+        self.log(
+            FleetEvent::RunLost,
+            format!(
+                "task={task} run={number} executor={id} loss={loss:?} stage={stage:?}{evidence}"
+            ),
+        );
         let need = run.need;
         self.update_tenant_usage(task.step.job, &need, false);
         self.clear_active(id, &task);
--- a/src/fleet/event.rs
+++ b/src/fleet/event.rs
@@ -70,6 +70,19 @@
     Stopped,
 }
 
+/// Why a run counts as ended although its end was not read.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum RunLoss {
+    /// Another incarnation replied at the executor's address.
+    IncarnationEnded,
+    /// Every lease sent to the executor has expired.
+    LeaseExpired,
+    /// The executor had confirmed the run and lists it no more, neither as running nor as ended.
+    NotListed,
+    /// The executor refused the only start command that was sent.
+    StartRefused,
+}
+
 /// A row of the list of ended runs in a renewal reply.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub struct EndedRow {
@@ -309,11 +322,16 @@
     InvariantBroken,
     JobQueued,
     StepAdvised,
+    TakeoverRead,
+    RunLost,
+    ExecutorRemoved,
+    EndDeferred,
+    OwnershipUnconfirmed,
 }
 
 impl FleetEvent {
     /// All events, in the order of their numbers.
-    pub const ALL: [Self; 27] = [
+    pub const ALL: [Self; 32] = [
         Self::NodeStarted,
         Self::NodeStopping,
         Self::SettingsReloaded,
@@ -341,6 +359,11 @@
         Self::InvariantBroken,
         Self::JobQueued,
         Self::StepAdvised,
+        Self::TakeoverRead,
+        Self::RunLost,
+        Self::ExecutorRemoved,
+        Self::EndDeferred,
+        Self::OwnershipUnconfirmed,
     ];
 
     /// Returns the event with this catalogue number; `None` if there is none.
