Cell world: earlier owners that live on, cuts by owner, planned commits

An earlier owner can keep stepping after a takeover: its events reach it by its fencing token, its commits fail. Executors can be cut from one owner, leave the list while alive, and move to another address, where another executor then replies. The way of single commits can be chosen.

--- a/standins/src/cell_world.rs
+++ b/standins/src/cell_world.rs
@@ -15,7 +15,7 @@
     },
     rand::{Rng, SeedableRng, rngs::SmallRng},
     std::{
-        collections::{BTreeMap, HashMap, HashSet},
+        collections::{BTreeMap, HashMap, HashSet, VecDeque},
         sync::Arc,
         time::{Duration, Instant},
     },
@@ -53,6 +53,16 @@
     pub failures: u32,
 }
 
+/// How one commit goes. Times are in ms after it was sent.
+#[derive(Clone, Copy, Debug)]
+pub struct CommitPlan {
+    /// When it is carried out, unless a claim or another commit came first; `None`: never.
+    pub carried_out_after: Option<Millis>,
+    /// When its owner gets the result.
+    pub result_after: Millis,
+    pub ok: bool,
+}
+
 #[derive(Clone, Debug)]
 enum Pending {
     /// A command arrives at an executor, with the call that awaits the reply, if any, and the
@@ -65,6 +75,8 @@
         ExecutorCommand,
         Option<(CallId, u64)>,
     ),
+    /// Writes to the store that apply at this revision only.
+    Write(Vec<StoreWrite>, u64),
     /// An event for the owner with this fencing token; a later owner does not receive it.
     Event(CellEvent, u64),
 }
@@ -81,9 +93,18 @@
 /// One cell and the simulated platform around it.
 #[derive(Debug)]
 pub struct CellWorld {
+    /// The present owner.
     pub cell: Cell,
+    /// Earlier owners that live on: they reach executors, but neither the store nor its lists.
+    former: Vec<Cell>,
+    /// Executors that get no commands of the owner with this fencing token.
+    pub cut: HashSet<(u64, ExecutorId)>,
+    /// How the next commits go, in order; the others go by `store_up` and `faults`.
+    pub commit_plans: VecDeque<CommitPlan>,
     pub executors: BTreeMap<ExecutorId, CellExecutor>,
     pub records: Records,
+    /// Rises with each claim and commit.
+    revision: u64,
     /// All jobs ever submitted.
     submissions: BTreeMap<JobId, Submission>,
     /// Simulated time, in ms.
@@ -128,8 +149,12 @@
         let now = cell_now(0);
         Self {
             cell: Cell::new(1, BOUNDS, config.clone(), recovered, now),
+            former: Vec::new(),
+            cut: HashSet::new(),
+            commit_plans: VecDeque::new(),
             executors: BTreeMap::new(),
             records: Records::default(),
+            revision: 0,
             submissions: BTreeMap::new(),
             now: 0,
             faults: Faults::default(),
@@ -186,7 +211,14 @@
 
     /// Replaces the owner by a new one that recovers its state from the store alone.
     pub fn replace_owner(&mut self) {
+        self.add_owner();
+        self.former.pop();
+    }
+
+    /// Like [`Self::replace_owner`], but the replaced owner lives on.
+    pub fn add_owner(&mut self) {
         let token = self.cell.token + 1;
+        self.revision += 1;
         let jobs = self.records.jobs.iter();
         let recovered = RecoveredState {
             jobs: jobs
@@ -196,13 +228,14 @@
             roster: self.records.roster.clone(),
         };
         self.log.push(format!("{} owner {token}", self.now));
-        self.cell = Cell::new(
+        let cell = Cell::new(
             token,
             BOUNDS,
             self.config.clone(),
             recovered,
             cell_now(self.now),
         );
+        self.former.push(std::mem::replace(&mut self.cell, cell));
         self.step(CellEvent::AdviceNodes(advice_nodes(self.nodes - 1)));
         let listed = self.executors.values().filter(|e| e.listed);
         let infos: Vec<_> = listed.map(|e| e.info.clone()).collect();
@@ -211,6 +244,32 @@
         }
     }
 
+    /// Ends all owners but the present one.
+    pub fn stop_former_owners(&mut self) {
+        self.former.clear();
+    }
+
+    /// Sets the configuration and notifies the owner.
+    pub fn set_config(&mut self, config: FleetConfig) {
+        self.config = Arc::new(config);
+        self.step(CellEvent::Config(self.config.clone()));
+    }
+
+    /// Adds an executor to the platform's list or removes it, and notifies the owner; the
+    /// executor runs on.
+    pub fn set_listed(&mut self, name: &str, listed: bool) {
+        let Some(executor) = self.executors.get_mut(name) else {
+            return;
+        };
+        executor.listed = listed;
+        let info = executor.info.clone();
+        self.step(if listed {
+            CellEvent::Listed(info)
+        } else {
+            CellEvent::Unlisted(info.id)
+        });
+    }
+
     /// Sends the owner the complete list of executors, as after an interrupted watch.
     pub fn relist(&mut self) {
         let listed = self.executors.values().filter(|e| e.listed);
@@ -236,18 +295,26 @@
                 let pending = entry.remove();
                 self.deliver(pending);
             }
-            if self.now.is_multiple_of(100) {
-                self.step(CellEvent::Tick);
-            } else if self
-                .cell
-                .next_round_due()
-                .is_some_and(|due| due <= self.now)
-            {
-                self.plan();
+            let owners: Vec<_> = std::iter::once(&self.cell)
+                .chain(&self.former)
+                .map(|c| (c.token, c.next_round_due()))
+                .collect();
+            for (token, round_due) in owners {
+                if self.now.is_multiple_of(100) {
+                    self.step_owner(token, CellEvent::Tick);
+                } else if round_due.is_some_and(|due| due <= self.now) {
+                    self.plan(token);
+                }
             }
         }
     }
 
+    /// Returns the owner with this fencing token; `None` if it was replaced or stopped.
+    fn owner_mut(&mut self, token: u64) -> Option<&mut Cell> {
+        let mut owners = std::iter::once(&mut self.cell).chain(&mut self.former);
+        owners.find(|c| c.token == token)
+    }
+
     fn advance_executors(&mut self) {
         let now = self.now;
         for executor in self.executors.values_mut() {
@@ -260,8 +327,9 @@
 
     fn deliver(&mut self, pending: Pending) {
         match pending {
-            Pending::Event(event, token) if token == self.cell.token => self.step(event),
-            Pending::Event(..) => {}
+            Pending::Event(event, token) => self.step_owner(token, event),
+            Pending::Write(writes, revision) if revision == self.revision => self.write(writes),
+            Pending::Write(..) => {}
             Pending::Arrive(id, command, call) => self.deliver_command(&id, &command, call),
             Pending::Delayed(id, incarnation, command, call) => {
                 let same_incarnation = self
@@ -287,7 +355,8 @@
         let Some(executor) = self.executors.get_mut(id) else {
             return;
         };
-        if !executor.is_reachable(self.now) {
+        let cut = call.is_some_and(|(_, token)| self.cut.contains(&(token, id.clone())));
+        if cut || !executor.is_reachable(self.now) {
             if let Some(call) = call {
                 self.schedule_reply(id, call, Err(CommandError::Unknown), 300);
             }
@@ -362,31 +431,49 @@
     }
 
     fn step(&mut self, event: CellEvent) {
+        self.step_owner(self.cell.token, event);
+    }
+
+    fn step_owner(&mut self, token: u64, event: CellEvent) {
+        let now = cell_now(self.now);
         let started_at = Instant::now();
-        self.cell.step(event, cell_now(self.now));
+        if let Some(cell) = self.owner_mut(token) {
+            cell.step(event, now);
+        }
         self.cell_time += started_at.elapsed();
-        self.plan();
+        self.plan(token);
     }
 
-    fn plan(&mut self) {
+    fn plan(&mut self, token: u64) {
+        let now = cell_now(self.now);
         let started_at = Instant::now();
-        self.cell.plan(cell_now(self.now));
+        let Some(cell) = self.owner_mut(token) else {
+            return;
+        };
+        cell.plan(now);
+        let effects = cell.take_effects();
         self.cell_time += started_at.elapsed();
         self.rounds += 1;
-        for effect in self.cell.take_effects() {
-            self.apply_effect(effect);
+        for effect in effects {
+            self.apply_effect(token, effect);
         }
     }
 
-    fn apply_effect(&mut self, effect: CellEffect) {
+    fn apply_effect(&mut self, token: u64, effect: CellEffect) {
         match effect {
             CellEffect::Command {
                 call,
                 executor,
+                address,
                 command,
                 ..
             } => {
-                let call = (call, self.cell.token);
+                let call = (call, token);
+                let known = self.executors.get(&executor);
+                if known.is_some_and(|e| e.info.address != address) {
+                    // Another executor replies at an address that this one had before.
+                    return self.schedule_reply(&executor, call, Err(CommandError::OtherLife), 2);
+                }
                 let delay = self.rng.random_range(1..4);
                 if self.chance(self.faults.late_commands) {
                     let late = self.rng.random_range(2_000..12_000);
@@ -410,11 +497,20 @@
                 step,
                 executors,
                 ..
-            } => self.schedule_advice(call, step, &executors),
-            CellEffect::Commit { call, writes } => self.commit(call, writes),
+            } => self.schedule_advice((call, token), step, &executors),
+            CellEffect::Commit { call, writes } => self.commit((call, token), writes),
             CellEffect::FirstStart { .. } => {}
             CellEffect::Log { event, detail } => {
-                self.log.push(format!("{} {event:?} {detail}", self.now));
+                let by = if token == self.cell.token {
+                    String::new()
+                } else {
+                    format!(" by={token}")
+                };
+                self.log
+                    .push(format!("{} {event:?} {detail}{by}", self.now));
+            }
+            CellEffect::StepDown if token != self.cell.token => {
+                self.former.retain(|c| c.token != token);
             }
             CellEffect::StepDown => self
                 .violations
@@ -422,7 +518,12 @@
         }
     }
 
-    fn schedule_advice(&mut self, call: CallId, step: StepId, executors: &[ExecutorId]) {
+    fn schedule_advice(
+        &mut self,
+        (call, token): (CallId, u64),
+        step: StepId,
+        executors: &[ExecutorId],
+    ) {
         let permitted = |e: &&ExecutorId| {
             let seed = step.job.0.wrapping_mul(31) ^ u64::from(step.step);
             let hash = e
@@ -448,31 +549,47 @@
             advised: Some(advised),
             valid_ms: TICKET_VALID_MS,
         };
-        self.schedule(duration, Pending::Event(event, self.cell.token));
+        self.schedule(duration, Pending::Event(event, token));
     }
 
-    fn commit(&mut self, call: CallId, writes: Vec<StoreWrite>) {
+    fn commit(&mut self, (call, token): (CallId, u64), writes: Vec<StoreWrite>) {
+        if token != self.cell.token {
+            let event = CellEvent::CommitResult { call, ok: false };
+            return self.schedule(4, Pending::Event(event, token));
+        }
+        if let Some(plan) = self.commit_plans.pop_front() {
+            if let Some(after) = plan.carried_out_after {
+                self.schedule(after, Pending::Write(writes, self.revision));
+            }
+            let event = CellEvent::CommitResult { call, ok: plan.ok };
+            return self.schedule(plan.result_after, Pending::Event(event, token));
+        }
         let fails = !self.store_up || self.chance(self.faults.failed_commits);
         let carried_out = !fails || (self.store_up && self.rng.random_bool(0.5));
         if carried_out {
-            for write in writes {
-                match write {
-                    StoreWrite::Progress { job, progress } => {
-                        self.records.progress.insert(job, progress);
-                    }
-                    StoreWrite::Ended { job, record } => {
-                        self.records.jobs.insert(job, *record);
-                        self.records.progress.remove(&job);
-                    }
-                    StoreWrite::Delete { job } => {
-                        self.records.jobs.remove(&job);
-                    }
-                    StoreWrite::Roster(roster) => self.records.roster = roster.executors,
+            self.write(writes);
+        }
+        let event = CellEvent::CommitResult { call, ok: !fails };
+        self.schedule(4, Pending::Event(event, token));
+    }
+
+    fn write(&mut self, writes: Vec<StoreWrite>) {
+        self.revision += 1;
+        for write in writes {
+            match write {
+                StoreWrite::Progress { job, progress } => {
+                    self.records.progress.insert(job, progress);
+                }
+                StoreWrite::Ended { job, record } => {
+                    self.records.jobs.insert(job, *record);
+                    self.records.progress.remove(&job);
                 }
+                StoreWrite::Delete { job } => {
+                    self.records.jobs.remove(&job);
+                }
+                StoreWrite::Roster(roster) => self.records.roster = roster.executors,
             }
         }
-        let event = CellEvent::CommitResult { call, ok: !fails };
-        self.schedule(4, Pending::Event(event, self.cell.token));
     }
 
     /// Checks the guarantees for a task that just started.
--- a/standins/src/lib.rs
+++ b/standins/src/lib.rs
@@ -20,7 +20,7 @@
 
 pub use {
     cell_executor::CellExecutor,
-    cell_world::{CellWorld, Faults},
+    cell_world::{CellWorld, CommitPlan, Faults},
     store_model::StoreModel,
     worker_model::{Run, WorkerModel},
 };
