An owner confirms its ownership by renewing its store lease, not by any reply

What callers saw: tasks ran twice after a change of owner, with an earlier owner that renewed leases seconds after the claim.

Cause: an owner without the store went on while half of its peers were connected, peers that the store rejects too included, so no time bounded its commands, although the next owner relies on such a bound. Any reply counted as the store reached, also one that says nothing of the ownership, and its time was taken when the reply was processed: a node frozen meanwhile took an old reply for a fresh one. An owner whose store lease had ended went on as well.

Commands carry lease ends computed from the time of that check, so one that is sent late extends nothing.

--- a/src/entry/daemon.rs
+++ b/src/entry/daemon.rs
@@ -46,13 +46,12 @@
         FleetEvent::NodeStarted,
         &format!("zone={}", shared.settings.zone),
     );
-    let (lease_tx, lease_rx) = watch::channel(None);
     tokio::spawn(config_watch::run(shared.clone()));
-    tokio::spawn(membership::keep_lease(shared.clone(), lease_tx));
+    tokio::spawn(membership::keep_lease(shared.clone()));
     tokio::spawn(membership::watch_members(shared.clone()));
     tokio::spawn(peer_server::run(shared.clone(), peers));
     tokio::spawn(owner_link::run(shared.clone()));
-    let owner = tokio::spawn(membership::run_election(shared.clone(), lease_rx));
+    let owner = tokio::spawn(membership::run_election(shared.clone()));
     tokio::spawn(serve(
         readiness,
         caller_api::readiness_router(shared.clone()),
--- a/src/entry/membership.rs
+++ b/src/entry/membership.rs
@@ -6,8 +6,8 @@
     crate::{
         core::Millis,
         entry::{
-            OwnerInput, Shared, claim_rank, clock, owner, owner::OwnershipClaim, should_step_down,
-            store_keys as keys,
+            OwnerInput, Shared, StoreLease, claim_rank, clock, owner, owner::OwnershipClaim,
+            should_step_down, store_keys as keys,
         },
         fleet::{EpochRecord, FleetEvent, NodeRecord, OwnerRecord},
         platform::{StoreChange, StoreError, StoreItem, Transaction},
@@ -32,6 +32,9 @@
 /// Time between a failed watch and the read that replaces it.
 const WATCH_RETRY_DELAY: Duration = Duration::from_millis(20);
 
+/// Age of the last successful renewal after which a lease is given up, in ms.
+const MAX_LEASE_AGE_MS: Millis = 60_000;
+
 /// Time between attempts after a failure, and between checks of a condition.
 const RETRY_INTERVAL: Duration = Duration::from_millis(150);
 
@@ -49,39 +52,48 @@
 /// failing must not interrupt starts each time it is back.
 const MIN_STEP_DOWN_INTERVAL_MS: Millis = 30_000;
 
-/// Keeps the node's lease and key in the store, and publishes the lease's id; none while there is
-/// no lease. Registers again when the lease is gone or could not be renewed for 60 s, but not
-/// while draining.
-pub async fn keep_lease(shared: Arc<Shared>, lease: watch::Sender<Option<u64>>) {
+/// Keeps the node's lease and key in the store, and publishes the lease; none while there is no
+/// lease. Registers again when the lease is gone or could not be renewed for 60 s, but not while
+/// draining.
+pub async fn keep_lease(shared: Arc<Shared>) {
     while !shared.is_draining() {
-        let Some(id) = register(&shared).await else {
+        let Some(lease) = register(&shared).await else {
             tokio::time::sleep(RETRY_INTERVAL).await;
             continue;
         };
-        lease.send_replace(Some(id));
-        let mut renewed_at = clock::mono();
-        loop {
+        let mut confirmed_at = lease.confirmed_at;
+        shared.store_lease.send_replace(Some(lease));
+        while clock::mono() < confirmed_at + MAX_LEASE_AGE_MS {
             tokio::time::sleep(RENEW_INTERVAL).await;
-            match shared.renew(id, STORE_TIMEOUT).await {
+            let sent_at = clock::mono();
+            match shared.renew(lease.id, STORE_TIMEOUT).await {
                 Ok(()) => {
-                    renewed_at = clock::mono();
+                    confirmed_at = sent_at;
+                    let renewed = StoreLease {
+                        confirmed_at,
+                        ..lease
+                    };
+                    shared.store_lease.send_replace(Some(renewed));
                 }
                 Err(StoreError::LeaseNotFound) => break,
                 Err(_) => {}
             }
-            if clock::mono() > renewed_at + Millis::from(60_000_u32) {
-                break;
-            }
         }
-        lease.send_replace(None);
+        shared.store_lease.send_replace(None);
     }
 }
 
-/// Creates a lease and the node's key under it; returns the lease's id.
-async fn register(shared: &Shared) -> Option<u64> {
+/// Returns the TTL of the store lease of a node, which also bounds how soon another node can claim
+/// the cell.
+pub(super) fn lease_ttl(shared: &Shared) -> Duration {
     let min_ttl = Duration::from_millis(shared.settings.bounds.min_store_lease_ms);
-    let ttl = LEASE_TTL.max(min_ttl);
-    let id = shared.grant(ttl, STORE_TIMEOUT).await.ok()?;
+    LEASE_TTL.max(min_ttl)
+}
+
+/// Creates a lease and the node's key under it; returns the lease.
+async fn register(shared: &Shared) -> Option<StoreLease> {
+    let confirmed_at = clock::mono();
+    let id = shared.grant(lease_ttl(shared), STORE_TIMEOUT).await.ok()?;
     let record = NodeRecord {
         node: shared.node.clone(),
         address: Arc::from(shared.settings.peer_address.to_string()),
@@ -93,7 +105,7 @@
         ..Transaction::default()
     };
     shared.commit(&txn, STORE_TIMEOUT).await.ok()?;
-    Some(id)
+    Some(StoreLease { id, confirmed_at })
 }
 
 /// Watches the keys of nodes and owner, and publishes both to the node's shared state.
@@ -150,7 +162,7 @@
 }
 
 /// Claims ownership whenever there is no owner, and runs the cell while this node is the owner.
-pub async fn run_election(shared: Arc<Shared>, lease: watch::Receiver<Option<u64>>) {
+pub async fn run_election(shared: Arc<Shared>) {
     let mut owner_rx = shared.owner.subscribe();
     let mut stepped_down_at = None;
     loop {
@@ -159,10 +171,10 @@
             record.as_ref().is_none_or(|r| names_this_node(&shared, r))
         };
         let ready = shared.config.borrow().is_some() && !shared.is_draining();
-        let id = *lease.borrow();
-        if let (true, true, Some(id)) = (no_owner, ready, id) {
+        let lease = *shared.store_lease.borrow();
+        if let (true, true, Some(lease)) = (no_owner, ready, lease) {
             tokio::time::sleep(claim_delay(&shared)).await;
-            if let Some(claim) = claim(&shared, id).await {
+            if let Some(claim) = claim(&shared, lease.id).await {
                 run_owner(&shared, claim, &mut owner_rx, &mut stepped_down_at).await;
                 continue;
             }
@@ -234,19 +246,21 @@
         Ok(revision) => Some(OwnershipClaim {
             epoch: record,
             revision,
+            lease,
         }),
-        Err(StoreError::Unknown) => confirm_claim(shared, record).await,
+        Err(StoreError::Unknown) => confirm_claim(shared, record, lease).await,
         Err(_) => None,
     }
 }
 
 /// Reads whether a claim with an unknown outcome was written.
-async fn confirm_claim(shared: &Shared, record: EpochRecord) -> Option<OwnershipClaim> {
+async fn confirm_claim(shared: &Shared, record: EpochRecord, lease: u64) -> Option<OwnershipClaim> {
     let item = shared.get(keys::EPOCH, STORE_TIMEOUT).await.ok()??;
     let found = keys::decode::<EpochRecord>(&item.key, &item.value).ok()?;
     (found == record).then_some(OwnershipClaim {
         epoch: record,
         revision: item.revision,
+        lease,
     })
 }
 
--- a/src/entry/owner.rs
+++ b/src/entry/owner.rs
@@ -7,11 +7,11 @@
         core::{CallId, Millis},
         entry::{
             CellQuery, Commit, PeerMessage, Shared, advice, clock, committer, event_log::Latency,
-            owner_watch, takeover,
+            membership, owner_watch, takeover,
         },
         fleet::{
             AdvisedExecutor, Cell, CellBounds, CellEffect, CellEvent, EpochRecord, ExecutorCommand,
-            ExecutorId, FleetEvent, JobId, Now, OWNER_STEP_DOWN_MS, Submission,
+            ExecutorId, FleetEvent, JobId, Now, Submission, policy,
         },
         platform::StoreError,
     },
@@ -63,11 +63,16 @@
     StepDown,
 }
 
-/// Result of a successful claim: the epoch record as this node wrote it, and its revision.
+/// Result of a successful claim.
 #[derive(Clone, Debug)]
 pub struct OwnershipClaim {
+    /// The epoch record as this node wrote it.
     pub epoch: EpochRecord,
+    /// Revision of the epoch record.
     pub revision: u64,
+    /// Store lease to which the owner key is tied: once it has ended, another node may own the
+    /// cell.
+    pub lease: u64,
 }
 
 struct OwnerTask {
@@ -76,7 +81,9 @@
     tx: mpsc::UnboundedSender<OwnerInput>,
     commits: mpsc::UnboundedSender<Commit>,
     peers: HashMap<Arc<str>, mpsc::Sender<PeerMessage>>,
-    /// Whether the store was reached within [`OWNER_STEP_DOWN_MS`] at the last round.
+    /// Store lease of the claim.
+    lease: u64,
+    /// Whether commands were sent at the last round.
     confirmed: bool,
     stepped_down: bool,
     tasks: JoinSet<()>,
@@ -99,6 +106,7 @@
         max_lease_ms: shared.settings.bounds.max_lease_ms,
         kill_grace_ms: shared.settings.bounds.kill_grace_ms,
         ended_retention_ms: shared.settings.bounds.ended_retention_ms,
+        store_lease_ms: clock::millis(membership::lease_ttl(&shared)),
     };
     let config = shared.config.borrow().clone().unwrap_or_default();
     let token = claim.epoch.token;
@@ -111,6 +119,7 @@
         tx: tx.clone(),
         commits,
         peers: HashMap::new(),
+        lease: claim.lease,
         confirmed: true,
         stepped_down: false,
         tasks: JoinSet::new(),
@@ -160,7 +169,7 @@
         tick.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
         let mut batch = Vec::with_capacity(MAX_BATCH);
         while !self.stepped_down {
-            let due = self.cell.next_round_due().filter(|_| !self.is_isolated());
+            let due = self.cell.next_round_due().filter(|_| self.confirmed);
             tokio::select! {
                 count = rx.recv_many(&mut batch, MAX_BATCH) => {
                     if count == 0 { return }
@@ -172,9 +181,11 @@
                 _ = tick.tick() => self.cell.step(CellEvent::Tick, clock::now()),
                 () = next_round_due(due) => {}
             }
+            // Commands carry lease ends that are computed from the time of this check, so one that
+            // is sent late extends nothing.
             let now = clock::now();
-            self.log_confirmation();
-            if !self.is_isolated() {
+            self.check_ownership(now);
+            if self.confirmed && !self.stepped_down {
                 self.cell.plan(now);
             }
             for effect in self.cell.take_effects() {
@@ -184,25 +195,19 @@
         }
     }
 
-    /// Logs when the store was not reached for [`OWNER_STEP_DOWN_MS`], and when it is again.
-    fn log_confirmation(&mut self) {
-        let age_ms = self.shared.store_age_ms();
-        let confirmed = age_ms <= OWNER_STEP_DOWN_MS;
+    /// Checks how long ago the ownership was confirmed. Steps down if the store lease of the claim
+    /// has ended, since the owner key went with it.
+    fn check_ownership(&mut self, now: Now) {
+        let confirmed_at = self.shared.lease_confirmed_at(self.lease);
+        let confirmed = policy::may_send_commands(confirmed_at, now.mono);
         if confirmed != self.confirmed {
             self.confirmed = confirmed;
-            let (peers, sends) = (self.peers.len(), !self.is_isolated());
-            let detail = format!("age_ms={age_ms} peers={peers} sends_commands={sends}");
+            let age_ms = confirmed_at.map(|at| now.mono.saturating_sub(at));
+            let detail = format!("age_ms={age_ms:?} sends_commands={confirmed}");
             self.shared
                 .log_event(FleetEvent::OwnershipUnconfirmed, &detail);
         }
-    }
-
-    /// Returns whether another node may own the cell without this node's knowledge: neither the
-    /// store nor half of the other nodes can be reached.
-    fn is_isolated(&self) -> bool {
-        let others = self.shared.nodes().len().saturating_sub(1);
-        let connected = self.peers.len();
-        self.shared.store_age_ms() > OWNER_STEP_DOWN_MS && connected * 2 < others.max(1)
+        self.stepped_down |= confirmed_at.is_none();
     }
 
     fn on_input(&mut self, input: OwnerInput, now: Now) {
--- a/src/entry/shared.rs
+++ b/src/entry/shared.rs
@@ -24,6 +24,15 @@
 /// changes for a second before its history is dropped.
 const MISSED_CHANGE_MS: Millis = 1_500;
 
+/// A lease in the store, to which the keys of this node and of the owner are tied.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct StoreLease {
+    pub id: u64,
+    /// When the last successful call that granted or renewed it was sent, in ms since boot. The
+    /// store counts the TTL from the arrival of that call; its reply may be processed much later.
+    pub confirmed_at: Millis,
+}
+
 /// State of one node; one per process, behind an `Arc`.
 #[derive(Debug)]
 pub struct Shared {
@@ -38,6 +47,8 @@
     pub owner_link: OwnerLink,
     /// The owner according to the store; none while there is no owner.
     pub owner: watch::Sender<Option<OwnerRecord>>,
+    /// This node's lease in the store; none while there is none.
+    pub store_lease: watch::Sender<Option<StoreLease>>,
     /// Configuration in force on this node; none until the first read.
     pub config: watch::Sender<Option<Arc<FleetConfig>>>,
     state: Mutex<State>,
@@ -70,6 +81,7 @@
             executor_client: ExecutorClient::default(),
             owner_link: OwnerLink::default(),
             owner: watch::channel(None).0,
+            store_lease: watch::channel(None).0,
             config: watch::channel(None).0,
             state: Mutex::new(State {
                 store_success_at: clock::mono(),
@@ -120,6 +132,13 @@
         PeerMessage::Health { store_age_ms }
     }
 
+    /// Returns when the last renewal of a lease was sent that succeeded, in ms since boot; none if
+    /// the lease has ended.
+    pub fn lease_confirmed_at(&self, id: u64) -> Option<Millis> {
+        let lease = self.store_lease.borrow();
+        lease.filter(|l| l.id == id).map(|l| l.confirmed_at)
+    }
+
     /// Records that a connected node reached the store `store_age_ms` ago.
     pub fn record_peer_health(&self, store_age_ms: Millis) {
         let success_at = clock::mono().saturating_sub(store_age_ms);
--- a/src/fleet/cell.rs
+++ b/src/fleet/cell.rs
@@ -10,7 +10,9 @@
         fleet::{
             AdviceSlots, CellEffect, CellEvent, CommitQueue, Executor, ExecutorId, FencingToken,
             FleetConfig, FleetEvent, INCARNATIONS_PER_OWNER, Job, JobEnd, JobId, JobRecord,
-            QueueRule, RecoveredState, StepId, job::RUN_NUMBERS_PER_OWNER, policy::AdviceYield,
+            QueueRule, RecoveredState, StepId,
+            job::RUN_NUMBERS_PER_OWNER,
+            policy::{self, AdviceYield},
         },
     },
     serde::{Deserialize, Serialize},
@@ -29,6 +31,8 @@
     pub kill_grace_ms: Millis,
     /// Retention of an ended job's state, in ms (platform's `status_s`).
     pub ended_retention_ms: Millis,
+    /// TTL of the store lease to which the key of an owner is tied, in ms.
+    pub store_lease_ms: Millis,
 }
 
 /// Readings of both clocks, taken by the caller for one event or round.
@@ -64,10 +68,6 @@
     }
 }
 
-/// How long an earlier owner may still send commands after a newer one has claimed, in ms: an
-/// owner steps down when it has reached neither the store nor half of its peers for so long.
-pub const OWNER_STEP_DOWN_MS: Millis = 1_500;
-
 /// How long after a takeover an unreachable executor that the platform no longer lists may
 /// still run something, in ms: it was silent for three heartbeats (4.5 s) of the maximum
 /// lease (6.1 s by its own clock), and a listing that a store outage dropped is back in 2 s.
@@ -90,6 +90,8 @@
     pub unreconciled: HashSet<ExecutorId>,
     /// When this owner took over.
     pub took_over_at: Millis,
+    /// When every earlier owner has certainly stopped sending commands.
+    pub previous_owner_stopped_at: Millis,
     /// When every lease granted by an earlier owner has expired and its stops have finished.
     pub previous_leases_expired_at: Millis,
     /// Sum of the needs of the tracked runs of each tenant, on all executors.
@@ -124,6 +126,8 @@
         recovered: RecoveredState,
         now: Now,
     ) -> Self {
+        let previous_owner_stopped_at =
+            now.mono + policy::earlier_owner_stops_after(bounds.store_lease_ms);
         let mut cell = Self {
             token,
             bounds,
@@ -134,10 +138,9 @@
             pending_cancels: HashMap::new(),
             unreconciled: HashSet::new(),
             took_over_at: now.mono,
-            previous_leases_expired_at: now.mono
-                + OWNER_STEP_DOWN_MS
-                + bounds.max_lease_ms * 51 / 50
-                + bounds.kill_grace_ms,
+            previous_owner_stopped_at,
+            previous_leases_expired_at: previous_owner_stopped_at
+                + policy::runs_end_after(bounds.max_lease_ms, bounds.kill_grace_ms),
             tenant_usage: HashMap::new(),
             rate_buckets: HashMap::new(),
             commit_queue: CommitQueue::default(),
--- a/src/fleet/executor.rs
+++ b/src/fleet/executor.rs
@@ -7,7 +7,10 @@
 use {
     crate::{
         core::{CallId, Millis, Resources},
-        fleet::{ExecutorInfo, JobId, RunNumber, TaskId, policy::RunTimeFactor},
+        fleet::{
+            ExecutorInfo, JobId, RunNumber, TaskId,
+            policy::{MAX_CLOCK_LAG_MILLI, RunTimeFactor},
+        },
     },
     std::{
         collections::{BTreeMap, HashMap},
@@ -15,9 +18,6 @@
     },
 };
 
-/// Maximum lag of an executor's clock, in thousandths: the platform's protocol allows 2%.
-const MAX_CLOCK_LAG_MILLI: Millis = 20;
-
 /// Failures in a row, of different jobs, after which an executor is suspected. On a healthy
 /// executor a twentieth of the tasks fail, so three in a row are rare.
 const SUSPECT_AFTER_FAILED_JOBS: usize = 3;
--- a/src/fleet/mod.rs
+++ b/src/fleet/mod.rs
@@ -42,7 +42,7 @@
 
 pub use {
     advice_slots::AdviceSlots,
-    cell::{Cell, CellBounds, JobStatus, Now, OWNER_STEP_DOWN_MS},
+    cell::{Cell, CellBounds, JobStatus, Now},
     cell_explain::{BlockReason, JobExplanation, StepExplanation},
     cell_summary::{FleetSummary, QueueSummary, TenantSummary},
     commit_queue::CommitQueue,
--- a/src/fleet/policy/mod.rs
+++ b/src/fleet/policy/mod.rs
@@ -1,11 +1,12 @@
-//! Scheduling policy: order of waiting steps, choice of executors, advice, preemption and
-//! throttling.
+//! Scheduling policy: order of waiting steps, choice of executors, advice, preemption, throttling,
+//! and how long ownership holds.
 //!
 //! Pure functions on plain data, called by the cell in every round. Nothing here keeps state,
 //! reads a clock or sends a command.
 
 mod advice;
 mod order;
+mod ownership;
 mod pace;
 mod placement;
 mod preemption;
@@ -16,6 +17,10 @@
 pub use {
     advice::{AdviceChoice, AdviceNeed, AdviceOption, AdviceYield, choose_named},
     order::{EXPIRED_TIMES, Rank, Timeliness},
+    ownership::{
+        MAX_CLOCK_LAG_MILLI, MAX_UNCONFIRMED_MS, earlier_owner_stops_after, may_send_commands,
+        runs_end_after,
+    },
     pace::round_pause_ms,
     placement::{PlacementOption, choose_best_fit, choose_spread},
     preemption::{Victim, choose_gang_victims, choose_victims},
--- a/standins/src/cell_world.rs
+++ b/standins/src/cell_world.rs
@@ -26,6 +26,7 @@
     max_lease_ms: 6_000,
     kill_grace_ms: 200,
     ended_retention_ms: 120_000,
+    store_lease_ms: 1_200,
 };
 
 /// Interval at which a waiting renewal checks for ended runs, in ms.
