--- a/tests/takeover.rs
+++ b/tests/takeover.rs
@@ -16,7 +16,7 @@
 /// Estimate of tasks that outlast every lease, in ms.
 const LONG_MS: Millis = 60_000;
 
-/// Returns a job of `count` tasks; with 8 tasks or more each executor gets some.
+/// Returns a job of `count` tasks of one core each; an executor has eight.
 fn tasks(id: u64, count: u32, estimate_ms: Millis) -> Submission {
     job(id, "urgent", vec![step(count, 1_000, estimate_ms)])
 }
@@ -44,7 +44,7 @@
     executor.unreachable = unreachable;
 }
 
-/// Takes over with an owner that the executor's commands do not reach.
+/// Takes over with an owner whose commands do not reach the executor.
 fn take_over_cut_from(world: &mut CellWorld, executor: &ExecutorId) {
     world.cut.insert((world.cell.token + 1, executor.clone()));
     world.replace_owner();
@@ -61,8 +61,7 @@
     );
 }
 
-/// Guards against taking an executor's absence from the list for its end: the earlier owner still
-/// reaches it and renews its lease.
+/// Guards against taking an executor's absence from the list for the end of its leases.
 #[test]
 fn an_unlisted_executor_may_be_renewed_by_the_earlier_owner() {
     let mut world = world(1, 3);
@@ -74,7 +73,7 @@
     world.add_owner();
     world.run(1_500);
     world.stop_former_owners();
-    world.run(5_500);
+    world.run(8_000);
     assert_sound(&world);
 }
 
@@ -115,7 +114,7 @@
         world.run(1);
     }
     take_over_cut_from(&mut world, &Arc::from("e0"));
-    world.run(2_000);
+    world.run(8_000);
     assert_sound(&world);
 }
 
@@ -127,7 +126,7 @@
     world.run(600);
     start_on_returned_e0(&mut world);
     take_over_cut_from(&mut world, &Arc::from("e0"));
-    world.run(2_000);
+    world.run(8_000);
     assert_sound(&world);
 }
 
@@ -170,7 +169,7 @@
     });
     let host = host(&world, 1);
     take_over_cut_from(&mut world, &host);
-    world.run(2_000);
+    world.run(8_000);
     assert_sound(&world);
 }
 
@@ -237,8 +236,7 @@
     assert_eq!(world.job_status(JobId(1)), Some(JobStatus::Completed));
 }
 
-/// Guards against taking the lease of an adopted run for expired because this owner, whose roster
-/// lacks the executor, never renewed it.
+/// Guards against taking the lease of an adopted run for expired as this owner never renewed it.
 #[test]
 fn the_lease_of_an_adopted_run_is_unknown_until_renewed() {
     let mut world = world(1, 3);
@@ -253,7 +251,7 @@
     world.run(500);
     set_cut(&mut world, &host, true);
     set_cut(&mut world, &other, false);
-    world.run(3_000);
+    world.run(8_000);
     assert_sound(&world);
 }
 
@@ -271,12 +269,11 @@
     world.set_listed(&host, false);
     world.run(1_500);
     world.submit(tasks(1, 1, LONG_MS));
-    world.run(2_000);
+    world.run(8_000);
     assert_sound(&world);
 }
 
-/// Guards against a roster that names an executor's address of before its restart: the reply of
-/// another executor there says nothing of what runs on this one.
+/// Guards against a roster with an old address, where another executor's reply proves nothing.
 #[test]
 fn a_reply_from_an_earlier_address_proves_no_end() {
     let mut world = world(1, 3);
@@ -291,12 +288,11 @@
     assert_eq!(&*host(&world, 1), "e0");
     world.executors.get_mut("e0").expect("executor").listed = false;
     world.replace_owner();
-    world.run(2_000);
+    world.run(8_000);
     assert_sound(&world);
 }
 
-/// Guards against counting only this owner's leases: an executor that restarts after the takeover
-/// has seen no fencing token, and takes a start of the earlier owner.
+/// Guards against counting only this owner's leases: after a restart no fencing token is known.
 #[test]
 fn an_earlier_owner_may_start_tasks_on_a_restarted_executor() {
     let mut world = world(1, 3);
@@ -319,8 +315,7 @@
     assert_sound(&world);
 }
 
-/// Guards against counting an executor as reconciled while ends that one reply could not list
-/// are unread.
+/// Guards against counting an executor as reconciled while ends beyond one reply are unread.
 #[test]
 fn a_takeover_reads_all_ends_before_it_starts_their_tasks() {
     let mut world = world(1, 2);
