A takeover waits for the leases of executors that the platform no longer lists

What callers saw: tasks ran twice; the second start came 3.0 s after the claim, while the first run went on at an executor that the new owner could not reach.

Cause: after a takeover an unreachable executor counted as ended once 3 s had passed and the platform did not list it, even if it had left the list just then. An executor that is cut off from the store leaves the list after 4.5 s of silence while an earlier owner still renews its lease.

An absence from the list is no proof any more: the wait ends when the executor was read, answers as another incarnation, or every lease that an earlier owner may have granted has expired.

So that callers do not pay for the longer wait, jobs that no earlier owner can have started do not wait: once earlier owners have stopped (1.8 s after the claim) the list of jobs is read again, and jobs stored later start at once.

The test that demanded the 3 s is replaced: it now bounds the wait from both sides, at 8.1 s for work that may run there, and at 2.2 s for other work, which waited 2.9 s before.

--- a/src/entry/owner.rs
+++ b/src/entry/owner.rs
@@ -276,6 +276,10 @@
                     .record_latency(Latency::FirstStart, wait_ms);
             }
             CellEffect::Log { event, detail } => self.shared.log_event(event, &detail),
+            CellEffect::ReadJobs => {
+                let read = owner_watch::read_jobs(self.shared.clone(), self.tx.clone());
+                self.tasks.spawn(read);
+            }
             CellEffect::StepDown => self.stepped_down = true,
         }
     }
--- a/src/entry/owner_watch.rs
+++ b/src/entry/owner_watch.rs
@@ -100,17 +100,33 @@
             }
             Err(StoreError::Busy) => {}
             Err(_) => {
-                if let Ok((items, next)) = shared.range(keys::WORK_PREFIX, READ_TIMEOUT).await {
+                if let Ok(next) = read_work(&shared, &tx).await {
                     revision = next;
-                    for item in &items {
-                        on_work_item(&shared, &tx, item);
-                    }
                 }
             }
         }
     }
 }
 
+/// Passes all accepted jobs and cancellations to the cell, and then whether all were read.
+pub(super) async fn read_jobs(shared: Arc<Shared>, tx: mpsc::UnboundedSender<OwnerInput>) {
+    let ok = read_work(&shared, &tx).await.is_ok();
+    let _ = tx.send(OwnerInput::Cell(CellEvent::JobsRead { ok }));
+}
+
+/// Passes all accepted jobs and cancellations to the cell; returns the revision from which a watch
+/// continues.
+async fn read_work(
+    shared: &Shared,
+    tx: &mpsc::UnboundedSender<OwnerInput>,
+) -> Result<u64, StoreError> {
+    let (items, next) = shared.range(keys::WORK_PREFIX, READ_TIMEOUT).await?;
+    for item in &items {
+        on_work_item(shared, tx, item);
+    }
+    Ok(next)
+}
+
 fn on_work_item(shared: &Shared, tx: &mpsc::UnboundedSender<OwnerInput>, item: &StoreItem) {
     if let Some(id) = item.key.strip_prefix(keys::CANCELLATIONS_PREFIX) {
         if let Ok(job) = id.parse() {
--- a/src/fleet/cell.rs
+++ b/src/fleet/cell.rs
@@ -68,11 +68,6 @@
     }
 }
 
-/// How long after a takeover an unreachable executor that the platform no longer lists may
-/// still run something, in ms: it was silent for three heartbeats (4.5 s) of the maximum
-/// lease (6.1 s by its own clock), and a listing that a store outage dropped is back in 2 s.
-const UNLISTED_GRACE_MS: Millis = 3_000;
-
 /// The scheduler of all pools. Memory only: a new owner builds it from [`RecoveredState`].
 #[derive(Debug)]
 pub struct Cell {
@@ -92,6 +87,11 @@
     pub took_over_at: Millis,
     /// When every earlier owner has certainly stopped sending commands.
     pub previous_owner_stopped_at: Millis,
+    /// Whether all jobs that an earlier owner may have started are known: the list of jobs was read
+    /// after it had stopped, or all its executors were reconciled.
+    pub earlier_jobs_known: bool,
+    /// Whether such a read is in flight.
+    reading_jobs: bool,
     /// When every lease granted by an earlier owner has expired and its stops have finished.
     pub previous_leases_expired_at: Millis,
     /// Sum of the needs of the tracked runs of each tenant, on all executors.
@@ -139,6 +139,8 @@
             unreconciled: HashSet::new(),
             took_over_at: now.mono,
             previous_owner_stopped_at,
+            earlier_jobs_known: false,
+            reading_jobs: false,
             previous_leases_expired_at: previous_owner_stopped_at
                 + policy::runs_end_after(bounds.max_lease_ms, bounds.kill_grace_ms),
             tenant_usage: HashMap::new(),
@@ -198,8 +200,12 @@
             CellEvent::Unlisted(id) => self.on_unlisted(&id),
             CellEvent::Relisted(infos) => self.on_relisted(infos, now),
             CellEvent::Submitted(submission) => {
-                let reconciled = self.unreconciled.is_empty();
-                self.add_job(*submission, None, !reconciled, now);
+                let recovered = !self.earlier_jobs_known && !self.unreconciled.is_empty();
+                self.add_job(*submission, None, recovered, now);
+            }
+            CellEvent::JobsRead { ok } => {
+                self.reading_jobs = false;
+                self.earlier_jobs_known |= ok;
             }
             CellEvent::Cancelled(id) => self.cancel(id, now),
             CellEvent::AdviceNodes(nodes) => self.advice_slots.set_nodes(nodes),
@@ -268,30 +274,18 @@
         (self.token - 1) * RUN_NUMBERS_PER_OWNER
     }
 
-    /// Drops unreconciled executors that are still not listed after [`UNLISTED_GRACE_MS`]: nothing
-    /// can run there any more.
-    fn drop_unlisted_unreconciled(&mut self, now: Now) {
-        if now.mono < self.took_over_at + UNLISTED_GRACE_MS {
-            return;
-        }
-        let executors = &self.executors;
-        let listed = |id: &ExecutorId| executors.get(id).is_some_and(|e| e.listed);
-        let (kept, dropped) = std::mem::take(&mut self.unreconciled)
-            .into_iter()
-            .partition(listed);
-        self.unreconciled = kept;
-        let dropped: HashSet<ExecutorId> = dropped;
-        if !dropped.is_empty() {
-            let waited_ms = now.mono - self.took_over_at;
-            self.log(
-                FleetEvent::ExecutorSilent,
-                format!("not listed after a takeover; waited_ms={waited_ms} executors={dropped:?}"),
-            );
+    /// Requests the list of jobs once no earlier owner sends commands: a job that is stored later
+    /// need not wait for the executors of earlier owners.
+    fn read_jobs_of_earlier_owners(&mut self, now: Now) {
+        let due = now.mono > self.previous_owner_stopped_at && !self.unreconciled.is_empty();
+        if due && !self.earlier_jobs_known && !self.reading_jobs {
+            self.reading_jobs = true;
+            self.effects.push(CellEffect::ReadJobs);
         }
     }
 
     fn tick(&mut self, now: Now) {
-        self.drop_unlisted_unreconciled(now);
+        self.read_jobs_of_earlier_owners(now);
         if now.mono >= self.previous_leases_expired_at && !self.unreconciled.is_empty() {
             let left = std::mem::take(&mut self.unreconciled);
             self.log(
--- a/src/fleet/event.rs
+++ b/src/fleet/event.rs
@@ -223,6 +223,11 @@
     Submitted(Box<Submission>),
     /// A caller cancelled a job.
     Cancelled(JobId),
+    /// The read of the jobs ended, after an event for each job that it found.
+    JobsRead {
+        /// Whether the whole list was read.
+        ok: bool,
+    },
     /// Live nodes that can call the advice service, this one included.
     AdviceNodes(Vec<Arc<str>>),
     /// A command got its reply or failed.
@@ -276,6 +281,9 @@
     FirstStart { wait_ms: Millis },
     /// Logs an event.
     Log { event: FleetEvent, detail: String },
+    /// Reads the accepted jobs and the cancellations from the store; each is an event before
+    /// [`CellEvent::JobsRead`].
+    ReadJobs,
     /// A newer owner exists; this one must stop.
     StepDown,
 }
--- a/standins/src/cell_world.rs
+++ b/standins/src/cell_world.rs
@@ -501,6 +501,7 @@
             } => self.schedule_advice((call, token), step, &executors),
             CellEffect::Commit { call, writes } => self.commit((call, token), writes),
             CellEffect::FirstStart { .. } => {}
+            CellEffect::ReadJobs => self.read_jobs(token),
             CellEffect::Log { event, detail } => {
                 let by = if token == self.cell.token {
                     String::new()
@@ -553,6 +554,17 @@
         self.schedule(duration, Pending::Event(event, token));
     }
 
+    /// Replies to a read of the accepted jobs; it fails while the store is down.
+    fn read_jobs(&mut self, token: u64) {
+        let ok = self.store_up;
+        let jobs: Vec<Submission> = self.records.jobs.values().filter_map(open_job).collect();
+        for job in jobs.into_iter().filter(|_| ok) {
+            let event = CellEvent::Submitted(Box::new(job));
+            self.schedule(4, Pending::Event(event, token));
+        }
+        self.schedule(4, Pending::Event(CellEvent::JobsRead { ok }, token));
+    }
+
     fn commit(&mut self, (call, token): (CallId, u64), writes: Vec<StoreWrite>) {
         if token != self.cell.token {
             let event = CellEvent::CommitResult { call, ok: false };
@@ -688,6 +700,13 @@
     }
 }
 
+fn open_job(record: &JobRecord) -> Option<Submission> {
+    match record {
+        JobRecord::Open(submission) => Some(submission.clone()),
+        JobRecord::Ended { .. } => None,
+    }
+}
+
 fn advice_nodes(nodes: u32) -> Vec<Arc<str>> {
     (1..=nodes).map(|i| Arc::from(format!("n{i}"))).collect()
 }
--- a/tests/cell.rs
+++ b/tests/cell.rs
@@ -140,10 +140,10 @@
     assert_eq!(world.job_status(JobId(2)), Some(JobStatus::Completed));
 }
 
-/// An executor that left while there was no owner delays recovered work for 3 s, not for the
-/// maximum lease.
+/// An executor that left while there was no owner delays work that may run there for the leases
+/// of the earlier owner and no longer, and other work for as long as that owner may send commands.
 #[test]
-fn recovered_work_waits_briefly_for_an_executor_that_left() {
+fn only_work_that_may_run_on_an_executor_that_left_waits_for_its_leases() {
     let mut world = world(1, 3);
     world.submit(job(1, "urgent", vec![step(2, 4_000, 2_000)]));
     world.run(100);
@@ -154,9 +154,14 @@
     }
     world.replace_owner();
     world.submit(job(2, "urgent", vec![step(1, 4_000, 200)]));
-    world.run(2_900);
+    world.run(1_950);
+    world.submit(job(3, "urgent", vec![step(1, 4_000, 200)]));
+    world.run(250);
+    assert_eq!(world.job_status(JobId(3)), Some(JobStatus::Completed));
     assert_eq!(world.job_status(JobId(2)), Some(JobStatus::Pending));
-    world.run(700);
+    world.run(5_900);
+    assert_eq!(world.job_status(JobId(2)), Some(JobStatus::Pending));
+    world.run(500);
     assert_eq!(world.job_status(JobId(2)), Some(JobStatus::Completed));
     assert_eq!(world.violations, Vec::<String>::new());
 }
