Recovered work waits for unread executors of any pool

What callers saw: a task could run twice when its queue's route had moved to another pool between its start and a change of owner.

Cause: a recovered task waited only for unread executors of the pool that its queue has now; the earlier run is on one of the pool that it had then. No record tells the earlier pools, so the wait is for every unread executor.

tests/takeover.rs: a_run_in_the_pool_of_an_earlier_configuration_is_waited_for failed before (second start 4 ms after the takeover).

--- a/src/fleet/cell_capacity.rs
+++ b/src/fleet/cell_capacity.rs
@@ -9,10 +9,7 @@
         core::Resources,
         fleet::{Cell, ExecutorId, ExecutorInfo, Now, StepId},
     },
-    std::{
-        collections::{HashMap, HashSet},
-        sync::Arc,
-    },
+    std::{collections::HashMap, sync::Arc},
 };
 
 /// A schedulable executor and its free capacity.
@@ -58,8 +55,8 @@
 #[derive(Debug, Default)]
 pub(super) struct CapacitySnapshot {
     pools: HashMap<Arc<str>, PoolCapacity>,
-    /// Pools with unreconciled executors, on which runs of an earlier owner may exist.
-    unreconciled_pools: HashSet<Arc<str>>,
+    /// Whether runs of an earlier owner that this owner has not read may exist.
+    pub has_unreconciled: bool,
     /// Sum of the capacities of unreconciled executors: upper bound of what runs there.
     pub unreconciled_capacity: Resources,
 }
@@ -109,11 +106,6 @@
         let position = pool.position(executor)?;
         pool.executors.get_mut(position)
     }
-
-    /// Returns whether runs of an earlier owner that this owner has not read may exist in a pool.
-    pub fn has_unreconciled(&self, pool: &str) -> bool {
-        self.unreconciled_pools.contains(pool)
-    }
 }
 
 impl Cell {
@@ -138,11 +130,9 @@
             });
             pool.max_free.max_assign(&free);
         }
+        snapshot.has_unreconciled = !self.unreconciled.is_empty();
         for id in &self.unreconciled {
             if let Some(executor) = self.executors.get(id) {
-                snapshot
-                    .unreconciled_pools
-                    .insert(executor.info.pool.clone());
                 snapshot.unreconciled_capacity.add(&executor.info.capacity);
             }
         }
--- a/src/fleet/cell_plan.rs
+++ b/src/fleet/cell_plan.rs
@@ -114,10 +114,8 @@
         now: Now,
     ) -> Option<BlockReason> {
         let (job, spec, step) = self.lookup_step(&id)?;
-        if job.recovered
-            && !spec.allow_duplicates
-            && snapshot.has_unreconciled(&self.queue_rule(job).pool)
-        {
+        // In any pool: the queue may have had another one when the task was started.
+        if job.recovered && !spec.allow_duplicates && snapshot.has_unreconciled {
             return Some(BlockReason::Takeover);
         }
         let spec = spec.clone();
