Use an executor only if every roster that the store may hold names it at its address

What callers saw: a task could run twice after a change of owner, as the next owner did not know of the executor of the first run.

Cause: the owner took its last durable roster for the one in the store. While a write of a roster without an executor was in flight, or had no reply, an executor that was listed again still counted as in the roster and got starts. An executor that came back at another address stayed in the roster at its old one, where another executor's reply ended the wait for it.

The owner now keeps only executors that all rosters agree on: what the store last confirmed, and every write sent since, by id and address. An address that changed is written before the next start.

tests/takeover.rs: no_start_while_a_roster_without_the_executor_is_in_flight, no_start_after_a_roster_without_the_executor_had_no_reply and a_reply_from_an_earlier_address_proves_no_end failed before.

--- a/src/fleet/cell.rs
+++ b/src/fleet/cell.rs
@@ -8,9 +8,9 @@
     crate::{
         core::{CallId, Millis, Resources},
         fleet::{
-            AdviceSlots, CellEffect, CellEvent, CommitQueue, Executor, ExecutorId, FencingToken,
-            FleetConfig, FleetEvent, INCARNATIONS_PER_OWNER, Job, JobEnd, JobId, JobRecord,
-            QueueRule, RecoveredState, StepId,
+            AdviceSlots, CellEffect, CellEvent, CommitQueue, Executor, ExecutorId, ExecutorInfo,
+            FencingToken, FleetConfig, FleetEvent, INCARNATIONS_PER_OWNER, Job, JobEnd, JobId,
+            JobRecord, QueueRule, RecoveredState, StepId,
             job::RUN_NUMBERS_PER_OWNER,
             policy::{self, AdviceYield},
         },
@@ -99,10 +99,11 @@
     /// Token bucket of each tenant's job rate: thousandths of a job, and when refilled.
     pub rate_buckets: HashMap<Arc<str>, (u64, Millis)>,
     pub commit_queue: CommitQueue,
-    /// Executors that the roster in the store names.
-    pub roster: HashSet<ExecutorId>,
-    /// Executors in the roster write that is in flight; `roster` once it is durable.
-    pub roster_sent: Vec<ExecutorId>,
+    /// Executors that the roster in the store certainly names, with their address there, whichever
+    /// of the writes with an unknown outcome took effect.
+    pub roster: HashMap<ExecutorId, Arc<str>>,
+    /// The same of the roster write that is in flight; `roster` once it is durable.
+    pub roster_sent: HashMap<ExecutorId, Arc<str>>,
     pub advice_slots: AdviceSlots,
     /// Advice calls in flight: step, executors named, and when each times out.
     pub advice_calls: HashMap<CallId, (StepId, Vec<ExecutorId>, Millis)>,
@@ -146,8 +147,8 @@
             tenant_usage: HashMap::new(),
             rate_buckets: HashMap::new(),
             commit_queue: CommitQueue::default(),
-            roster: HashSet::new(),
-            roster_sent: Vec::new(),
+            roster: HashMap::new(),
+            roster_sent: HashMap::new(),
             advice_slots: AdviceSlots::default(),
             advice_calls: HashMap::new(),
             advice_yields: HashMap::new(),
@@ -157,7 +158,7 @@
             last_call: 0,
         };
         for entry in recovered.roster {
-            cell.roster.insert(entry.id.clone());
+            cell.roster.insert(entry.id.clone(), entry.address.clone());
             cell.unreconciled.insert(entry.id.clone());
             cell.add_from_roster(&entry, now);
         }
@@ -254,6 +255,12 @@
         self.config.queue(name).map_or(&job.submission.queue, |q| q)
     }
 
+    /// Returns whether the roster in the store names an executor at its present address, so that
+    /// the next owner will read it.
+    pub(super) fn in_roster(&self, executor: &ExecutorInfo) -> bool {
+        self.roster.get(&executor.id) == Some(&executor.address)
+    }
+
     pub(super) fn next_call(&mut self) -> CallId {
         self.last_call += 1;
         self.last_call
--- a/src/fleet/cell_capacity.rs
+++ b/src/fleet/cell_capacity.rs
@@ -112,8 +112,8 @@
     /// Takes the snapshot for one round.
     pub(super) fn capacity_snapshot(&self, now: Now) -> CapacitySnapshot {
         let mut snapshot = CapacitySnapshot::default();
-        for (id, executor) in &self.executors {
-            if !executor.is_schedulable(now.mono) || !self.roster.contains(id) {
+        for executor in self.executors.values() {
+            if !executor.is_schedulable(now.mono) || !self.in_roster(&executor.info) {
                 continue;
             }
             let free = executor.free();
--- a/src/fleet/cell_executors.rs
+++ b/src/fleet/cell_executors.rs
@@ -66,6 +66,7 @@
                 // Renews at once: the reply lists what the new incarnation runs.
                 known.next_renewal_at = now.mono;
             }
+            self.commit_queue.roster_dirty |= known.info.address != info.address;
             known.listed = true;
             known.missing_since = None;
             known.info = Arc::new(info);
@@ -404,7 +405,10 @@
         let call = self.next_call();
         let lease_ms = self.bounds.max_lease_ms;
         let token = self.command_token(id);
-        let in_roster = self.roster.contains(id);
+        let in_roster = self
+            .executors
+            .get(id)
+            .is_some_and(|e| self.in_roster(&e.info));
         let ack_cursor = self.advance_ack_cursor(id);
         let Some(executor) = self.executors.get_mut(id) else {
             return;
--- a/src/fleet/cell_jobs.rs
+++ b/src/fleet/cell_jobs.rs
@@ -7,8 +7,8 @@
     crate::{
         core::{CallId, Millis},
         fleet::{
-            Cell, CellEffect, FleetEvent, Job, JobEnd, JobId, JobProgress, JobRecord, Now, Roster,
-            RosterEntry, StoreWrite, Submission,
+            Cell, CellEffect, Executor, FleetEvent, Job, JobEnd, JobId, JobProgress, JobRecord,
+            Now, Roster, RosterEntry, StoreWrite, Submission,
         },
     },
     std::sync::Arc,
@@ -172,8 +172,13 @@
     }
 
     fn roster_write(&mut self) -> StoreWrite {
-        self.roster_sent = self.executors.keys().cloned().collect();
-        let entry = |e: &crate::fleet::Executor| RosterEntry {
+        let entry = |e: &Executor| (e.info.id.clone(), e.info.address.clone());
+        self.roster_sent = self.executors.values().map(entry).collect();
+        // The write may take effect although no reply comes.
+        let sent = &self.roster_sent;
+        self.roster
+            .retain(|id, address| sent.get(id) == Some(address));
+        let entry = |e: &Executor| RosterEntry {
             id: e.info.id.clone(),
             address: e.info.address.clone(),
             pool: e.info.pool.clone(),
@@ -197,7 +202,7 @@
         };
         if roster {
             self.needs_placement = true;
-            self.roster = std::mem::take(&mut self.roster_sent).into_iter().collect();
+            self.roster = std::mem::take(&mut self.roster_sent);
         }
         for id in jobs {
             let Some(job) = self.jobs.get_mut(&id) else {
