An executor stays in the roster until all its ends are durable

What callers saw: a task whose run had ended done started again after a change of owner, and both ends were acknowledged.

Cause: an executor that had left the list and did not answer once was removed from the roster as soon as it had no runs, although ends that the owner had read there were not durable: the store had been down and the ends were known in memory only. The next owner read a roster without it, did not wait for it and started the tasks again; then the executor came back and listed the old ends.

Such an executor now stays until each of its ends is durable.

tests/takeover.rs: an_executor_with_unacknowledged_ends_stays_in_the_roster failed before.

--- a/src/fleet/cell_executors.rs
+++ b/src/fleet/cell_executors.rs
@@ -479,7 +479,8 @@
         }
     }
 
-    /// Drops runs whose lease has certainly expired, and unlisted executors without runs.
+    /// Drops runs whose lease has certainly expired, and unlisted executors on which nothing is left
+    /// that the next owner must read: no run, and no end that is not durable.
     pub(super) fn expire_leases(&mut self, now: Now) {
         let grace = self.bounds.kill_grace_ms;
         let mut expired = Vec::new();
@@ -491,19 +492,18 @@
             {
                 expired.push(id.clone());
             }
-            let reconciled = !self.unreconciled.contains(id);
-            if !executor.listed
-                && executor.runs.is_empty()
-                && executor.failed_calls > 0
-                && reconciled
-            {
+            let commits = &self.commit_queue;
+            let durable = |job: &Option<JobId>| job.is_none_or(|j| commits.is_durable(j));
+            let settled = executor.runs.is_empty()
+                && executor.unacked.values().all(durable)
+                && !self.unreconciled.contains(id);
+            if !executor.listed && executor.failed_calls > 0 && settled {
                 removable.push(id.clone());
             }
         }
         for id in expired {
             self.drop_expired_runs(&id, now);
         }
-        // Nothing runs there and no command is open, so the next owner need not wait for it.
         for id in removable {
             if let Some(executor) = self.executors.remove(&id) {
                 let unacked = executor.unacked.len();
