Read the record of a job that an executor names and the owner does not know

What callers saw: a task started again after a run of it had ended done, just after a change of owner.

Cause: an owner that did not know a job left its ends unread for 3 s and acknowledged them then, and stopped its runs: the absence of a message for 3 s counted as the absence of the job. An end left unread also hid the ends behind it in the same reply, whose runs then counted as lost because the list of running tasks did not name them either, and an executor with such runs could be forgotten.

A job is in the store before any task of it starts, so the owner now reads its record. Until the reply its ends are kept and block the acknowledgement, the ends behind them are applied, its runs go on and its executor stays known. If there is no such job its ends are acknowledged and its runs stopped.

--- a/src/entry/owner.rs
+++ b/src/entry/owner.rs
@@ -276,6 +276,10 @@
                     .record_latency(Latency::FirstStart, wait_ms);
             }
             CellEffect::Log { event, detail } => self.shared.log_event(event, &detail),
+            CellEffect::ReadJob(job) => {
+                let read = owner_watch::read_job(self.shared.clone(), self.tx.clone(), job);
+                self.tasks.spawn(read);
+            }
             CellEffect::ReadJobs => {
                 let read = owner_watch::read_jobs(self.shared.clone(), self.tx.clone());
                 self.tasks.spawn(read);
--- a/src/entry/owner_watch.rs
+++ b/src/entry/owner_watch.rs
@@ -7,7 +7,7 @@
             OwnerInput, Shared, store_keys as keys,
             takeover::{READ_TIMEOUT, executor_or_log, ok_or_log},
         },
-        fleet::{CellEvent, JobRecord},
+        fleet::{CellEvent, JobId, JobRecord},
         platform::{EXECUTORS_PREFIX, StoreChange, StoreError, StoreItem},
     },
     std::{sync::Arc, time::Duration},
@@ -22,6 +22,9 @@
 /// whose message was lost.
 const WORK_WATCH_INTERVAL: Duration = Duration::from_millis(700);
 
+/// Time between a failed read of a job and the next attempt.
+const READ_RETRY_DELAY: Duration = Duration::from_millis(200);
+
 /// Time between a failed watch and the next attempt.
 const WATCH_RETRY_DELAY: Duration = Duration::from_millis(200);
 
@@ -108,6 +111,31 @@
     }
 }
 
+/// Passes the record of a job to the cell, or that there is none; a record that cannot be decoded
+/// is logged and not passed on.
+pub(super) async fn read_job(
+    shared: Arc<Shared>,
+    tx: mpsc::UnboundedSender<OwnerInput>,
+    job: JobId,
+) {
+    let item = loop {
+        match shared.get(&keys::job(job), READ_TIMEOUT).await {
+            Ok(item) => break item,
+            Err(_) => tokio::time::sleep(READ_RETRY_DELAY).await,
+        }
+    };
+    let record = match item {
+        Some(item) => {
+            let Some(record) = ok_or_log(&shared, keys::decode(&item.key, &item.value)) else {
+                return;
+            };
+            Some(Box::new(record))
+        }
+        None => None,
+    };
+    let _ = tx.send(OwnerInput::Cell(CellEvent::JobRead { job, record }));
+}
+
 /// Passes all accepted jobs and cancellations to the cell, and then whether all were read.
 pub(super) async fn read_jobs(shared: Arc<Shared>, tx: mpsc::UnboundedSender<OwnerInput>) {
     let ok = read_work(&shared, &tx).await.is_ok();
--- a/src/fleet/cell.rs
+++ b/src/fleet/cell.rs
@@ -92,6 +92,8 @@
     pub earlier_jobs_known: bool,
     /// Whether such a read is in flight.
     reading_jobs: bool,
+    /// Jobs whose record is being read, as an executor named them and they are not known.
+    pub(super) job_reads: HashSet<JobId>,
     /// When every lease granted by an earlier owner has expired and its stops have finished.
     pub previous_leases_expired_at: Millis,
     /// Sum of the needs of the tracked runs of each tenant, on all executors.
@@ -142,6 +144,7 @@
             previous_owner_stopped_at,
             earlier_jobs_known: false,
             reading_jobs: false,
+            job_reads: HashSet::new(),
             previous_leases_expired_at: previous_owner_stopped_at
                 + policy::runs_end_after(bounds.max_lease_ms, bounds.kill_grace_ms),
             tenant_usage: HashMap::new(),
@@ -204,6 +207,7 @@
                 let recovered = !self.earlier_jobs_known && !self.unreconciled.is_empty();
                 self.add_job(*submission, None, recovered, now);
             }
+            CellEvent::JobRead { job, record } => self.on_job_read(job, record.map(|r| *r), now),
             CellEvent::JobsRead { ok } => {
                 self.reading_jobs = false;
                 self.earlier_jobs_known |= ok;
--- a/src/fleet/cell_executors.rs
+++ b/src/fleet/cell_executors.rs
@@ -36,10 +36,6 @@
 /// the platform says about two seconds.
 const RELIST_GRACE_MS: Millis = 2_000;
 
-/// Maximum time that a run of an unknown job is left running, in ms: its submission may still
-/// be in transit from an entry node.
-pub(super) const UNKNOWN_JOB_GRACE_MS: Millis = 3_000;
-
 impl Cell {
     /// Adds an executor of an earlier owner; its capacity is 0 until the platform lists it.
     pub(super) fn add_from_roster(&mut self, entry: &RosterEntry, now: Now) {
@@ -264,9 +260,7 @@
             );
         }
         for row in &reply.ended {
-            if !self.process_ended_row(id, row, now) {
-                break;
-            }
+            self.process_ended_row(id, row, now);
         }
         for row in &reply.running {
             self.process_running_row(id, row, sent, now);
@@ -322,7 +316,7 @@
     }
 
     /// Handles a run that is not tracked: adopts it if its job is known, stops it if it must not
-    /// continue, and leaves it for [`UNKNOWN_JOB_GRACE_MS`] if its job is unknown.
+    /// continue, and reads the job if it is unknown.
     fn process_unexpected_row(&mut self, id: &ExecutorId, row: &RunningRow, now: Now) {
         let known = self.jobs.contains_key(&row.task.step.job);
         let ended = self.ended_jobs.contains_key(&row.task.step.job);
@@ -333,12 +327,11 @@
         let Some(executor) = self.executors.get_mut(id) else {
             return;
         };
-        let (_, since) = *executor
-            .unknown_runs
-            .entry(row.task)
-            .or_insert((row.run, now.mono));
-        if ended || known || now.mono > since + UNKNOWN_JOB_GRACE_MS {
+        executor.unknown_runs.insert(row.task, row.run);
+        if ended || known {
             self.send_stop(id, row.task, row.run);
+        } else {
+            self.read_unknown_job(row.task.step.job);
         }
     }
 
@@ -378,7 +371,7 @@
             .iter()
             .flat_map(|(id, e)| {
                 let of_job = e.unknown_runs.iter().filter(|(t, _)| t.step.job == job);
-                of_job.map(|(t, (run, _))| (id.clone(), *t, *run))
+                of_job.map(|(t, run)| (id.clone(), *t, *run))
             })
             .collect();
         for (id, task, run) in found {
@@ -455,12 +448,8 @@
         if !executor.is_responsive() {
             return 0;
         }
-        while let Some(first) = executor.unacked.first_entry() {
-            let durable = first.get().is_none_or(|job| commits.is_durable(job));
-            if !durable {
-                break;
-            }
-            first.remove();
+        while executor.can_acknowledge_next(|job| commits.is_durable(job)) == Some(true) {
+            executor.unacked.pop_first();
         }
         match executor.unacked.first_key_value() {
             Some((number, _)) => number - 1,
@@ -472,8 +461,7 @@
     pub(super) fn renew_after_commit(&mut self, now: Now) {
         let commits = &self.commit_queue;
         for executor in self.executors.values_mut() {
-            let first = executor.unacked.values().next();
-            if first.is_some_and(|j| j.is_none_or(|job| commits.is_durable(job))) {
+            if executor.can_acknowledge_next(|job| commits.is_durable(job)) == Some(true) {
                 executor.next_renewal_at = executor.next_renewal_at.min(now.mono);
             }
         }
@@ -487,15 +475,14 @@
         let mut removable = Vec::new();
         for (id, executor) in &mut self.executors {
             if executor.failed_calls > 0
-                && !executor.runs.is_empty()
+                && executor.may_run_tasks()
                 && executor.leases_expired(now.mono, grace)
             {
                 expired.push(id.clone());
             }
             let commits = &self.commit_queue;
-            let durable = |job: &Option<JobId>| job.is_none_or(|j| commits.is_durable(j));
-            let settled = executor.runs.is_empty()
-                && executor.unacked.values().all(durable)
+            let settled = !executor.may_run_tasks()
+                && executor.has_no_open_ends(|job| commits.is_durable(job))
                 && !self.unreconciled.contains(id);
             if !executor.listed && executor.failed_calls > 0 && settled {
                 removable.push(id.clone());
@@ -520,6 +507,7 @@
             return;
         };
         executor.session = Session::Silent;
+        executor.unknown_runs.clear();
         let tasks: Vec<TaskId> = executor.runs.keys().copied().collect();
         self.log(
             FleetEvent::ExecutorSilent,
--- a/src/fleet/cell_jobs.rs
+++ b/src/fleet/cell_jobs.rs
@@ -33,10 +33,10 @@
             return;
         }
         let mut job = Job::new(submission, progress, now.unix);
-        let unknown = self
-            .executors
-            .values()
-            .any(|e| e.unknown_runs.keys().any(|t| t.step.job == id));
+        let unknown = self.executors.values().any(|e| {
+            let runs = e.unknown_runs.keys().any(|t| t.step.job == id);
+            runs || e.unknown_ends.values().any(|row| row.task.step.job == id)
+        });
         job.recovered = recovered || unknown;
         job.over_rate = self.exceeds_rate(job.submission.tenant.as_ref(), now.mono);
         job.received_at = now.mono;
@@ -49,6 +49,7 @@
         );
         self.jobs.insert(id, job);
         if unknown {
+            self.apply_unknown_ends(id, now);
             self.adopt_unknown_runs(id, now);
         }
         if self.pending_cancels.remove(&id).is_some() {
@@ -56,6 +57,43 @@
         }
     }
 
+    /// Requests the record of a job that an executor named and that is not known here. A job is
+    /// stored before any task of it starts, so the store tells whether it exists.
+    pub(super) fn read_unknown_job(&mut self, id: JobId) {
+        if self.job_reads.insert(id) {
+            self.effects.push(CellEffect::ReadJob(id));
+        }
+    }
+
+    /// Handles the record of a job that was not known; `None` if there is no such job any more.
+    pub(super) fn on_job_read(&mut self, id: JobId, record: Option<JobRecord>, now: Now) {
+        self.job_reads.remove(&id);
+        match record {
+            Some(JobRecord::Open(submission)) => self.add_job(submission, None, true, now),
+            Some(JobRecord::Ended { end, .. }) if !self.jobs.contains_key(&id) => {
+                self.ended_jobs.entry(id).or_insert((end, now.mono));
+            }
+            Some(JobRecord::Ended { .. }) | None => {}
+        }
+        if !self.jobs.contains_key(&id) {
+            self.take_unknown_ends(id);
+            self.stop_unknown_runs(id);
+        }
+    }
+
+    /// Stops the runs of a job that does not exist or has ended.
+    fn stop_unknown_runs(&mut self, job: JobId) {
+        let mut runs = Vec::new();
+        for (id, executor) in &self.executors {
+            let of_job = executor.unknown_runs.iter();
+            let of_job = of_job.filter(|(task, _)| task.step.job == job);
+            runs.extend(of_job.map(|(task, run)| (id.clone(), *task, *run)));
+        }
+        for (id, task, run) in runs {
+            self.send_stop(&id, task, run);
+        }
+    }
+
     /// Takes one job from the tenant's token bucket; returns true if the bucket has less, so that
     /// the job is over rate. The rate is the tenant's weight, in jobs a second.
     fn exceeds_rate(&mut self, tenant: Option<&Arc<str>>, now: Millis) -> bool {
--- a/src/fleet/cell_run_ends.rs
+++ b/src/fleet/cell_run_ends.rs
@@ -4,43 +4,64 @@
 //! of its job is durable: the executor forgets it then.
 
 use crate::fleet::{
-    Cell, EndedRow, ExecutorId, FleetEvent, JobEnd, Now, RunEnd, TaskId,
-    cell_executors::UNKNOWN_JOB_GRACE_MS, cell_runs::task_index,
+    Cell, EndedRow, ExecutorId, FleetEvent, JobEnd, JobId, Now, RunEnd, TaskId,
+    cell_runs::task_index,
 };
 
 impl Cell {
-    /// Applies an end unless it was applied before. Returns false if it must be read again later,
-    /// as its job is unknown and its submission may still arrive.
-    pub(super) fn process_ended_row(&mut self, id: &ExecutorId, row: &EndedRow, now: Now) -> bool {
+    /// Applies an end unless it was read before. An end of an unknown job is kept until the store
+    /// tells whether there is such a job.
+    pub(super) fn process_ended_row(&mut self, id: &ExecutorId, row: &EndedRow, now: Now) {
         let job = row.task.step.job;
         let known = self.jobs.contains_key(&job) || self.ended_jobs.contains_key(&job);
-        if !known && now.mono < self.took_over_at + UNKNOWN_JOB_GRACE_MS {
-            let (seq, task, run, end) = (row.seq, row.task, row.run, row.end);
-            self.log(
-                FleetEvent::EndDeferred,
-                format!("executor={id} seq={seq} task={task} run={run} end={end:?}"),
-            );
-            return false;
-        }
         let Some(executor) = self.executors.get_mut(id) else {
-            return false;
+            return;
         };
         if row.seq <= executor.last_end_seq {
-            return true;
+            return;
         }
         executor.last_end_seq = row.seq;
         executor.unknown_runs.remove(&row.task);
-        let record_changed = self.apply_end(id, row, now);
-        if let Some(executor) = self.executors.get_mut(id) {
-            // An end that changed nothing waits for the job's record too: another end of the
-            // same gang may have changed it just before.
-            executor.unacked.insert(row.seq, Some(job));
+        // An end that changes nothing waits for the job's record too: another end of the same
+        // gang may have changed it just before.
+        executor.unacked.insert(row.seq, Some(job));
+        if known {
+            self.apply_end_and_finish(id, row, now);
+            return;
+        }
+        executor.unknown_ends.insert(row.seq, row.clone());
+        let (seq, task, run, end) = (row.seq, row.task, row.run, row.end);
+        self.log(
+            FleetEvent::EndDeferred,
+            format!("executor={id} seq={seq} task={task} run={run} end={end:?}"),
+        );
+        self.read_unknown_job(job);
+    }
+
+    /// Applies the ends of a job that executors had listed before it was known.
+    pub(super) fn apply_unknown_ends(&mut self, job: JobId, now: Now) {
+        for (id, row) in self.take_unknown_ends(job) {
+            self.apply_end_and_finish(&id, &row, now);
         }
-        if record_changed {
+    }
+
+    /// Takes the ends of an unknown job from all executors; they can be acknowledged from now on.
+    pub(super) fn take_unknown_ends(&mut self, job: JobId) -> Vec<(ExecutorId, EndedRow)> {
+        let mut rows = Vec::new();
+        for (id, executor) in &mut self.executors {
+            let of_job = |_: &u64, row: &mut EndedRow| row.task.step.job == job;
+            let taken = executor.unknown_ends.extract_if(.., of_job);
+            rows.extend(taken.map(|(_, row)| (id.clone(), row)));
+        }
+        rows
+    }
+
+    fn apply_end_and_finish(&mut self, id: &ExecutorId, row: &EndedRow, now: Now) {
+        let job = row.task.step.job;
+        if self.apply_end(id, row, now) {
             self.commit_queue.mark_dirty(job);
         }
         self.try_finish_job(job, now);
-        true
     }
 
     /// Applies an end to its run and task; returns whether the job's record changed.
--- a/src/fleet/event.rs
+++ b/src/fleet/event.rs
@@ -223,6 +223,12 @@
     Submitted(Box<Submission>),
     /// A caller cancelled a job.
     Cancelled(JobId),
+    /// The record of a job that executors named and that was not known.
+    JobRead {
+        job: JobId,
+        /// `None`: there is no such job.
+        record: Option<Box<JobRecord>>,
+    },
     /// The read of the jobs ended, after an event for each job that it found.
     JobsRead {
         /// Whether the whole list was read.
@@ -281,6 +287,8 @@
     FirstStart { wait_ms: Millis },
     /// Logs an event.
     Log { event: FleetEvent, detail: String },
+    /// Reads the record of a job from the store, until it succeeds; see [`CellEvent::JobRead`].
+    ReadJob(JobId),
     /// Reads the accepted jobs and the cancellations from the store; each is an event before
     /// [`CellEvent::JobsRead`].
     ReadJobs,
--- a/src/fleet/executor.rs
+++ b/src/fleet/executor.rs
@@ -8,7 +8,7 @@
     crate::{
         core::{CallId, Millis, Resources},
         fleet::{
-            ExecutorInfo, JobId, RunNumber, TaskId,
+            EndedRow, ExecutorInfo, JobId, RunNumber, TaskId,
             policy::{MAX_CLOCK_LAG_MILLI, RunTimeFactor},
         },
     },
@@ -122,16 +122,18 @@
     /// Latest lease end ever sent to this incarnation, in ms on its clock.
     pub max_lease_end_ms: Millis,
     pub runs: HashMap<TaskId, Run>,
-    /// Runs of jobs that are not known here (yet): run number, and since when.
-    pub unknown_runs: HashMap<TaskId, (RunNumber, Millis)>,
+    /// Runs of jobs that are not known here (yet).
+    pub unknown_runs: HashMap<TaskId, RunNumber>,
+    /// Ends of such jobs, by sequence number; they are in `unacked` too and block it.
+    pub unknown_ends: BTreeMap<u64, EndedRow>,
     /// Sum of the needs of `runs`; kept by `add_run` and `remove_run`.
     pub used: Resources,
     /// The renewal in flight and when it was sent; at most one.
     pub pending_renewal: Option<(CallId, Millis)>,
     pub next_renewal_at: Millis,
-    /// Highest sequence number of an end that was processed.
+    /// Highest sequence number of an end that was read.
     pub last_end_seq: u64,
-    /// Ends processed but not acknowledged, by sequence number, with the job whose record must be
+    /// Ends read but not acknowledged, by sequence number, with the job whose record must be
     /// durable first.
     pub unacked: BTreeMap<u64, Option<JobId>>,
     /// Failed renewals, and replies from another incarnation, since the last successful renewal.
@@ -162,6 +164,7 @@
             max_lease_end_ms: 0,
             runs: HashMap::new(),
             unknown_runs: HashMap::new(),
+            unknown_ends: BTreeMap::new(),
             used: Resources::default(),
             pending_renewal: None,
             next_renewal_at: now,
@@ -185,6 +188,11 @@
         }
     }
 
+    /// Returns whether runs are or may be active here, of jobs known here or not.
+    pub fn may_run_tasks(&self) -> bool {
+        !self.runs.is_empty() || !self.unknown_runs.is_empty()
+    }
+
     /// Returns whether the session is open and the last renewal succeeded.
     pub fn is_responsive(&self) -> bool {
         self.session == Session::Open && self.failed_calls == 0
@@ -215,6 +223,19 @@
         Some(reading.clock_ms + elapsed - elapsed * MAX_CLOCK_LAG_MILLI / 1000)
     }
 
+    /// Returns whether the first end that is not acknowledged can be: its job is known, and durable
+    /// according to `is_durable`. `None` if all ends are acknowledged.
+    pub fn can_acknowledge_next(&self, is_durable: impl Fn(JobId) -> bool) -> Option<bool> {
+        let (seq, job) = self.unacked.first_key_value()?;
+        Some(!self.unknown_ends.contains_key(seq) && job.is_none_or(is_durable))
+    }
+
+    /// Returns whether no end is left that the next owner would have to read.
+    pub fn has_no_open_ends(&self, is_durable: impl Fn(JobId) -> bool) -> bool {
+        let durable = |job: &Option<JobId>| job.is_none_or(&is_durable);
+        self.unknown_ends.is_empty() && self.unacked.values().all(durable)
+    }
+
     /// Returns whether every lease ever sent has certainly expired, and its runs are killed.
     pub fn leases_expired(&self, now: Millis, kill_grace_ms: Millis) -> bool {
         let Some(clock) = self.estimate_clock(now) else {
@@ -336,6 +357,7 @@
         let runs = ended.iter().filter_map(|t| Some((*t, self.remove_run(t)?)));
         let runs = runs.collect();
         self.unknown_runs.clear();
+        self.unknown_ends.clear();
         self.incarnations += 1;
         self.unacked.clear();
         self.last_end_seq = 0;
--- a/standins/src/cell_world.rs
+++ b/standins/src/cell_world.rs
@@ -78,6 +78,8 @@
     ),
     /// Writes to the store that apply at this revision only.
     Write(Vec<StoreWrite>, u64),
+    /// A read of a job's record by the owner with this token; repeated while the store is down.
+    ReadJob(JobId, u64),
     /// An event for the owner with this fencing token; a later owner does not receive it.
     Event(CellEvent, u64),
 }
@@ -336,6 +338,12 @@
             Pending::Write(writes, revision) if revision == self.revision => self.write(writes),
             Pending::Write(..) => {}
             Pending::Arrive(id, command, call) => self.deliver_command(&id, &command, call),
+            Pending::ReadJob(job, token) if self.store_up => {
+                let record = self.records.jobs.get(&job).cloned().map(Box::new);
+                let event = CellEvent::JobRead { job, record };
+                self.schedule(4, Pending::Event(event, token));
+            }
+            Pending::ReadJob(..) => self.schedule(200, pending),
             Pending::Delayed(id, incarnation, command, call) => {
                 let same_incarnation = self
                     .executors
@@ -505,6 +513,7 @@
             } => self.schedule_advice((call, token), step, &executors),
             CellEffect::Commit { call, writes } => self.commit((call, token), writes),
             CellEffect::FirstStart { .. } => {}
+            CellEffect::ReadJob(job) => self.schedule(4, Pending::ReadJob(job, token)),
             CellEffect::ReadJobs => self.read_jobs(token),
             CellEffect::Log { event, detail } => {
                 let by = if token == self.cell.token {
