A list of ends that was cut says nothing of the runs that it does not name

What callers saw: with more than 500 unacknowledged ends on one executor, tasks whose runs had ended done started again.

Cause: a reply lists at most 500 ends. A run that had ended beyond them is in neither list and counted as lost, and a new owner that had read the first 500 counted the executor as read.

Runs are dropped, and an executor counts as read, only after a reply whose list is complete.

tests/takeover.rs: more_ends_than_a_reply_lists_are_not_lost_runs and a_takeover_reads_all_ends_before_it_starts_their_tasks failed before (100 of 600 tasks started again).

--- a/src/fleet/cell_executors.rs
+++ b/src/fleet/cell_executors.rs
@@ -29,6 +29,9 @@
 /// Interval of attempts to reach an executor that does not reply, in ms.
 const RENEW_RETRY_INTERVAL_MS: Millis = 300;
 
+/// Number of ended runs at which the platform cuts the list of a renewal reply.
+const MAX_ENDED_ROWS: usize = 500;
+
 /// Consecutive failed calls after which an executor counts as silent.
 const SILENT_FAILED_CALLS: u32 = 2;
 
@@ -246,6 +249,8 @@
         let Some(executor) = self.executors.get_mut(id) else {
             return;
         };
+        let complete = reply.ended.len() < MAX_ENDED_ROWS;
+        executor.has_unread_ends = !complete;
         executor.started_unix_ms = reply.started_unix_ms.or(executor.started_unix_ms);
         executor.failed_calls = 0;
         executor.clock = Some(ClockReading {
@@ -265,9 +270,14 @@
         for row in &reply.running {
             self.process_running_row(id, row, sent, now);
         }
-        self.drop_missing_runs(id, sent, &reply.running, now);
+        // A run that is in neither list may have ended beyond the cut.
+        if complete {
+            self.drop_missing_runs(id, sent, &reply.running, now);
+        }
         self.drop_unknown_runs(id, &reply.running);
-        self.unreconciled.remove(id);
+        if complete {
+            self.unreconciled.remove(id);
+        }
         self.stop_stuck_runs(id, now);
         if let Some(executor) = self.executors.get_mut(id) {
             executor.next_renewal_at = if executor.unacked.is_empty() {
--- a/src/fleet/executor.rs
+++ b/src/fleet/executor.rs
@@ -133,6 +133,8 @@
     pub next_renewal_at: Millis,
     /// Highest sequence number of an end that was read.
     pub last_end_seq: u64,
+    /// Whether the last list of ends was cut, so that more may follow.
+    pub has_unread_ends: bool,
     /// Ends read but not acknowledged, by sequence number, with the job whose record must be
     /// durable first.
     pub unacked: BTreeMap<u64, Option<JobId>>,
@@ -169,6 +171,7 @@
             pending_renewal: None,
             next_renewal_at: now,
             last_end_seq: 0,
+            has_unread_ends: false,
             unacked: BTreeMap::new(),
             failed_calls: 0,
             failed_jobs: Vec::new(),
@@ -233,7 +236,8 @@
     /// Returns whether no end is left that the next owner would have to read.
     pub fn has_no_open_ends(&self, is_durable: impl Fn(JobId) -> bool) -> bool {
         let durable = |job: &Option<JobId>| job.is_none_or(&is_durable);
-        self.unknown_ends.is_empty() && self.unacked.values().all(durable)
+        let all_read = !self.has_unread_ends && self.unknown_ends.is_empty();
+        all_read && self.unacked.values().all(durable)
     }
 
     /// Returns whether every lease ever sent has certainly expired, and its runs are killed.
@@ -361,6 +365,7 @@
         self.incarnations += 1;
         self.unacked.clear();
         self.last_end_seq = 0;
+        self.has_unread_ends = false;
         self.max_lease_end_ms = 0;
         self.clock = None;
         runs
