Count a lease as expired only when those of earlier owners have expired too

What callers saw: a task ran twice when an executor went silent soon after a change of owner.

Cause: a new owner knows only the leases that it sent itself. For an executor that it had opened and not renewed yet the last lease counted as 0, so the runs adopted there were lost with the next failed call. An executor that restarts has seen no fencing token and may take a command of an earlier owner that is still active, whose lease the new owner does not know either.

--- a/src/fleet/cell_executors.rs
+++ b/src/fleet/cell_executors.rs
@@ -481,10 +481,13 @@
     /// that the next owner must read: no run, and no end that is not durable.
     pub(super) fn expire_leases(&mut self, now: Now) {
         let grace = self.bounds.kill_grace_ms;
+        // Only the leases that this owner sent are known to it.
+        let earlier_expired = now.mono >= self.previous_leases_expired_at;
         let mut expired = Vec::new();
         let mut removable = Vec::new();
         for (id, executor) in &mut self.executors {
-            if executor.failed_calls > 0
+            if earlier_expired
+                && executor.failed_calls > 0
                 && executor.may_run_tasks()
                 && executor.leases_expired(now.mono, grace)
             {
