Count an unread executor that is not listed as the largest one in caps of tenants

What callers saw: nothing in the record; found when looking for the same cause. A tenant could run more than its cap after a change of owner.

Cause: what may run on an executor that the new owner has not read counts as used by each tenant, but the capacity of one that the platform does not list is not known and counted as zero.

It counts as that of the largest known executor until it was read or its leases have expired.

tests/cell.rs: a_cap_holds_while_an_unlisted_executor_is_unreachable_after_a_takeover failed before (QUOTA: t); the test of the listed executor is as it was.

--- a/src/fleet/cell_capacity.rs
+++ b/src/fleet/cell_capacity.rs
@@ -57,7 +57,8 @@
     pools: HashMap<Arc<str>, PoolCapacity>,
     /// Whether runs of an earlier owner that this owner has not read may exist.
     pub has_unreconciled: bool,
-    /// Sum of the capacities of unreconciled executors: upper bound of what runs there.
+    /// Sum of the capacities of unreconciled executors: upper bound of what runs there. One that is
+    /// not listed counts as the largest executor.
     pub unreconciled_capacity: Resources,
 }
 
@@ -131,9 +132,18 @@
             pool.max_free.max_assign(&free);
         }
         snapshot.has_unreconciled = !self.unreconciled.is_empty();
+        let mut largest = Resources::default();
+        let executors = self.executors.values();
+        executors.for_each(|e| largest.max_assign(&e.info.capacity));
         for id in &self.unreconciled {
             if let Some(executor) = self.executors.get(id) {
-                snapshot.unreconciled_capacity.add(&executor.info.capacity);
+                let known = executor.info.capacity != Resources::default();
+                let capacity = if known {
+                    &executor.info.capacity
+                } else {
+                    &largest
+                };
+                snapshot.unreconciled_capacity.add(capacity);
             }
         }
         snapshot
--- a/tests/cell.rs
+++ b/tests/cell.rs
@@ -3,7 +3,7 @@
 
 use {
     dragonflyferry::{
-        core::Resources,
+        core::{Millis, Resources},
         fleet::{JobId, JobStatus, QueueRule, StepSpec, Submission, TenantRule},
     },
     rand::{Rng, SeedableRng, rngs::SmallRng},
@@ -103,6 +103,17 @@
 /// reply to the new owner, but still runs the tenant's tasks.
 #[test]
 fn a_cap_holds_while_an_executor_is_unreachable_after_a_takeover() {
+    assert_cap_holds_after_a_takeover(true, 200);
+}
+
+/// The same for an executor that the platform no longer lists, so that its capacity is not known.
+#[test]
+fn a_cap_holds_while_an_unlisted_executor_is_unreachable_after_a_takeover() {
+    assert_cap_holds_after_a_takeover(false, 2_200);
+}
+
+/// A tenant's job is submitted `after_ms` after the takeover.
+fn assert_cap_holds_after_a_takeover(listed: bool, after_ms: Millis) {
     let mut config = config();
     let cap = Resources {
         memory_mib: 0,
@@ -130,9 +141,13 @@
     world
         .executors
         .values_mut()
-        .for_each(|e| e.unreachable = !e.running.is_empty());
+        .filter(|e| !e.running.is_empty())
+        .for_each(|e| {
+            e.unreachable = true;
+            e.listed = listed;
+        });
     world.replace_owner();
-    world.run(200);
+    world.run(after_ms);
     world.submit(tenant_job(2, &queue("urgent", 0)));
     world.run(3_000);
     assert_eq!(world.violations, Vec::<String>::new());
