--- /dev/null
+++ b/examples/soak.rs
@@ -0,0 +1,136 @@
+//! Runs soaks of real daemons under faults, one after another, and prints a line for each seed.
+//!
+//! Needs the daemon of the same build. Exits with 1 if a rule was broken; logs, settings and the
+//! report of such seeds stay in the folder that `--keep` names.
+
+use {
+    standins::Soak,
+    std::{
+        error::Error,
+        fs,
+        path::{Path, PathBuf},
+        process::ExitCode,
+        time::Duration,
+    },
+};
+
+const HELP: &str = "\
+Usage: soak [--seeds FIRST..LAST] [--seconds N] [--nodes N] [--executors N] [--parallel N]
+            [--keep DIR] [--daemon FILE]
+
+  --seeds FIRST..LAST  seeds, the last one included (1..1)
+  --seconds N          time with faults (40)
+  --nodes N            daemons, at most 250 (6)
+  --executors N        simulated executors (24)
+  --parallel N         soaks at the same time (1)
+  --keep DIR           folder for the logs of seeds that broke a rule
+  --daemon FILE        the daemon (beside the folder of this program)
+";
+
+type SoakError = Box<dyn Error + Send + Sync>;
+
+#[derive(Clone)]
+struct Options {
+    first: u64,
+    last: u64,
+    seconds: u64,
+    nodes: usize,
+    executors: usize,
+    parallel: u64,
+    keep: Option<PathBuf>,
+    daemon: PathBuf,
+}
+
+impl Options {
+    fn from_args() -> Result<Self, SoakError> {
+        let mut args = pico_args::Arguments::from_env();
+        if args.contains(["-h", "--help"]) {
+            return Err(HELP.into());
+        }
+        let seeds: Option<String> = args.opt_value_from_str("--seeds")?;
+        let seeds = seeds.unwrap_or("1..1".to_owned());
+        let (first, last) = seeds.split_once("..").unwrap_or((&seeds, &seeds));
+        let daemon: Option<PathBuf> = args.opt_value_from_str("--daemon")?;
+        let program = std::env::current_exe()?;
+        let beside = program.parent().and_then(Path::parent);
+        let beside = beside.map(|p| p.join("dragonflyferryd"));
+        let options = Self {
+            first: first.parse()?,
+            last: last.parse()?,
+            seconds: args.opt_value_from_str("--seconds")?.unwrap_or(40),
+            nodes: args.opt_value_from_str("--nodes")?.unwrap_or(6),
+            executors: args.opt_value_from_str("--executors")?.unwrap_or(24),
+            parallel: args.opt_value_from_str("--parallel")?.unwrap_or(1),
+            keep: args.opt_value_from_str("--keep")?,
+            daemon: daemon.or(beside).unwrap_or_default(),
+        };
+        if !options.daemon.is_file() {
+            return Err("no daemon; build it first: cargo build --release".into());
+        }
+        Ok(options)
+    }
+}
+
+#[tokio::main]
+async fn main() -> ExitCode {
+    let options = match Options::from_args() {
+        Ok(options) => options,
+        Err(e) => {
+            eprintln!("{e}");
+            return ExitCode::from(2);
+        }
+    };
+    let lanes = (0..options.parallel).map(|lane| tokio::spawn(run_lane(options.clone(), lane)));
+    let lanes: Vec<_> = lanes.collect();
+    let mut broken = 0;
+    for lane in lanes {
+        match lane.await {
+            Ok(Ok(count)) => broken += count,
+            Ok(Err(e)) => {
+                eprintln!("{e}");
+                return ExitCode::from(2);
+            }
+            Err(e) => {
+                eprintln!("{e}");
+                return ExitCode::from(2);
+            }
+        }
+    }
+    println!("seeds with broken rules: {broken}");
+    ExitCode::from(u8::from(broken > 0))
+}
+
+/// Runs each seed of one lane; returns how many broke a rule.
+async fn run_lane(options: Options, lane: u64) -> Result<u64, SoakError> {
+    let scratch = std::env::temp_dir().join(format!("dff-soak-{}", std::process::id()));
+    let mut broken = 0;
+    for seed in (options.first..=options.last).filter(|s| s % options.parallel == lane) {
+        let folder = scratch.join(format!("seed-{seed}"));
+        let soak = Soak::new(seed, &options.daemon, &folder)
+            .nodes(options.nodes)
+            .executors(options.executors)
+            .fault_time(Duration::from_secs(options.seconds));
+        let report = soak.run().await?;
+        println!("{report}");
+        if !report.violations.is_empty() {
+            broken += 1;
+            for violation in report.violations.iter().take(5) {
+                println!("{violation}");
+            }
+            if let Some(keep) = &options.keep {
+                copy_folder(&folder, &keep.join(format!("seed-{seed}")))?;
+            }
+        }
+        fs::remove_dir_all(&folder)?;
+    }
+    Ok(broken)
+}
+
+fn copy_folder(from: &Path, to: &Path) -> std::io::Result<()> {
+    fs::create_dir_all(to)?;
+    for entry in fs::read_dir(from)? {
+        let entry = entry?;
+        fs::copy(entry.path(), to.join(entry.file_name()))?;
+    }
+    Ok(())
+}
--- /dev/null
+++ b/standins/src/run_journal.rs
@@ -0,0 +1,380 @@
+//! Records what executors ran and what clients were told in a soak, and judges it.
+//!
+//! The executors of `platform_executor` record runs, the clients of `soak_clients` record jobs.
+//! The rules need no knowledge of the nodes.
+
+use {
+    crate::lock,
+    dragonflyferry::core::Millis,
+    std::{
+        collections::{BTreeMap, HashMap},
+        fmt,
+        sync::Mutex,
+    },
+};
+
+/// A step of a soak's job.
+#[derive(Clone, Debug)]
+pub struct StepPlan {
+    pub count: u32,
+    pub run_ms: Millis,
+    /// Whether it waits for the step before it.
+    pub after_previous: bool,
+    pub allow_duplicates: bool,
+    /// Its tasks run until the job is cancelled.
+    pub persistent: bool,
+}
+
+/// A job and what its client knows of it. Times are in ms since the soak's start.
+#[derive(Clone, Debug)]
+pub struct JobRecord {
+    pub queue: &'static str,
+    pub steps: Vec<StepPlan>,
+    pub accepted_at: Option<Millis>,
+    /// Whether a cancellation was sent, whatever the reply.
+    pub cancelled: bool,
+    pub completed_at: Option<Millis>,
+}
+
+impl JobRecord {
+    /// Returns whether the job has to be completed in the end.
+    pub fn is_owed(&self) -> bool {
+        self.accepted_at.is_some() && !self.cancelled && !self.is_persistent()
+    }
+
+    /// Returns whether tasks of the job last.
+    pub fn is_persistent(&self) -> bool {
+        self.steps.iter().any(|s| s.persistent)
+    }
+}
+
+/// How a run ended, as executors report it; `Crashed` is never reported.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum RunEnding {
+    Crashed,
+    Done,
+    Failed,
+    Lapsed,
+    Stopped,
+}
+
+/// A run as its executor recorded it. Times are in ms since the soak's start.
+#[derive(Clone, Debug)]
+pub struct RunRecord {
+    pub task: String,
+    pub run: u64,
+    pub token: u64,
+    pub node: usize,
+    pub executor: String,
+    /// Index of the executor's life in the journal's calls.
+    pub life: usize,
+    pub began_at: Millis,
+    pub ended: Option<(Millis, RunEnding)>,
+    pub acked_at: Option<Millis>,
+    /// Whether the executor's lease lapsed after the end and before its acknowledgement.
+    pub lapsed_unacked: bool,
+}
+
+impl RunRecord {
+    /// Returns the owner that ordered the run.
+    pub fn owner(&self) -> u64 {
+        self.token >> 20
+    }
+
+    fn overlaps(&self, later: &Self) -> bool {
+        self.ended.is_none_or(|(at, _)| at > later.began_at)
+    }
+
+    fn ended_done_before(&self, later: &Self) -> bool {
+        let done = matches!(self.ended, Some((at, RunEnding::Done)) if at <= later.began_at);
+        done && self.acked_at.is_some() && !self.lapsed_unacked
+    }
+}
+
+/// Calls of one node under one token to one life of an executor: first, last and number.
+#[derive(Clone, Debug)]
+struct CallSpan {
+    node: usize,
+    token: u64,
+    first_at: Millis,
+    last_at: Millis,
+    count: u32,
+}
+
+/// A broken rule.
+#[derive(Clone, Debug)]
+pub struct Violation {
+    pub rule: &'static str,
+    /// When it was broken, in ms since the soak's start.
+    pub at: Millis,
+    pub text: String,
+}
+
+impl fmt::Display for Violation {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{} at {}: {}", self.rule, self.at, self.text)
+    }
+}
+
+/// All runs and jobs of a soak.
+#[derive(Debug, Default)]
+pub struct RunJournal {
+    inner: Mutex<Inner>,
+}
+
+#[derive(Debug, Default)]
+struct Inner {
+    jobs: BTreeMap<String, JobRecord>,
+    runs: Vec<RunRecord>,
+    /// By life of an executor.
+    calls: Vec<Vec<CallSpan>>,
+    violations: Vec<Violation>,
+}
+
+impl RunJournal {
+    /// Adds a job that is about to be submitted.
+    pub fn add_job(&self, id: &str, job: JobRecord) {
+        lock(&self.inner).jobs.insert(id.to_owned(), job);
+    }
+
+    /// Changes a job's record.
+    pub fn update_job(&self, id: &str, update: impl FnOnce(&mut JobRecord)) {
+        if let Some(job) = lock(&self.inner).jobs.get_mut(id) {
+            update(job);
+        }
+    }
+
+    /// Returns a copy of all jobs.
+    pub fn jobs(&self) -> BTreeMap<String, JobRecord> {
+        lock(&self.inner).jobs.clone()
+    }
+
+    /// Returns the number of runs so far.
+    pub fn count_runs(&self) -> usize {
+        lock(&self.inner).runs.len()
+    }
+
+    /// Returns the step of a task, or `None` if no client submitted it.
+    pub fn step_of(&self, task: &str) -> Option<StepPlan> {
+        let (job, step) = split_task(task)?;
+        let inner = lock(&self.inner);
+        inner.jobs.get(job)?.steps.get(step).cloned()
+    }
+
+    /// Adds a life of an executor; returns its index.
+    pub fn begin_life(&self) -> usize {
+        let mut inner = lock(&self.inner);
+        inner.calls.push(Vec::new());
+        inner.calls.len() - 1
+    }
+
+    /// Records that an executor obeyed a call.
+    pub fn record_call(&self, life: usize, node: usize, token: u64, at: Millis) {
+        let mut inner = lock(&self.inner);
+        let spans = &mut inner.calls[life];
+        let known = |s: &&mut CallSpan| s.node == node && s.token == token;
+        if let Some(span) = spans.iter_mut().find(known) {
+            span.last_at = at;
+            span.count += 1;
+        } else {
+            spans.push(CallSpan {
+                node,
+                token,
+                first_at: at,
+                last_at: at,
+                count: 1,
+            });
+        }
+    }
+
+    /// Records the start of a run; returns its index.
+    pub fn begin_run(&self, run: RunRecord) -> usize {
+        let mut inner = lock(&self.inner);
+        inner.runs.push(run);
+        inner.runs.len() - 1
+    }
+
+    /// Records the end of a run.
+    pub fn end_run(&self, index: usize, at: Millis, ending: RunEnding) {
+        lock(&self.inner).runs[index].ended = Some((at, ending));
+    }
+
+    /// Records that the end of a run was acknowledged.
+    pub fn ack_run(&self, index: usize, at: Millis) {
+        lock(&self.inner).runs[index].acked_at = Some(at);
+    }
+
+    /// Records that a lease lapsed before the end of a run was acknowledged.
+    pub fn lapse_unacked(&self, index: usize) {
+        lock(&self.inner).runs[index].lapsed_unacked = true;
+    }
+
+    /// Records a broken rule that was seen as it happened.
+    pub fn violate(&self, rule: &'static str, at: Millis, text: String) {
+        let mut inner = lock(&self.inner);
+        inner.violations.push(Violation { rule, at, text });
+    }
+
+    /// Records that a job was shown as completed, which breaks rule MIXED while a task of it has
+    /// not ended as done.
+    pub fn record_completed(&self, id: &str, at: Millis) {
+        let mut inner = lock(&self.inner);
+        let Some(job) = inner.jobs.get_mut(id) else {
+            return;
+        };
+        if job.completed_at.replace(at).is_some() {
+            return;
+        }
+        let steps = job.steps.clone();
+        for (number, step) in steps.iter().enumerate() {
+            let is_done = |index: u32| {
+                let task = format!("{id}.0.{number}.{index}");
+                let runs = inner.runs.iter().filter(|r| r.task == task);
+                runs.clone()
+                    .any(|r| matches!(r.ended, Some((_, RunEnding::Done))))
+            };
+            let open: Vec<u32> = (0..step.count).filter(|i| !is_done(*i)).collect();
+            if !open.is_empty() {
+                let text = format!("{id} shown as completed, step {number} tasks {open:?} are not");
+                inner.violations.push(Violation {
+                    rule: "MIXED",
+                    at,
+                    text,
+                });
+            }
+        }
+    }
+
+    /// Returns whether each task of a persistent job runs.
+    pub fn persistent_runs(&self, id: &str) -> bool {
+        let inner = lock(&self.inner);
+        let Some(job) = inner.jobs.get(id) else {
+            return false;
+        };
+        let runs = |task: &str| {
+            inner
+                .runs
+                .iter()
+                .any(|r| r.task == task && r.ended.is_none())
+        };
+        let steps = job.steps.iter().enumerate();
+        steps
+            .flat_map(|(n, s)| (0..s.count).map(move |i| format!("{id}.0.{n}.{i}")))
+            .all(|task| runs(&task))
+    }
+
+    /// Returns all broken rules: those seen as they happened, runs of a task at the same time or
+    /// after an acknowledged end, and starts before the end of the step before.
+    pub fn judge(&self) -> Vec<Violation> {
+        let inner = lock(&self.inner);
+        let mut found = inner.violations.clone();
+        let mut by_task: HashMap<&str, Vec<&RunRecord>> = HashMap::new();
+        for run in &inner.runs {
+            by_task.entry(&run.task).or_default().push(run);
+        }
+        for (task, runs) in &by_task {
+            let Some((job, number)) = split_task(task) else {
+                continue;
+            };
+            let Some(job_record) = inner.jobs.get(job) else {
+                continue;
+            };
+            let step = &job_record.steps[number];
+            if step.after_previous
+                && let Some(text) = inner.find_early(job, number, runs)
+            {
+                let at = runs[0].began_at;
+                found.push(Violation {
+                    rule: "ORDER",
+                    at,
+                    text,
+                });
+            }
+            if step.allow_duplicates {
+                continue;
+            }
+            for (i, second) in runs.iter().enumerate() {
+                let before = &runs[..i];
+                let first = before
+                    .iter()
+                    .find(|r| r.overlaps(second) || r.ended_done_before(second));
+                if let Some(first) = first {
+                    found.push(Violation {
+                        rule: "TWICE",
+                        at: second.began_at,
+                        text: inner.describe(first, second),
+                    });
+                }
+            }
+        }
+        found.sort_by_key(|v| v.at);
+        found
+    }
+}
+
+impl Inner {
+    /// Returns the first run that began before all tasks of the step before had ended as done.
+    fn find_early(&self, job: &str, number: usize, runs: &[&RunRecord]) -> Option<String> {
+        let previous = number - 1;
+        let count = self.jobs[job].steps[previous].count;
+        let is_done = |task: &str, at: Millis| {
+            let done = |r: &&RunRecord| matches!(r.ended, Some((t, RunEnding::Done)) if t <= at);
+            self.runs.iter().filter(done).any(|r| r.task == task)
+        };
+        let first = runs.iter().min_by_key(|r| r.began_at)?;
+        let mut tasks = (0..count).map(|i| format!("{job}.0.{previous}.{i}"));
+        let open = tasks.find(|t| !is_done(t, first.began_at))?;
+        Some(format!("{} began before {open} was done", first.task))
+    }
+
+    /// Describes two runs of a task, with times relative to the start of the second.
+    fn describe(&self, first: &RunRecord, second: &RunRecord) -> String {
+        let zero = second.began_at;
+        let relative = |at: Millis| {
+            let sign = if at < zero { '-' } else { '+' };
+            let ms = at.abs_diff(zero);
+            format!("{sign}{}.{:03}", ms / 1000, ms % 1000)
+        };
+        let kind = if first.overlaps(second) {
+            "two runs at once"
+        } else {
+            "start after an acknowledged end"
+        };
+        let mut text = format!("{kind}, task={}", second.task);
+        for run in [first, second] {
+            let ended = run.ended.map_or("still running".to_owned(), |(at, how)| {
+                format!("ended={} how={how:?}", relative(at))
+            });
+            let acked = run.acked_at.map_or("never".to_owned(), relative);
+            text += &format!(
+                "\n  run={} owner={} token={} node={} executor={} began={} {ended} acked={acked} \
+                 lapsed_unacked={}",
+                run.run,
+                run.owner(),
+                run.token,
+                run.node,
+                run.executor,
+                relative(run.began_at),
+                run.lapsed_unacked,
+            );
+            for span in &self.calls[run.life] {
+                text += &format!(
+                    "\n    called by node={} owner={} {}..{} times={}",
+                    span.node,
+                    span.token >> 20,
+                    relative(span.first_at),
+                    relative(span.last_at),
+                    span.count,
+                );
+            }
+        }
+        text
+    }
+}
+
+/// Splits a task's name into the job and the number of the step.
+fn split_task(task: &str) -> Option<(&str, usize)> {
+    let mut parts = task.split('.');
+    let job = parts.next()?;
+    Some((job, parts.nth(1)?.parse().ok()?))
+}
--- /dev/null
+++ b/standins/src/soak.rs
@@ -0,0 +1,663 @@
+//! Runs real nodes against the simulated platform under a seeded series of overlapping faults, and
+//! judges what the executors saw.
+//!
+//! Used by `tests/soak.rs` and `examples/soak.rs`. The schedule of faults depends on the seed;
+//! what happens under it also depends on the machine.
+
+use {
+    crate::{
+        platform_faults::{Fate, FaultRule, Party},
+        platform_host::PlatformHost,
+        run_journal::Violation,
+        soak_clients::{HOST, QUEUES, SoakClient},
+        soak_nodes::{SoakNodes, TERMINATION_GRACE_S},
+    },
+    dragonflyferry::core::Millis,
+    rand::{Rng, SeedableRng, rngs::SmallRng, seq::IndexedRandom},
+    rustix::process::Signal,
+    serde_json::json,
+    std::{
+        collections::{BTreeMap, BTreeSet},
+        fmt, fs, io,
+        path::{Path, PathBuf},
+        sync::{
+            Arc,
+            atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering},
+        },
+        time::{Duration, Instant},
+    },
+    tokio::{sync::Notify, task::JoinSet},
+};
+
+/// Pools of executors: two thirds are in the first.
+const POOLS: [&str; 3] = ["a", "a", "b"];
+
+/// Zones of executors, in turn within a pool.
+const ZONES: [&str; 3] = ["z0", "z1", "z2"];
+
+/// Series of faults that run side by side.
+const LANES: u64 = 3;
+
+/// Time for the first owner to open its executors before the faults begin, in ms.
+const WARM_UP_MS: Millis = 2_500;
+
+/// Shortest and longest delay of a call that is carried out late, in ms.
+const LATE_MS: std::ops::Range<Millis> = 2_000..12_000;
+
+/// Time before a broken rule whose faults are reported, in ms.
+const CAUSE_MS: Millis = 15_000;
+
+/// Time for runs that should not start after all jobs have ended, in ms.
+const QUIET_MS: Millis = 2_000;
+
+/// Settings of a soak.
+#[derive(Clone, Debug)]
+pub struct Soak {
+    seed: u64,
+    daemon: PathBuf,
+    folder: PathBuf,
+    nodes: usize,
+    executors: usize,
+    fault_ms: Millis,
+    finish_ms: Millis,
+}
+
+/// What a soak did and which rules were broken.
+#[derive(Clone, Debug)]
+pub struct SoakReport {
+    pub seed: u64,
+    pub jobs: usize,
+    pub accepted: usize,
+    pub cancelled: usize,
+    pub completed: usize,
+    pub runs: usize,
+    pub owners: u64,
+    pub faults: usize,
+    pub violations: Vec<Violation>,
+}
+
+impl fmt::Display for SoakReport {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let mut counts: BTreeMap<&str, usize> = BTreeMap::new();
+        for violation in &self.violations {
+            *counts.entry(violation.rule).or_default() += 1;
+        }
+        write!(
+            f,
+            "seed={} jobs={} accepted={} cancelled={} completed={} runs={} owners={} faults={} \
+             broken={counts:?}",
+            self.seed,
+            self.jobs,
+            self.accepted,
+            self.cancelled,
+            self.completed,
+            self.runs,
+            self.owners,
+            self.faults,
+        )
+    }
+}
+
+impl Soak {
+    /// Prepares a soak of 6 nodes and 24 executors with faults for 20 s. `daemon` is the program of
+    /// the nodes; settings, logs and the report go into `folder`.
+    pub fn new(seed: u64, daemon: &Path, folder: &Path) -> Self {
+        Self {
+            seed,
+            daemon: daemon.to_owned(),
+            folder: folder.to_owned(),
+            nodes: 6,
+            executors: 24,
+            fault_ms: 20_000,
+            finish_ms: 30_000,
+        }
+    }
+
+    /// Sets the number of nodes, at most 250.
+    #[must_use]
+    pub fn nodes(mut self, nodes: usize) -> Self {
+        self.nodes = nodes;
+        self
+    }
+
+    /// Sets the number of executors.
+    #[must_use]
+    pub fn executors(mut self, executors: usize) -> Self {
+        self.executors = executors;
+        self
+    }
+
+    /// Sets the time with faults.
+    #[must_use]
+    pub fn fault_time(mut self, time: Duration) -> Self {
+        self.fault_ms = to_ms(time);
+        self
+    }
+
+    /// Sets the time after the last effect of a fault in which all accepted jobs must complete.
+    #[must_use]
+    pub fn finish_time(mut self, time: Duration) -> Self {
+        self.finish_ms = to_ms(time);
+        self
+    }
+
+    /// Runs the soak; writes `report.txt` into the folder.
+    pub async fn run(self) -> io::Result<SoakReport> {
+        let nodes = SoakNodes::new(&self.daemon, &self.folder, self.nodes)?;
+        let peers = (0..self.nodes).map(|n| nodes.addresses(n).peer).collect();
+        let place = |i: usize| (POOLS[i % 3], ZONES[i / 3 % 3]);
+        let places: Vec<_> = (0..self.executors).map(place).collect();
+        let host = PlatformHost::start(self.seed, peers, &places);
+        let stage = Arc::new(Stage {
+            faults_until: host.now() + WARM_UP_MS + self.fault_ms,
+            host,
+            nodes,
+            last_owner: AtomicUsize::new(0),
+            config_version: AtomicU64::new(0),
+        });
+        stage.configure(POOLS[0]);
+        for node in 0..self.nodes {
+            let store = stage.host.store_address(node)?;
+            stage.nodes.configure(node, store)?;
+            stage.nodes.start(node)?;
+        }
+        let client = stage.client();
+        let stop = Arc::new(AtomicBool::new(false));
+        // Half of the executors' capacity at the mean size of jobs.
+        let per_second = f64::from(u32::try_from(self.executors).unwrap_or(24)) / 5.5;
+        tokio::spawn(client.clone().run(self.seed, per_second, stop.clone()));
+        tokio::time::sleep(Duration::from_millis(WARM_UP_MS)).await;
+        let mut lanes = JoinSet::new();
+        for lane in 0..LANES {
+            let seed = self.seed * LANES + lane;
+            lanes.spawn(stage.clone().run_lane(seed));
+        }
+        lanes.join_all().await;
+        stage.lift_faults()?;
+        stop.store(true, Ordering::Relaxed);
+        let finish_by = stage.host.now() + LATE_MS.end + self.finish_ms;
+        stage.finish(&client, finish_by).await;
+        let report = stage.report(self.seed);
+        self.write_report(&stage, &report)?;
+        Ok(report)
+    }
+
+    fn write_report(&self, stage: &Stage, report: &SoakReport) -> io::Result<()> {
+        let mut text = format!("{report}\n\nfaults, in ms:\n");
+        for span in stage.host.faults.spans_between(0, Millis::MAX) {
+            text += &format!("{span}\n");
+        }
+        for violation in &report.violations {
+            text += &format!("\n{violation}\n");
+        }
+        fs::write(self.folder.join("report.txt"), text)
+    }
+}
+
+/// A running soak.
+struct Stage {
+    host: Arc<PlatformHost>,
+    nodes: SoakNodes,
+    /// The latest node that the store named as the owner.
+    last_owner: AtomicUsize,
+    config_version: AtomicU64,
+    faults_until: Millis,
+}
+
+impl Stage {
+    fn client(&self) -> SoakClient {
+        let callers = (0..self.nodes.count()).map(|n| self.nodes.addresses(n).caller);
+        let started_at = Instant::now() - Duration::from_millis(self.host.now());
+        SoakClient::new(callers.collect(), self.host.journal.clone(), started_at)
+    }
+
+    /// Writes a configuration in which the first queue has this pool.
+    fn configure(&self, pool: &str) {
+        let version = self.config_version.fetch_add(3, Ordering::Relaxed) + 1;
+        let route = |name: &str, pool: &str| {
+            json!({
+                "name": name, "host": HOST, "prefix": format!("/{name}/"), "service": pool,
+                "sloMs": 500, "priority": 1, "maxAttempts": 30, "stretch": 2.0, "public": true,
+            })
+        };
+        let config = json!({
+            "version": version,
+            "routes": [route(QUEUES[0], pool), route(QUEUES[1], POOLS[2])],
+            "services": [],
+            "tenants": [],
+            "limits": {"bodyBytes": 100_000},
+        });
+        self.host.put("op/config", config.to_string().as_bytes());
+    }
+
+    /// Returns the owner, or the latest one while there is none.
+    fn owner(&self) -> usize {
+        if let Some(owner) = self.host.owner() {
+            self.last_owner.store(owner, Ordering::Relaxed);
+        }
+        self.last_owner.load(Ordering::Relaxed)
+    }
+
+    /// Waits, but not beyond the time with faults.
+    async fn pause(&self, ms: Millis) {
+        let left = self.faults_until.saturating_sub(self.host.now());
+        tokio::time::sleep(Duration::from_millis(ms.min(left))).await;
+    }
+
+    /// Keeps a rule for a time.
+    async fn hold(&self, rule: FaultRule, ms: Millis) {
+        let id = self.host.faults.add(rule, self.host.now());
+        self.pause(ms).await;
+        self.host.faults.end(id, self.host.now());
+    }
+
+    async fn run_lane(self: Arc<Self>, seed: u64) {
+        let mut rng = SmallRng::seed_from_u64(seed);
+        while self.host.now() < self.faults_until {
+            self.pause(rng.random_range(50..2_000)).await;
+            self.run_fault(&mut rng).await;
+        }
+    }
+
+    /// Runs one fault, or a combination that belongs together.
+    async fn run_fault(&self, rng: &mut SmallRng) {
+        let any_node = rng.random_range(0..self.nodes.count());
+        let owner = self.owner();
+        let node = if rng.random_range(0..100) < 70 {
+            owner
+        } else {
+            any_node
+        };
+        match rng.random_range(0..100) {
+            0..6 => self.kill(node, rng.random_range(100..1_500)).await,
+            6..12 => self.terminate(node, rng.random_range(100..800)).await,
+            12..18 => self.freeze(node, rng.random_range(1_000..6_000)).await,
+            18..24 => {
+                self.freeze_at_renewal(node, rng.random_range(1_000..6_000))
+                    .await
+            }
+            24..26 => self.nodes.signal(any_node, Signal::HUP),
+            26..32 => self.store_outage(rng).await,
+            32..40 => self.reject_nodes(owner, rng).await,
+            40..43 => {
+                let fate = Fate::Slow(rng.random_range(200..1_500));
+                let rule = FaultRule::new("store slow", fate, |_, to| to == Party::Store);
+                self.hold(rule, rng.random_range(1_000..5_000)).await;
+            }
+            43..49 => self.lose_writes(owner, rng).await,
+            49..67 => self.isolate_executors(rng).await,
+            67..73 => self.cut_executors(owner, rng).await,
+            73..78 => self.restart_executors(rng).await,
+            78..82 => self.drain_executor(rng).await,
+            82..86 => self.move_queue(rng.random_range(1_500..8_000)).await,
+            86..89 => {
+                let rule = FaultRule::new("old connections silent", Fate::Silent, |from, to| {
+                    matches!(from, Party::Node(_)) && !matches!(to, Party::Node(_))
+                });
+                self.hold(rule.stale_only(), rng.random_range(1_000..5_000))
+                    .await;
+            }
+            89..93 => self.split_nodes(owner, rng).await,
+            93..96 => {
+                for _ in 0..3 {
+                    self.kill(self.owner(), rng.random_range(100..600)).await;
+                    self.pause(rng.random_range(200..2_000)).await;
+                }
+            }
+            96..98 => self.kill_all(rng).await,
+            _ => self.host.compact(),
+        }
+    }
+
+    async fn kill(&self, node: usize, down_ms: Millis) {
+        let faults = &self.host.faults;
+        let id = faults.begin(format!("SIGKILL node {node}"), self.host.now());
+        self.nodes.kill(node);
+        self.pause(down_ms).await;
+        let _ = self.nodes.start(node);
+        faults.end(id, self.host.now());
+    }
+
+    async fn kill_all(&self, rng: &mut SmallRng) {
+        let faults = &self.host.faults;
+        let id = faults.begin("SIGKILL all nodes", self.host.now());
+        (0..self.nodes.count()).for_each(|n| self.nodes.kill(n));
+        self.pause(rng.random_range(100..1_500)).await;
+        for node in 0..self.nodes.count() {
+            self.pause(rng.random_range(0..50)).await;
+            let _ = self.nodes.start(node);
+        }
+        faults.end(id, self.host.now());
+    }
+
+    async fn terminate(&self, node: usize, down_ms: Millis) {
+        let faults = &self.host.faults;
+        let id = faults.begin(format!("SIGTERM node {node}"), self.host.now());
+        self.nodes.signal(node, Signal::TERM);
+        let deadline = self.host.now() + TERMINATION_GRACE_S * 1_000;
+        while self.nodes.is_running(node) && self.host.now() < deadline {
+            tokio::time::sleep(Duration::from_millis(20)).await;
+        }
+        self.nodes.kill(node);
+        self.pause(down_ms).await;
+        let _ = self.nodes.start(node);
+        faults.end(id, self.host.now());
+    }
+
+    async fn freeze(&self, node: usize, ms: Millis) {
+        let faults = &self.host.faults;
+        let id = faults.begin(format!("SIGSTOP node {node}"), self.host.now());
+        self.nodes.signal(node, Signal::STOP);
+        self.pause(ms).await;
+        self.nodes.signal(node, Signal::CONT);
+        faults.end(id, self.host.now());
+    }
+
+    /// Freezes a node while the reply to a renewal of its store lease is held back.
+    async fn freeze_at_renewal(&self, node: usize, ms: Millis) {
+        let hit = Arc::new(Notify::new());
+        let applies = move |from, to| from == Party::Node(node) && to == Party::Store;
+        let rule = FaultRule::new(
+            format!("renewal of node {node} held"),
+            Fate::HoldReply(200),
+            applies,
+        )
+        .path("/-/kv-keep")
+        .on_hit(hit.clone());
+        let id = self.host.faults.add(rule, self.host.now());
+        let _ = tokio::time::timeout(Duration::from_secs(1), hit.notified()).await;
+        self.freeze(node, ms).await;
+        self.host.faults.end(id, self.host.now());
+    }
+
+    async fn store_outage(&self, rng: &mut SmallRng) {
+        let fate = match rng.random_range(0..4) {
+            0 => Fate::Refuse(503),
+            1 => Fate::Reset,
+            _ => Fate::Silent,
+        };
+        let paused = rng.random_bool(0.5);
+        let name = format!("store down, leases paused: {paused}");
+        let rule = FaultRule::new(name, fate, |_, to| to == Party::Store);
+        if paused {
+            self.host.pause_leases(true);
+        }
+        self.hold(rule, rng.random_range(500..6_000)).await;
+        if paused {
+            self.host.pause_leases(false);
+        }
+    }
+
+    /// The store rejects some nodes, usually the owner among them.
+    async fn reject_nodes(&self, owner: usize, rng: &mut SmallRng) {
+        let mut rejected = self.random_nodes(rng);
+        if rng.random_range(0..100) < 80 {
+            rejected.insert(owner);
+        }
+        let name = format!("store rejects nodes {rejected:?}");
+        let rule = FaultRule::new(name, cut_fate(rng), move |from, to| {
+            to == Party::Store && matches!(from, Party::Node(n) if rejected.contains(&n))
+        });
+        self.hold(rule, rng.random_range(1_000..9_000)).await;
+    }
+
+    /// Replies to writes are lost, or the writes are carried out late.
+    async fn lose_writes(&self, owner: usize, rng: &mut SmallRng) {
+        let fate = match rng.random_range(0..3) {
+            0 => Fate::LoseReply,
+            1 => Fate::ResetReply,
+            _ => Fate::Late(rng.random_range(LATE_MS)),
+        };
+        let all = rng.random_bool(0.4);
+        let name = format!("writes of node {owner}, all: {all}: {fate:?}");
+        let rule = FaultRule::new(name, fate, move |from, to| {
+            to == Party::Store && (from == Party::Node(owner) || all)
+        });
+        let rule = rule.path("/-/kv-txn").percent(rng.random_range(30..=100));
+        self.hold(rule, rng.random_range(500..5_000)).await;
+    }
+
+    /// Some executors are cut off from all nodes but the owner, and often from the store; then the
+    /// owner is lost in one of several ways.
+    async fn isolate_executors(&self, rng: &mut SmallRng) {
+        let owner = self.owner();
+        let cut = self.random_executors(rng);
+        let near = if rng.random_bool(0.3) {
+            self.random_nodes(rng)
+        } else {
+            BTreeSet::new()
+        };
+        let name = format!("executors {cut:?} cut off from nodes but {owner} {near:?}");
+        let (executors, now) = (cut.clone(), self.host.now());
+        let rule = FaultRule::new(name, cut_fate(rng), move |from, to| {
+            matches!((from, to), (Party::Node(n), Party::Executor(e))
+                if n != owner && !near.contains(&n) && executors.contains(&e))
+        });
+        let mut ids = vec![self.host.faults.add(rule, now)];
+        if rng.random_range(0..100) < 70 {
+            let name = format!("executors {cut:?} cut off from the store");
+            let rule = FaultRule::new(name, Fate::Silent, move |from, to| {
+                to == Party::Store && matches!(from, Party::Executor(e) if cut.contains(&e))
+            });
+            ids.push(self.host.faults.add(rule, now));
+        }
+        self.pause(rng.random_range(0..6_000)).await;
+        match rng.random_range(0..6) {
+            0 => self.kill(owner, rng.random_range(100..1_500)).await,
+            1 => self.freeze(owner, rng.random_range(1_000..6_000)).await,
+            2 => {
+                self.freeze_at_renewal(owner, rng.random_range(1_000..6_000))
+                    .await
+            }
+            3 => self.terminate(owner, rng.random_range(100..800)).await,
+            _ => self.split_nodes(owner, rng).await,
+        }
+        self.pause(rng.random_range(0..6_000)).await;
+        for id in ids {
+            self.host.faults.end(id, self.host.now());
+        }
+    }
+
+    /// The owner and some nodes lose the store; often they also lose the other nodes.
+    async fn split_nodes(&self, owner: usize, rng: &mut SmallRng) {
+        let mut side = self.random_nodes(rng);
+        side.insert(owner);
+        let now = self.host.now();
+        let mut ids = Vec::new();
+        if rng.random_range(0..100) < 80 {
+            let name = format!("store rejects the side {side:?}");
+            let rejected = side.clone();
+            let rule = FaultRule::new(name, cut_fate(rng), move |from, to| {
+                to == Party::Store && matches!(from, Party::Node(n) if rejected.contains(&n))
+            });
+            ids.push(self.host.faults.add(rule, now));
+        }
+        if rng.random_bool(0.5) {
+            let fate = if rng.random_bool(0.5) {
+                Fate::Reset
+            } else {
+                Fate::Silent
+            };
+            let one_way = rng.random_bool(0.3);
+            let name = format!("nodes {side:?} cut off from the others, one way: {one_way}");
+            let rule = FaultRule::new(name, fate, move |from, to| {
+                matches!((from, to), (Party::Node(a), Party::Node(b))
+                    if side.contains(&a) != side.contains(&b) && !(one_way && side.contains(&a)))
+            });
+            ids.push(self.host.faults.add(rule, now));
+        }
+        self.pause(rng.random_range(1_500..9_000)).await;
+        for id in ids {
+            self.host.faults.end(id, self.host.now());
+        }
+    }
+
+    /// Calls of the owner to some executors are lost, refused or carried out late.
+    async fn cut_executors(&self, owner: usize, rng: &mut SmallRng) {
+        let cut = self.random_executors(rng);
+        let fate = cut_fate(rng);
+        let name = format!("node {owner} to executors {cut:?}: {fate:?}");
+        let rule = FaultRule::new(name, fate, move |from, to| {
+            from == Party::Node(owner) && matches!(to, Party::Executor(e) if cut.contains(&e))
+        });
+        let path = if rng.random_bool(0.4) {
+            "/-/run-start"
+        } else {
+            ""
+        };
+        let rule = rule.path(path).percent(rng.random_range(30..=100));
+        self.hold(rule, rng.random_range(500..8_000)).await;
+    }
+
+    async fn restart_executors(&self, rng: &mut SmallRng) {
+        for _ in 0..rng.random_range(1..4) {
+            let index = rng.random_range(0..self.host.executor_count());
+            let renamed = rng.random_bool(0.5);
+            let down_ms = rng.random_range(50..3_000);
+            let name = format!("executor {index} crashes, new id: {renamed}");
+            let id = self.host.faults.begin(name, self.host.now());
+            self.host.restart_executor(index, down_ms, renamed);
+            self.pause(down_ms).await;
+            self.host.faults.end(id, self.host.now());
+        }
+    }
+
+    async fn drain_executor(&self, rng: &mut SmallRng) {
+        let index = rng.random_range(0..self.host.executor_count());
+        let name = format!("executor {index} drains");
+        let id = self.host.faults.begin(name, self.host.now());
+        self.host.drain_executor(index, true);
+        self.pause(rng.random_range(2_000..6_000)).await;
+        self.host.restart_executor(index, 1_000, true);
+        self.host.faults.end(id, self.host.now());
+    }
+
+    /// Moves the first queue to the other pool and back.
+    async fn move_queue(&self, ms: Millis) {
+        let id = self.host.faults.begin("queue moved", self.host.now());
+        self.configure(POOLS[2]);
+        self.pause(ms).await;
+        self.configure(POOLS[0]);
+        self.host.faults.end(id, self.host.now());
+    }
+
+    fn random_nodes(&self, rng: &mut SmallRng) -> BTreeSet<usize> {
+        let percent = rng.random_range(10..60);
+        let nodes = 0..self.nodes.count();
+        nodes
+            .filter(|_| rng.random_range(0..100) < percent)
+            .collect()
+    }
+
+    /// Returns the executors of one zone, or any of them; at least one.
+    fn random_executors(&self, rng: &mut SmallRng) -> BTreeSet<usize> {
+        let all = 0..self.host.executor_count();
+        let zone = ZONES.choose(rng).copied().unwrap_or(ZONES[0]);
+        let percent = rng.random_range(15..60);
+        let mut chosen: BTreeSet<usize> = if rng.random_bool(0.5) {
+            all.filter(|i| self.host.zone_of(*i) == zone).collect()
+        } else {
+            all.filter(|_| rng.random_range(0..100) < percent).collect()
+        };
+        if chosen.is_empty() {
+            chosen.insert(0);
+        }
+        chosen
+    }
+
+    /// Ends all faults; all nodes run afterwards.
+    fn lift_faults(&self) -> io::Result<()> {
+        self.host.faults.end_all(self.host.now());
+        self.host.pause_leases(false);
+        for node in 0..self.nodes.count() {
+            self.nodes.signal(node, Signal::CONT);
+            self.nodes.start(node)?;
+        }
+        self.configure(POOLS[0]);
+        Ok(())
+    }
+
+    /// Waits until all accepted jobs have completed and all persistent ones run; those that have
+    /// not by `deadline` break rule LOST.
+    async fn finish(&self, client: &SoakClient, deadline: Millis) {
+        let mut rng = SmallRng::seed_from_u64(0);
+        loop {
+            let jobs = self.host.journal.jobs();
+            let is_open = |id: &String| {
+                let job = &jobs[id];
+                let persistent = job.is_persistent() && job.accepted_at.is_some() && !job.cancelled;
+                (job.is_owed() && job.completed_at.is_none())
+                    || (persistent && !self.host.journal.persistent_runs(id))
+            };
+            let open: Vec<String> = jobs.keys().filter(|id| is_open(id)).cloned().collect();
+            let now = self.host.now();
+            if open.is_empty() {
+                tokio::time::sleep(Duration::from_millis(QUIET_MS)).await;
+                return;
+            }
+            let mut queries = JoinSet::new();
+            for id in &open {
+                let (client, id, queue) = (client.clone(), id.clone(), jobs[id].queue);
+                let node = rng.random_range(0..self.nodes.count());
+                queries.spawn(async move {
+                    let state = client.ask(node, &id, queue).await;
+                    (id, state)
+                });
+            }
+            let states = queries.join_all().await;
+            if now > deadline {
+                for (id, state) in states {
+                    let state = state.unwrap_or("no answer".to_owned());
+                    let text = format!("{id} is not completed in time: {state}");
+                    self.host.journal.violate("LOST", now, text);
+                }
+                return;
+            }
+            tokio::time::sleep(Duration::from_millis(400)).await;
+        }
+    }
+
+    fn report(&self, seed: u64) -> SoakReport {
+        let jobs = self.host.journal.jobs();
+        let mut violations = self.host.journal.judge();
+        for violation in &mut violations {
+            let since = violation.at.saturating_sub(CAUSE_MS);
+            for span in self.host.faults.spans_between(since, violation.at) {
+                violation.text += &format!("\n  fault {span}");
+            }
+            let unix_ms = crate::unix_ms() - (self.host.now() - violation.at);
+            violation.text += &format!("\n  unix_ms={unix_ms}");
+        }
+        let count = |f: &dyn Fn(&crate::run_journal::JobRecord) -> bool| {
+            jobs.values().filter(|j| f(j)).count()
+        };
+        SoakReport {
+            seed,
+            jobs: jobs.len(),
+            accepted: count(&|j| j.accepted_at.is_some()),
+            cancelled: count(&|j| j.cancelled),
+            completed: count(&|j| j.completed_at.is_some()),
+            runs: self.host.journal.count_runs(),
+            owners: self.host.owner_number(),
+            faults: self.host.faults.count(),
+            violations,
+        }
+    }
+}
+
+/// Returns how a connection is cut.
+fn cut_fate(rng: &mut SmallRng) -> Fate {
+    match rng.random_range(0..12) {
+        0..4 => Fate::Silent,
+        4..6 => Fate::Reset,
+        6 | 7 => Fate::Refuse(503),
+        8 => Fate::Refuse(429),
+        9 => Fate::LoseReply,
+        10 => Fate::ResetReply,
+        _ => Fate::Late(rng.random_range(LATE_MS)),
+    }
+}
+
+fn to_ms(time: Duration) -> Millis {
+    Millis::try_from(time.as_millis()).unwrap_or(Millis::MAX)
+}
--- /dev/null
+++ b/standins/src/soak_clients.rs
@@ -0,0 +1,232 @@
+//! Clients of a soak: submit jobs over open connections, repeat requests without an answer at other
+//! nodes, ask for states and cancel.
+//!
+//! They record in the [`RunJournal`] what they were told. They use an open connection until the
+//! node's process is gone.
+
+use {
+    crate::run_journal::{JobRecord, RunJournal, StepPlan},
+    axum::body::Body,
+    dragonflyferry::{
+        core::Millis,
+        net::{HttpClient, Pooling},
+    },
+    http_body_util::BodyExt,
+    hyper::{Method, Request, StatusCode},
+    rand::{Rng, SeedableRng, rngs::SmallRng},
+    serde_json::{Value, json},
+    std::{
+        net::SocketAddr,
+        sync::{
+            Arc,
+            atomic::{AtomicBool, Ordering},
+        },
+        time::{Duration, Instant},
+    },
+};
+
+/// Host of all queues.
+pub const HOST: &str = "soak.example";
+
+/// Queues; the last one has a pool of its own.
+pub const QUEUES: [&str; 2] = ["main", "side"];
+
+/// Time that a client waits for a response.
+const DEADLINE: Duration = Duration::from_millis(3_000);
+
+/// Attempts to submit a job.
+const MAX_ATTEMPTS: u32 = 30;
+
+/// One caller of all nodes; clones share connections.
+#[derive(Clone)]
+pub struct SoakClient {
+    http: HttpClient,
+    nodes: Arc<[SocketAddr]>,
+    journal: Arc<RunJournal>,
+    started_at: Instant,
+}
+
+impl SoakClient {
+    /// Creates a client of the nodes at these addresses. `started_at` is when the journal's times
+    /// begin.
+    pub fn new(nodes: Arc<[SocketAddr]>, journal: Arc<RunJournal>, started_at: Instant) -> Self {
+        Self {
+            http: HttpClient::new(Pooling::Reuse),
+            nodes,
+            journal,
+            started_at,
+        }
+    }
+
+    fn now(&self) -> Millis {
+        Millis::try_from(self.started_at.elapsed().as_millis()).unwrap_or(Millis::MAX)
+    }
+
+    /// Sends one request; returns status and body, or `None` without a whole response in time.
+    async fn send(
+        &self,
+        node: usize,
+        method: Method,
+        queue: &str,
+        id: &str,
+        body: String,
+    ) -> Option<(StatusCode, Value)> {
+        let req = Request::builder()
+            .method(method)
+            .uri(format!("http://{}/{queue}/{id}", self.nodes[node]))
+            .header("host", HOST)
+            .header("deadline-ms", DEADLINE.as_millis().to_string())
+            .body(Body::from(body))
+            .ok()?;
+        let call = async {
+            let resp = self.http.send(req).await.ok()?;
+            let status = resp.status();
+            let body = resp.into_body().collect().await.ok()?.to_bytes();
+            Some((status, serde_json::from_slice(&body).unwrap_or(Value::Null)))
+        };
+        tokio::time::timeout(DEADLINE, call).await.ok()?
+    }
+
+    /// Submits jobs, `per_second` on average, until `stop` is set; asks for their states and
+    /// cancels some.
+    pub async fn run(self, seed: u64, per_second: f64, stop: Arc<AtomicBool>) {
+        let mut rng = SmallRng::seed_from_u64(seed);
+        while !stop.load(Ordering::Relaxed) {
+            let pause = rng.random_range(0.2..1.8) / per_second;
+            tokio::time::sleep(Duration::from_secs_f64(pause)).await;
+            let id = format!("{:016x}", rng.random::<u64>());
+            let job = random_job(&mut rng);
+            let seed = rng.random();
+            tokio::spawn(self.clone().follow(id, job, seed, stop.clone()));
+        }
+    }
+
+    /// Submits one job and asks for its state until it has ended or `stop` is set.
+    async fn follow(self, id: String, job: JobRecord, seed: u64, stop: Arc<AtomicBool>) {
+        let mut rng = SmallRng::seed_from_u64(seed);
+        let queue = job.queue;
+        let cancels = rng.random_range(0..100) < if job.is_persistent() { 40 } else { 8 };
+        self.journal.add_job(&id, job.clone());
+        if !self.submit(&id, &job, &mut rng).await {
+            return;
+        }
+        let cancel_after = rng.random_range(100..4_000);
+        let accepted_at = self.now();
+        while !stop.load(Ordering::Relaxed) {
+            tokio::time::sleep(Duration::from_millis(rng.random_range(200..900))).await;
+            if cancels && self.now() > accepted_at + cancel_after {
+                self.cancel(&id, queue, &mut rng).await;
+                return;
+            }
+            if rng.random_range(0..100) < 5 {
+                // A repeated request that arrives late.
+                let node = rng.random_range(0..self.nodes.len());
+                let _ = self
+                    .send(node, Method::POST, queue, &id, job_body(&job))
+                    .await;
+            }
+            let node = rng.random_range(0..self.nodes.len());
+            if self.ask(node, &id, queue).await.as_deref() == Some("completed") {
+                return;
+            }
+        }
+    }
+
+    /// Submits a job until its fate is known; returns whether it was accepted.
+    async fn submit(&self, id: &str, job: &JobRecord, rng: &mut SmallRng) -> bool {
+        let body = job_body(job);
+        for _ in 0..MAX_ATTEMPTS {
+            let node = rng.random_range(0..self.nodes.len());
+            let reply = self
+                .send(node, Method::POST, job.queue, id, body.clone())
+                .await;
+            match reply.map(|(status, _)| status) {
+                Some(status) if status.is_success() => {
+                    let now = self.now();
+                    self.journal.update_job(id, |j| j.accepted_at = Some(now));
+                    return true;
+                }
+                None | Some(StatusCode::BAD_GATEWAY | StatusCode::GATEWAY_TIMEOUT) => {
+                    tokio::time::sleep(Duration::from_millis(rng.random_range(50..400))).await;
+                }
+                Some(_) => return false,
+            }
+        }
+        false
+    }
+
+    async fn cancel(&self, id: &str, queue: &str, rng: &mut SmallRng) {
+        self.journal.update_job(id, |j| j.cancelled = true);
+        for _ in 0..MAX_ATTEMPTS {
+            let node = rng.random_range(0..self.nodes.len());
+            let reply = self
+                .send(node, Method::DELETE, queue, id, String::new())
+                .await;
+            let done = |s: StatusCode| s.is_success() || s == StatusCode::GONE;
+            if reply.is_some_and(|(status, _)| done(status)) {
+                return;
+            }
+            tokio::time::sleep(Duration::from_millis(300)).await;
+        }
+    }
+
+    /// Asks a node for a job's state and records it; returns it, or `None` if there is no answer.
+    pub async fn ask(&self, node: usize, id: &str, queue: &str) -> Option<String> {
+        let reply = self.send(node, Method::GET, queue, id, String::new());
+        let (status, body) = reply.await?;
+        if status == StatusCode::GONE {
+            return Some("gone".to_owned());
+        }
+        let state = body["state"].as_str()?.to_owned();
+        if state == "completed" {
+            self.journal.record_completed(id, self.now());
+        }
+        Some(state)
+    }
+}
+
+fn random_job(rng: &mut SmallRng) -> JobRecord {
+    let persistent = rng.random_range(0..100) < 5;
+    let step_count = if persistent {
+        1
+    } else {
+        rng.random_range(1..=2)
+    };
+    let step = |number: usize, rng: &mut SmallRng| StepPlan {
+        count: rng.random_range(1..=if persistent { 2 } else { 6 }),
+        run_ms: rng.random_range(300..4_000),
+        after_previous: number > 0 && rng.random_range(0..100) < 70,
+        allow_duplicates: !persistent && rng.random_range(0..100) < 5,
+        persistent,
+    };
+    JobRecord {
+        queue: QUEUES[usize::from(rng.random_range(0..100) < 30)],
+        steps: (0..step_count).map(|n| step(n, rng)).collect(),
+        accepted_at: None,
+        cancelled: false,
+        completed_at: None,
+    }
+}
+
+fn job_body(job: &JobRecord) -> String {
+    let steps = job.steps.iter().enumerate().map(|(number, step)| {
+        let mut row = json!({
+            "count": step.count,
+            "cpu": crate::platform_executor::TASK_CPU,
+            "memMb": 100,
+            "estimateMs": step.run_ms,
+        });
+        if step.after_previous {
+            row["after"] = json!([number - 1]);
+        }
+        if step.allow_duplicates {
+            row["allowDuplicates"] = json!(true);
+        }
+        if step.persistent {
+            row["persistent"] = json!(true);
+        }
+        row
+    });
+    let steps: Vec<Value> = steps.collect();
+    json!({"spec": "soak", "steps": steps}).to_string()
+}
--- /dev/null
+++ b/standins/src/soak_nodes.rs
@@ -0,0 +1,172 @@
+//! The nodes of a soak: real daemon processes with settings files of their own.
+//!
+//! `soak` starts, signals and stops them. Each node has a loopback address of its own, so that its
+//! ports can be the same after a restart. Signals go only to processes started here.
+
+use {
+    crate::lock,
+    rustix::process::{Pid, Signal, kill_process},
+    std::{
+        fs::{self, File},
+        io,
+        net::{Ipv4Addr, SocketAddr, SocketAddrV4},
+        path::{Path, PathBuf},
+        process::{Child, Command, Stdio},
+        sync::{
+            Mutex,
+            atomic::{AtomicU16, Ordering},
+        },
+    },
+};
+
+/// Time between SIGTERM and SIGKILL, in s, as in the settings.
+pub const TERMINATION_GRACE_S: u64 = 6;
+
+/// First port of the nodes of the first soak of this process; below the ephemeral ports.
+const FIRST_PORT: u16 = 10_000;
+
+/// Ports of one node: other nodes, metrics, callers and readiness.
+const PORTS_PER_NODE: u16 = 4;
+
+/// Soaks whose nodes have different ports.
+const MAX_SOAKS: u16 = 4_000;
+
+static SOAKS: AtomicU16 = AtomicU16::new(0);
+
+/// Addresses of a node.
+#[derive(Clone, Copy, Debug)]
+pub struct NodeAddresses {
+    pub peer: SocketAddr,
+    metrics: SocketAddr,
+    pub caller: SocketAddr,
+    ready: SocketAddr,
+}
+
+/// Node processes, by number.
+pub struct SoakNodes {
+    daemon: PathBuf,
+    folder: PathBuf,
+    addresses: Vec<NodeAddresses>,
+    children: Vec<Mutex<Option<Child>>>,
+}
+
+impl SoakNodes {
+    /// Prepares `count` nodes that run the program `daemon` and log into `folder`.
+    pub fn new(daemon: &Path, folder: &Path, count: usize) -> io::Result<Self> {
+        fs::create_dir_all(folder)?;
+        let soak = SOAKS.fetch_add(1, Ordering::Relaxed) % MAX_SOAKS;
+        let first_port = FIRST_PORT + soak * PORTS_PER_NODE;
+        let [_, _, high, low] = std::process::id().to_be_bytes();
+        let addresses = (0..count).map(|node| {
+            let last = u8::try_from(node + 1).unwrap_or(u8::MAX);
+            let ip = Ipv4Addr::new(127, high.max(1), low, last);
+            let address = |i| SocketAddr::V4(SocketAddrV4::new(ip, first_port + i));
+            NodeAddresses {
+                peer: address(0),
+                metrics: address(1),
+                caller: address(2),
+                ready: address(3),
+            }
+        });
+        Ok(Self {
+            daemon: daemon.to_owned(),
+            folder: folder.to_owned(),
+            addresses: addresses.collect(),
+            children: (0..count).map(|_| Mutex::new(None)).collect(),
+        })
+    }
+
+    /// Returns the number of nodes.
+    pub fn count(&self) -> usize {
+        self.addresses.len()
+    }
+
+    /// Returns the addresses of a node.
+    pub fn addresses(&self, node: usize) -> NodeAddresses {
+        self.addresses[node]
+    }
+
+    /// Writes the settings file of a node.
+    pub fn configure(&self, node: usize, store: SocketAddr) -> io::Result<()> {
+        let at = self.addresses[node];
+        let text = format!(
+            "node = \"edge-{node}\"\nzone = \"z{}\"\nportRange = [{}, {}]\n\
+             [listen]\nfront = \"{}\"\nready = \"{}\"\n\
+             [limits]\ncpuShare = 0.25\n\
+             [bounds]\nholdMaxMs = {}\nkillGraceMs = {}\ngraceS = {TERMINATION_GRACE_S}\n\
+             status_s = 120\nrevokeMs = 5000\n\
+             [platform]\naddress = \"{store}\"\nttlMinMs = 1000\n",
+            node % 3,
+            at.peer.port(),
+            at.metrics.port(),
+            at.caller,
+            at.ready,
+            crate::platform_executor::MAX_LEASE_MS,
+            crate::platform_executor::KILL_GRACE_MS,
+        );
+        fs::write(self.settings_path(node), text)
+    }
+
+    fn settings_path(&self, node: usize) -> PathBuf {
+        self.folder.join(format!("node-{node}.toml"))
+    }
+
+    /// Starts a node unless it runs.
+    pub fn start(&self, node: usize) -> io::Result<()> {
+        let mut child = lock(&self.children[node]);
+        if child.as_mut().is_some_and(|c| !has_ended(c)) {
+            return Ok(());
+        }
+        let path = self.folder.join(format!("node-{node}.log"));
+        let log = File::options().create(true).append(true).open(path)?;
+        let started = Command::new(&self.daemon)
+            .arg("--platform")
+            .env(
+                dragonflyferry::platform::SETTINGS_VARIABLE,
+                self.settings_path(node),
+            )
+            .stdin(Stdio::null())
+            .stderr(log.try_clone()?)
+            .stdout(log)
+            .spawn()?;
+        *child = Some(started);
+        Ok(())
+    }
+
+    /// Sends a signal to a node if it runs.
+    pub fn signal(&self, node: usize, signal: Signal) {
+        let mut child = lock(&self.children[node]);
+        // The id belongs to the child until it is reaped.
+        if let Some(child) = child.as_mut()
+            && !has_ended(child)
+        {
+            let _ = kill_process(Pid::from_child(child), signal);
+        }
+    }
+
+    /// Kills a node at once.
+    pub fn kill(&self, node: usize) {
+        if let Some(mut child) = lock(&self.children[node]).take() {
+            let _ = child.kill();
+            let _ = child.wait();
+        }
+    }
+
+    /// Returns whether a node runs.
+    pub fn is_running(&self, node: usize) -> bool {
+        let mut child = lock(&self.children[node]);
+        child.as_mut().is_some_and(|c| !has_ended(c))
+    }
+}
+
+impl Drop for SoakNodes {
+    fn drop(&mut self) {
+        for node in 0..self.count() {
+            self.kill(node);
+        }
+    }
+}
+
+fn has_ended(child: &mut Child) -> bool {
+    !matches!(child.try_wait(), Ok(None))
+}
