--- a/standins/src/soak.rs
+++ b/standins/src/soak.rs
@@ -35,6 +35,29 @@
 /// Zones of executors, in turn within a pool.
 const ZONES: [&str; 3] = ["z0", "z1", "z2"];
 
+/// Kinds of faults with their weights, in percent.
+pub const FAULTS: [(&str, u32); 19] = [
+    ("compact", 2),
+    ("cut-executors", 7),
+    ("drain-executor", 4),
+    ("freeze", 6),
+    ("freeze-at-renewal", 6),
+    ("hang-up", 2),
+    ("isolate-executors", 18),
+    ("kill", 6),
+    ("kill-all", 2),
+    ("kill-series", 3),
+    ("lose-writes", 6),
+    ("move-queue", 4),
+    ("reject-nodes", 8),
+    ("restart-executors", 5),
+    ("silence-old", 3),
+    ("slow-store", 3),
+    ("split-nodes", 4),
+    ("store-outage", 6),
+    ("terminate", 5),
+];
+
 /// Series of faults that run side by side.
 const LANES: u64 = 3;
 
@@ -60,6 +83,7 @@
     executors: usize,
     fault_ms: Millis,
     finish_ms: Millis,
+    skipped: Vec<String>,
 }
 
 /// What a soak did and which rules were broken.
@@ -110,6 +134,7 @@
             executors: 24,
             fault_ms: 20_000,
             finish_ms: 30_000,
+            skipped: Vec::new(),
         }
     }
 
@@ -134,6 +159,13 @@
         self
     }
 
+    /// Leaves out kinds of [`FAULTS`].
+    #[must_use]
+    pub fn skip(mut self, kinds: Vec<String>) -> Self {
+        self.skipped = kinds;
+        self
+    }
+
     /// Sets the time after the last effect of a fault in which all accepted jobs must complete.
     #[must_use]
     pub fn finish_time(mut self, time: Duration) -> Self {
@@ -154,6 +186,7 @@
             nodes,
             last_owner: AtomicUsize::new(0),
             config_version: AtomicU64::new(0),
+            skipped: self.skipped.clone(),
         });
         stage.configure(POOLS[0]);
         for node in 0..self.nodes {
@@ -202,6 +235,7 @@
     last_owner: AtomicUsize,
     config_version: AtomicU64,
     faults_until: Millis,
+    skipped: Vec<String>,
 }
 
 impl Stage {
@@ -261,51 +295,54 @@
 
     /// Runs one fault, or a combination that belongs together.
     async fn run_fault(&self, rng: &mut SmallRng) {
-        let any_node = rng.random_range(0..self.nodes.count());
         let owner = self.owner();
-        let node = if rng.random_range(0..100) < 70 {
+        let node = if rng.random_bool(0.7) {
             owner
         } else {
-            any_node
+            rng.random_range(0..self.nodes.count())
         };
-        match rng.random_range(0..100) {
-            0..6 => self.kill(node, rng.random_range(100..1_500)).await,
-            6..12 => self.terminate(node, rng.random_range(100..800)).await,
-            12..18 => self.freeze(node, rng.random_range(1_000..6_000)).await,
-            18..24 => {
-                self.freeze_at_renewal(node, rng.random_range(1_000..6_000))
-                    .await
-            }
-            24..26 => self.nodes.signal(any_node, Signal::HUP),
-            26..32 => self.store_outage(rng).await,
-            32..40 => self.reject_nodes(owner, rng).await,
-            40..43 => {
-                let fate = Fate::Slow(rng.random_range(200..1_500));
-                let rule = FaultRule::new("store slow", fate, |_, to| to == Party::Store);
-                self.hold(rule, rng.random_range(1_000..5_000)).await;
+        let freeze_ms = rng.random_range(1_000..6_000);
+        let down_ms = rng.random_range(100..1_500);
+        let kind = FAULTS.choose_weighted(rng, |(_, weight)| *weight);
+        let kind = kind.map_or("", |(kind, _)| *kind);
+        if self.skipped.iter().any(|s| s == kind) {
+            return;
+        }
+        match kind {
+            "compact" => self.host.compact(),
+            "cut-executors" => self.cut_executors(owner, rng).await,
+            "drain-executor" => self.drain_executor(rng).await,
+            "freeze" => self.freeze(node, freeze_ms).await,
+            "freeze-at-renewal" => self.freeze_at_renewal(node, freeze_ms).await,
+            "hang-up" => self.nodes.signal(node, Signal::HUP),
+            "isolate-executors" => self.isolate_executors(rng).await,
+            "kill" => self.kill(node, down_ms).await,
+            "kill-all" => self.kill_all(rng).await,
+            "kill-series" => {
+                for _ in 0..3 {
+                    self.kill(self.owner(), rng.random_range(100..600)).await;
+                    self.pause(rng.random_range(200..2_000)).await;
+                }
             }
-            43..49 => self.lose_writes(owner, rng).await,
-            49..67 => self.isolate_executors(rng).await,
-            67..73 => self.cut_executors(owner, rng).await,
-            73..78 => self.restart_executors(rng).await,
-            78..82 => self.drain_executor(rng).await,
-            82..86 => self.move_queue(rng.random_range(1_500..8_000)).await,
-            86..89 => {
+            "lose-writes" => self.lose_writes(owner, rng).await,
+            "move-queue" => self.move_queue(rng.random_range(1_500..8_000)).await,
+            "reject-nodes" => self.reject_nodes(owner, rng).await,
+            "restart-executors" => self.restart_executors(rng).await,
+            "silence-old" => {
                 let rule = FaultRule::new("old connections silent", Fate::Silent, |from, to| {
                     matches!(from, Party::Node(_)) && !matches!(to, Party::Node(_))
                 });
                 self.hold(rule.stale_only(), rng.random_range(1_000..5_000))
                     .await;
             }
-            89..93 => self.split_nodes(owner, rng).await,
-            93..96 => {
-                for _ in 0..3 {
-                    self.kill(self.owner(), rng.random_range(100..600)).await;
-                    self.pause(rng.random_range(200..2_000)).await;
-                }
+            "slow-store" => {
+                let fate = Fate::Slow(rng.random_range(200..1_500));
+                let rule = FaultRule::new("store slow", fate, |_, to| to == Party::Store);
+                self.hold(rule, rng.random_range(1_000..5_000)).await;
             }
-            96..98 => self.kill_all(rng).await,
-            _ => self.host.compact(),
+            "split-nodes" => self.split_nodes(owner, rng).await,
+            "store-outage" => self.store_outage(rng).await,
+            _ => self.terminate(node, down_ms).await,
         }
     }
 
