--- a/standins/src/platform_host.rs
+++ b/standins/src/platform_host.rs
@@ -77,7 +77,8 @@
 
 /// The platform of one soak.
 pub struct PlatformHost {
-    started_at: Instant,
+    /// When the times in ms begin.
+    pub started_at: Instant,
     pub faults: PlatformFaults,
     pub journal: Arc<RunJournal>,
     store: Mutex<PlatformStore>,
@@ -351,14 +352,12 @@
 
     async fn execute(self: &Arc<Self>, from: Party, to: Party, call: Call) -> Reply {
         let Party::Node(node) = from else { return None };
-        match to {
-            Party::Executor(index) => self.call_executor(node, index, &call).await,
-            _ => {
-                let (status, mut body) = self.call_store(&call).await;
-                self.readdress(node, &mut body);
-                Some((status, body))
-            }
+        if let Party::Executor(index) = to {
+            return self.call_executor(node, index, &call).await;
         }
+        let (status, mut body) = self.call_store(&call).await;
+        self.readdress(node, &mut body);
+        Some((status, body))
     }
 
     async fn call_store(&self, call: &Call) -> (u16, Value) {
@@ -383,7 +382,7 @@
             }
             tokio::select! {
                 () = changed => {}
-                () = &mut give_up => return lock(&self.store).watch_reply(Vec::new()),
+                () = &mut give_up => return lock(&self.store).watch_reply(&[]),
             }
         }
     }
--- a/standins/src/platform_store.rs
+++ b/standins/src/platform_store.rs
@@ -152,11 +152,11 @@
         let changes = self.history.iter();
         let changes = changes.filter(|(r, k, _)| *r > after && k.starts_with(prefix));
         let events: Vec<Value> = changes.map(row).collect();
-        (!events.is_empty()).then(|| self.watch_reply(events))
+        (!events.is_empty()).then(|| self.watch_reply(&events))
     }
 
     /// Returns the reply to a watch whose wait is over.
-    pub fn watch_reply(&self, events: Vec<Value>) -> StoreReply {
+    pub fn watch_reply(&self, events: &[Value]) -> StoreReply {
         (
             200,
             json!({"events": events, "storeRevision": self.revision}),
--- a/standins/src/run_journal.rs
+++ b/standins/src/run_journal.rs
@@ -8,7 +8,7 @@
     dragonflyferry::core::Millis,
     std::{
         collections::{BTreeMap, HashMap},
-        fmt,
+        fmt::{self, Write},
         sync::Mutex,
     },
 };
@@ -346,7 +346,8 @@
                 format!("ended={} how={how:?}", relative(at))
             });
             let acked = run.acked_at.map_or("never".to_owned(), relative);
-            text += &format!(
+            let _ = write!(
+                text,
                 "\n  run={} owner={} token={} node={} executor={} began={} {ended} acked={acked} \
                  lapsed_unacked={}",
                 run.run,
@@ -358,7 +359,8 @@
                 run.lapsed_unacked,
             );
             for span in &self.calls[run.life] {
-                text += &format!(
+                let _ = write!(
+                    text,
                     "\n    called by node={} owner={} {}..{} times={}",
                     span.node,
                     span.token >> 20,
--- a/standins/src/soak.rs
+++ b/standins/src/soak.rs
@@ -18,13 +18,14 @@
     serde_json::json,
     std::{
         collections::{BTreeMap, BTreeSet},
-        fmt, fs, io,
+        fmt::{self, Write},
+        fs, io,
         path::{Path, PathBuf},
         sync::{
             Arc,
             atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering},
         },
-        time::{Duration, Instant},
+        time::Duration,
     },
     tokio::{sync::Notify, task::JoinSet},
 };
@@ -218,15 +219,24 @@
     fn write_report(&self, stage: &Stage, report: &SoakReport) -> io::Result<()> {
         let mut text = format!("{report}\n\nfaults, in ms:\n");
         for span in stage.host.faults.spans_between(0, Millis::MAX) {
-            text += &format!("{span}\n");
+            let _ = writeln!(text, "{span}");
         }
         for violation in &report.violations {
-            text += &format!("\n{violation}\n");
+            let _ = writeln!(text, "\n{violation}");
         }
         fs::write(self.folder.join("report.txt"), text)
     }
 }
 
+/// Ends a fault when it is dropped.
+struct FaultGuard<'a>(&'a PlatformHost, usize);
+
+impl Drop for FaultGuard<'_> {
+    fn drop(&mut self) {
+        self.0.faults.end(self.1, self.0.now());
+    }
+}
+
 /// A running soak.
 struct Stage {
     host: Arc<PlatformHost>,
@@ -241,8 +251,8 @@
 impl Stage {
     fn client(&self) -> SoakClient {
         let callers = (0..self.nodes.count()).map(|n| self.nodes.addresses(n).caller);
-        let started_at = Instant::now() - Duration::from_millis(self.host.now());
-        SoakClient::new(callers.collect(), self.host.journal.clone(), started_at)
+        let host = &self.host;
+        SoakClient::new(callers.collect(), host.journal.clone(), host.started_at)
     }
 
     /// Writes a configuration in which the first queue has this pool.
@@ -278,11 +288,22 @@
         tokio::time::sleep(Duration::from_millis(ms.min(left))).await;
     }
 
+    /// Adds a rule until the guard is dropped.
+    fn add(&self, rule: FaultRule) -> FaultGuard<'_> {
+        let id = self.host.faults.add(rule, self.host.now());
+        FaultGuard(&self.host, id)
+    }
+
+    /// Records a fault that is no rule until the guard is dropped.
+    fn begin(&self, name: impl Into<String>) -> FaultGuard<'_> {
+        let id = self.host.faults.begin(name, self.host.now());
+        FaultGuard(&self.host, id)
+    }
+
     /// Keeps a rule for a time.
     async fn hold(&self, rule: FaultRule, ms: Millis) {
-        let id = self.host.faults.add(rule, self.host.now());
+        let _rule = self.add(rule);
         self.pause(ms).await;
-        self.host.faults.end(id, self.host.now());
     }
 
     async fn run_lane(self: Arc<Self>, seed: u64) {
@@ -347,29 +368,24 @@
     }
 
     async fn kill(&self, node: usize, down_ms: Millis) {
-        let faults = &self.host.faults;
-        let id = faults.begin(format!("SIGKILL node {node}"), self.host.now());
+        let _fault = self.begin(format!("SIGKILL node {node}"));
         self.nodes.kill(node);
         self.pause(down_ms).await;
         let _ = self.nodes.start(node);
-        faults.end(id, self.host.now());
     }
 
     async fn kill_all(&self, rng: &mut SmallRng) {
-        let faults = &self.host.faults;
-        let id = faults.begin("SIGKILL all nodes", self.host.now());
+        let _fault = self.begin("SIGKILL all nodes");
         (0..self.nodes.count()).for_each(|n| self.nodes.kill(n));
         self.pause(rng.random_range(100..1_500)).await;
         for node in 0..self.nodes.count() {
             self.pause(rng.random_range(0..50)).await;
             let _ = self.nodes.start(node);
         }
-        faults.end(id, self.host.now());
     }
 
     async fn terminate(&self, node: usize, down_ms: Millis) {
-        let faults = &self.host.faults;
-        let id = faults.begin(format!("SIGTERM node {node}"), self.host.now());
+        let _fault = self.begin(format!("SIGTERM node {node}"));
         self.nodes.signal(node, Signal::TERM);
         let deadline = self.host.now() + TERMINATION_GRACE_S * 1_000;
         while self.nodes.is_running(node) && self.host.now() < deadline {
@@ -378,16 +394,13 @@
         self.nodes.kill(node);
         self.pause(down_ms).await;
         let _ = self.nodes.start(node);
-        faults.end(id, self.host.now());
     }
 
     async fn freeze(&self, node: usize, ms: Millis) {
-        let faults = &self.host.faults;
-        let id = faults.begin(format!("SIGSTOP node {node}"), self.host.now());
+        let _fault = self.begin(format!("SIGSTOP node {node}"));
         self.nodes.signal(node, Signal::STOP);
         self.pause(ms).await;
         self.nodes.signal(node, Signal::CONT);
-        faults.end(id, self.host.now());
     }
 
     /// Freezes a node while the reply to a renewal of its store lease is held back.
@@ -401,10 +414,9 @@
         )
         .path("/-/kv-keep")
         .on_hit(hit.clone());
-        let id = self.host.faults.add(rule, self.host.now());
+        let _rule = self.add(rule);
         let _ = tokio::time::timeout(Duration::from_secs(1), hit.notified()).await;
         self.freeze(node, ms).await;
-        self.host.faults.end(id, self.host.now());
     }
 
     async fn store_outage(&self, rng: &mut SmallRng) {
@@ -465,49 +477,44 @@
             BTreeSet::new()
         };
         let name = format!("executors {cut:?} cut off from nodes but {owner} {near:?}");
-        let (executors, now) = (cut.clone(), self.host.now());
+        let executors = cut.clone();
         let rule = FaultRule::new(name, cut_fate(rng), move |from, to| {
             matches!((from, to), (Party::Node(n), Party::Executor(e))
                 if n != owner && !near.contains(&n) && executors.contains(&e))
         });
-        let mut ids = vec![self.host.faults.add(rule, now)];
+        let mut rules = vec![self.add(rule)];
         if rng.random_range(0..100) < 70 {
             let name = format!("executors {cut:?} cut off from the store");
             let rule = FaultRule::new(name, Fate::Silent, move |from, to| {
                 to == Party::Store && matches!(from, Party::Executor(e) if cut.contains(&e))
             });
-            ids.push(self.host.faults.add(rule, now));
+            rules.push(self.add(rule));
         }
         self.pause(rng.random_range(0..6_000)).await;
+        let freeze_ms = rng.random_range(1_000..6_000);
+        let down_ms = rng.random_range(100..1_500);
         match rng.random_range(0..6) {
-            0 => self.kill(owner, rng.random_range(100..1_500)).await,
-            1 => self.freeze(owner, rng.random_range(1_000..6_000)).await,
-            2 => {
-                self.freeze_at_renewal(owner, rng.random_range(1_000..6_000))
-                    .await
-            }
-            3 => self.terminate(owner, rng.random_range(100..800)).await,
+            0 => self.kill(owner, down_ms).await,
+            1 => self.freeze(owner, freeze_ms).await,
+            2 => self.freeze_at_renewal(owner, freeze_ms).await,
+            3 => self.terminate(owner, down_ms).await,
             _ => self.split_nodes(owner, rng).await,
         }
         self.pause(rng.random_range(0..6_000)).await;
-        for id in ids {
-            self.host.faults.end(id, self.host.now());
-        }
     }
 
     /// The owner and some nodes lose the store; often they also lose the other nodes.
     async fn split_nodes(&self, owner: usize, rng: &mut SmallRng) {
         let mut side = self.random_nodes(rng);
         side.insert(owner);
-        let now = self.host.now();
-        let mut ids = Vec::new();
+        let mut rules = Vec::new();
         if rng.random_range(0..100) < 80 {
             let name = format!("store rejects the side {side:?}");
             let rejected = side.clone();
             let rule = FaultRule::new(name, cut_fate(rng), move |from, to| {
                 to == Party::Store && matches!(from, Party::Node(n) if rejected.contains(&n))
             });
-            ids.push(self.host.faults.add(rule, now));
+            rules.push(self.add(rule));
         }
         if rng.random_bool(0.5) {
             let fate = if rng.random_bool(0.5) {
@@ -521,12 +528,9 @@
                 matches!((from, to), (Party::Node(a), Party::Node(b))
                     if side.contains(&a) != side.contains(&b) && !(one_way && side.contains(&a)))
             });
-            ids.push(self.host.faults.add(rule, now));
+            rules.push(self.add(rule));
         }
         self.pause(rng.random_range(1_500..9_000)).await;
-        for id in ids {
-            self.host.faults.end(id, self.host.now());
-        }
     }
 
     /// Calls of the owner to some executors are lost, refused or carried out late.
@@ -552,30 +556,27 @@
             let renamed = rng.random_bool(0.5);
             let down_ms = rng.random_range(50..3_000);
             let name = format!("executor {index} crashes, new id: {renamed}");
-            let id = self.host.faults.begin(name, self.host.now());
+            let _fault = self.begin(name);
             self.host.restart_executor(index, down_ms, renamed);
             self.pause(down_ms).await;
-            self.host.faults.end(id, self.host.now());
         }
     }
 
     async fn drain_executor(&self, rng: &mut SmallRng) {
         let index = rng.random_range(0..self.host.executor_count());
         let name = format!("executor {index} drains");
-        let id = self.host.faults.begin(name, self.host.now());
+        let _fault = self.begin(name);
         self.host.drain_executor(index, true);
         self.pause(rng.random_range(2_000..6_000)).await;
         self.host.restart_executor(index, 1_000, true);
-        self.host.faults.end(id, self.host.now());
     }
 
     /// Moves the first queue to the other pool and back.
     async fn move_queue(&self, ms: Millis) {
-        let id = self.host.faults.begin("queue moved", self.host.now());
+        let _fault = self.begin("queue moved");
         self.configure(POOLS[2]);
         self.pause(ms).await;
         self.configure(POOLS[0]);
-        self.host.faults.end(id, self.host.now());
     }
 
     fn random_nodes(&self, rng: &mut SmallRng) -> BTreeSet<usize> {
@@ -660,10 +661,10 @@
         for violation in &mut violations {
             let since = violation.at.saturating_sub(CAUSE_MS);
             for span in self.host.faults.spans_between(since, violation.at) {
-                violation.text += &format!("\n  fault {span}");
+                let _ = write!(violation.text, "\n  fault {span}");
             }
             let unix_ms = crate::unix_ms() - (self.host.now() - violation.at);
-            violation.text += &format!("\n  unix_ms={unix_ms}");
+            let _ = write!(violation.text, "\n  unix_ms={unix_ms}");
         }
         let count = |f: &dyn Fn(&crate::run_journal::JobRecord) -> bool| {
             jobs.values().filter(|j| f(j)).count()
--- a/standins/src/soak_clients.rs
+++ b/standins/src/soak_clients.rs
@@ -32,7 +32,7 @@
 pub const QUEUES: [&str; 2] = ["main", "side"];
 
 /// Time that a client waits for a response.
-const DEADLINE: Duration = Duration::from_millis(3_000);
+const DEADLINE: Duration = Duration::from_secs(3);
 
 /// Attempts to submit a job.
 const MAX_ATTEMPTS: u32 = 30;
