--- a/standins/src/soak.rs
+++ b/standins/src/soak.rs
@@ -59,8 +59,9 @@
     ("terminate", 5),
 ];
 
-/// Series of faults that run side by side.
-const LANES: u64 = 3;
+/// First fault of each of the series that run side by side; the others are drawn. The first two
+/// make owners change while runs are out of their sight.
+const LANES: [Option<&str>; 3] = [Some("isolate-executors"), Some("move-queue"), None];
 
 /// Time for the first owner to open its executors before the faults begin, in ms.
 const WARM_UP_MS: Millis = 2_500;
@@ -202,9 +203,9 @@
         tokio::spawn(client.clone().run(self.seed, per_second, stop.clone()));
         tokio::time::sleep(Duration::from_millis(WARM_UP_MS)).await;
         let mut lanes = JoinSet::new();
-        for lane in 0..LANES {
-            let seed = self.seed * LANES + lane;
-            lanes.spawn(stage.clone().run_lane(seed));
+        for (lane, first) in (0..).zip(LANES) {
+            let seed = self.seed << 8 | lane;
+            lanes.spawn(stage.clone().run_lane(seed, first));
         }
         lanes.join_all().await;
         stage.lift_faults()?;
@@ -306,16 +307,21 @@
         self.pause(ms).await;
     }
 
-    async fn run_lane(self: Arc<Self>, seed: u64) {
+    async fn run_lane(self: Arc<Self>, seed: u64, mut first: Option<&'static str>) {
         let mut rng = SmallRng::seed_from_u64(seed);
         while self.host.now() < self.faults_until {
             self.pause(rng.random_range(50..2_000)).await;
-            self.run_fault(&mut rng).await;
+            let drawn = FAULTS.choose_weighted(&mut rng, |(_, weight)| *weight);
+            let drawn = drawn.map_or("", |(kind, _)| *kind);
+            let kind = first.take().unwrap_or(drawn);
+            if !self.skipped.iter().any(|s| s == kind) {
+                self.run_fault(kind, &mut rng).await;
+            }
         }
     }
 
     /// Runs one fault, or a combination that belongs together.
-    async fn run_fault(&self, rng: &mut SmallRng) {
+    async fn run_fault(&self, kind: &str, rng: &mut SmallRng) {
         let owner = self.owner();
         let node = if rng.random_bool(0.7) {
             owner
@@ -324,11 +330,6 @@
         };
         let freeze_ms = rng.random_range(1_000..6_000);
         let down_ms = rng.random_range(100..1_500);
-        let kind = FAULTS.choose_weighted(rng, |(_, weight)| *weight);
-        let kind = kind.map_or("", |(kind, _)| *kind);
-        if self.skipped.iter().any(|s| s == kind) {
-            return;
-        }
         match kind {
             "compact" => self.host.compact(),
             "cut-executors" => self.cut_executors(owner, rng).await,
@@ -346,7 +347,7 @@
                 }
             }
             "lose-writes" => self.lose_writes(owner, rng).await,
-            "move-queue" => self.move_queue(rng.random_range(1_500..8_000)).await,
+            "move-queue" => self.move_queue(owner, rng).await,
             "reject-nodes" => self.reject_nodes(owner, rng).await,
             "restart-executors" => self.restart_executors(rng).await,
             "silence-old" => {
@@ -490,8 +491,9 @@
             });
             rules.push(self.add(rule));
         }
-        self.pause(rng.random_range(0..6_000)).await;
-        let freeze_ms = rng.random_range(1_000..6_000);
+        // The store removes the entries of cut-off executors after 3 to 4.5 s.
+        self.pause(rng.random_range(500..4_500)).await;
+        let freeze_ms = rng.random_range(2_000..6_000);
         let down_ms = rng.random_range(100..1_500);
         match rng.random_range(0..6) {
             0 => self.kill(owner, down_ms).await,
@@ -500,7 +502,7 @@
             3 => self.terminate(owner, down_ms).await,
             _ => self.split_nodes(owner, rng).await,
         }
-        self.pause(rng.random_range(0..6_000)).await;
+        self.pause(rng.random_range(1_000..8_000)).await;
     }
 
     /// The owner and some nodes lose the store; often they also lose the other nodes.
@@ -571,11 +573,17 @@
         self.host.restart_executor(index, 1_000, true);
     }
 
-    /// Moves the first queue to the other pool and back.
-    async fn move_queue(&self, ms: Millis) {
+    /// Moves the first queue to the other pool and back; often the owner changes meanwhile.
+    async fn move_queue(&self, owner: usize, rng: &mut SmallRng) {
         let _fault = self.begin("queue moved");
         self.configure(POOLS[2]);
-        self.pause(ms).await;
+        self.pause(rng.random_range(200..2_000)).await;
+        match rng.random_range(0..4) {
+            0 => {}
+            1 => self.freeze(owner, rng.random_range(2_000..6_000)).await,
+            _ => self.kill(owner, rng.random_range(100..1_500)).await,
+        }
+        self.pause(rng.random_range(500..5_000)).await;
         self.configure(POOLS[0]);
     }
 
