--- a/examples/soak.rs
+++ b/examples/soak.rs
@@ -12,6 +12,7 @@
         process::ExitCode,
         time::Duration,
     },
+    tokio::task::JoinSet,
 };
 
 const HELP: &str = "\
@@ -85,20 +86,28 @@
             return ExitCode::from(2);
         }
     };
-    let lanes = (0..options.parallel).map(|lane| tokio::spawn(run_lane(options.clone(), lane)));
-    let lanes: Vec<_> = lanes.collect();
+    let mut lanes = JoinSet::new();
+    for lane in 0..options.parallel {
+        lanes.spawn(run_lane(options.clone(), lane));
+    }
     let mut broken = 0;
-    for lane in lanes {
-        match lane.await {
-            Ok(Ok(count)) => broken += count,
-            Ok(Err(e)) => {
+    loop {
+        // Dropping the lanes ends their daemons.
+        let ended = tokio::select! {
+            _ = tokio::signal::ctrl_c() => return ExitCode::from(2),
+            ended = lanes.join_next() => ended,
+        };
+        match ended {
+            Some(Ok(Ok(count))) => broken += count,
+            Some(Ok(Err(e))) => {
                 eprintln!("{e}");
                 return ExitCode::from(2);
             }
-            Err(e) => {
+            Some(Err(e)) => {
                 eprintln!("{e}");
                 return ExitCode::from(2);
             }
+            None => break,
         }
     }
     println!("seeds with broken rules: {broken}");
--- a/standins/src/soak.rs
+++ b/standins/src/soak.rs
@@ -199,7 +199,7 @@
         let client = stage.client();
         let stop = Arc::new(AtomicBool::new(false));
         // Half of the executors' capacity at the mean size of jobs.
-        let per_second = f64::from(u32::try_from(self.executors).unwrap_or(24)) / 5.5;
+        let per_second = f64::from(u32::try_from(self.executors).unwrap_or(24)) / 8.0;
         tokio::spawn(client.clone().run(self.seed, per_second, stop.clone()));
         tokio::time::sleep(Duration::from_millis(WARM_UP_MS)).await;
         let mut lanes = JoinSet::new();
@@ -453,11 +453,7 @@
 
     /// Replies to writes are lost, or the writes are carried out late.
     async fn lose_writes(&self, owner: usize, rng: &mut SmallRng) {
-        let fate = match rng.random_range(0..3) {
-            0 => Fate::LoseReply,
-            1 => Fate::ResetReply,
-            _ => Fate::Late(rng.random_range(LATE_MS)),
-        };
+        let fate = lost_fate(rng);
         let all = rng.random_bool(0.4);
         let name = format!("writes of node {owner}, all: {all}: {fate:?}");
         let rule = FaultRule::new(name, fate, move |from, to| {
@@ -538,7 +534,11 @@
     /// Calls of the owner to some executors are lost, refused or carried out late.
     async fn cut_executors(&self, owner: usize, rng: &mut SmallRng) {
         let cut = self.random_executors(rng);
-        let fate = cut_fate(rng);
+        let fate = if rng.random_bool(0.4) {
+            lost_fate(rng)
+        } else {
+            cut_fate(rng)
+        };
         let name = format!("node {owner} to executors {cut:?}: {fate:?}");
         let rule = FaultRule::new(name, fate, move |from, to| {
             from == Party::Node(owner) && matches!(to, Party::Executor(e) if cut.contains(&e))
@@ -691,15 +691,21 @@
     }
 }
 
-/// Returns how a connection is cut.
+/// Returns how a connection is cut so that no call is carried out.
 fn cut_fate(rng: &mut SmallRng) -> Fate {
-    match rng.random_range(0..12) {
+    match rng.random_range(0..9) {
         0..4 => Fate::Silent,
         4..6 => Fate::Reset,
         6 | 7 => Fate::Refuse(503),
-        8 => Fate::Refuse(429),
-        9 => Fate::LoseReply,
-        10 => Fate::ResetReply,
+        _ => Fate::Refuse(429),
+    }
+}
+
+/// Returns how replies are lost of calls that are carried out.
+fn lost_fate(rng: &mut SmallRng) -> Fate {
+    match rng.random_range(0..3) {
+        0 => Fate::LoseReply,
+        1 => Fate::ResetReply,
         _ => Fate::Late(rng.random_range(LATE_MS)),
     }
 }
--- a/standins/src/soak_clients.rs
+++ b/standins/src/soak_clients.rs
@@ -194,7 +194,12 @@
     };
     let step = |number: usize, rng: &mut SmallRng| StepPlan {
         count: rng.random_range(1..=if persistent { 2 } else { 6 }),
-        run_ms: rng.random_range(300..4_000),
+        // Some runs outlast the longest lease.
+        run_ms: if rng.random_bool(0.3) {
+            rng.random_range(4_000..9_000)
+        } else {
+            rng.random_range(300..4_000)
+        },
         after_previous: number > 0 && rng.random_range(0..100) < 70,
         allow_duplicates: !persistent && rng.random_range(0..100) < 5,
         persistent,
