--- a/examples/soak.rs
+++ b/examples/soak.rs
@@ -17,14 +17,14 @@
 
 const HELP: &str = "\
 Usage: soak [--seeds FIRST..LAST] [--seconds N] [--nodes N] [--executors N] [--parallel N]
-            [--skip KIND,...] [--keep DIR] [--daemon FILE]
+            [--only KIND,...] [--keep DIR] [--daemon FILE]
 
   --seeds FIRST..LAST  seeds, the last one included (1..1)
   --seconds N          time with faults (40)
   --nodes N            daemons, at most 250 (6)
   --executors N        simulated executors (24)
   --parallel N         soaks at the same time (1)
-  --skip KIND,...      kinds of faults to leave out, as in `standins::soak::FAULTS`
+  --only KIND,...      kinds of faults, as in `standins::soak::FAULTS` (all)
   --keep DIR           folder for the logs of seeds that broke a rule
   --daemon FILE        the daemon (beside the folder of this program)
 ";
@@ -39,7 +39,7 @@
     nodes: usize,
     executors: usize,
     parallel: u64,
-    skip: Vec<String>,
+    only: Vec<String>,
     keep: Option<PathBuf>,
     daemon: PathBuf,
 }
@@ -57,8 +57,8 @@
         let program = std::env::current_exe()?;
         let beside = program.parent().and_then(Path::parent);
         let beside = beside.map(|p| p.join("dragonflyferryd"));
-        let skip: Option<String> = args.opt_value_from_str("--skip")?;
-        let skip = skip.iter().flat_map(|s| s.split(',')).map(str::to_owned);
+        let only: Option<String> = args.opt_value_from_str("--only")?;
+        let only = only.iter().flat_map(|s| s.split(',')).map(str::to_owned);
         let options = Self {
             first: first.parse()?,
             last: last.parse()?,
@@ -66,7 +66,7 @@
             nodes: args.opt_value_from_str("--nodes")?.unwrap_or(6),
             executors: args.opt_value_from_str("--executors")?.unwrap_or(24),
             parallel: args.opt_value_from_str("--parallel")?.unwrap_or(1),
-            skip: skip.collect(),
+            only: only.collect(),
             keep: args.opt_value_from_str("--keep")?,
             daemon: daemon.or(beside).unwrap_or_default(),
         };
@@ -120,11 +120,14 @@
     let mut broken = 0;
     for seed in (options.first..=options.last).filter(|s| s % options.parallel == lane) {
         let folder = scratch.join(format!("seed-{seed}"));
-        let soak = Soak::new(seed, &options.daemon, &folder)
+        let only: Vec<&str> = options.only.iter().map(String::as_str).collect();
+        let mut soak = Soak::new(seed, &options.daemon, &folder)
             .nodes(options.nodes)
             .executors(options.executors)
-            .skip(options.skip.clone())
             .fault_time(Duration::from_secs(options.seconds));
+        if !only.is_empty() {
+            soak = soak.only(&only);
+        }
         let report = soak.run().await?;
         println!("{report}");
         if !report.violations.is_empty() {
--- a/standins/src/soak.rs
+++ b/standins/src/soak.rs
@@ -59,9 +59,8 @@
     ("terminate", 5),
 ];
 
-/// First fault of each of the series that run side by side; the others are drawn. The first two
-/// make owners change while runs are out of their sight.
-const LANES: [Option<&str>; 3] = [Some("isolate-executors"), Some("move-queue"), None];
+/// Series of faults that run side by side.
+const LANES: u64 = 3;
 
 /// Time for the first owner to open its executors before the faults begin, in ms.
 const WARM_UP_MS: Millis = 2_500;
@@ -85,7 +84,7 @@
     executors: usize,
     fault_ms: Millis,
     finish_ms: Millis,
-    skipped: Vec<String>,
+    faults: Vec<(&'static str, u32)>,
 }
 
 /// What a soak did and which rules were broken.
@@ -136,7 +135,7 @@
             executors: 24,
             fault_ms: 20_000,
             finish_ms: 30_000,
-            skipped: Vec::new(),
+            faults: FAULTS.to_vec(),
         }
     }
 
@@ -161,10 +160,10 @@
         self
     }
 
-    /// Leaves out kinds of [`FAULTS`].
+    /// Draws only these kinds of [`FAULTS`].
     #[must_use]
-    pub fn skip(mut self, kinds: Vec<String>) -> Self {
-        self.skipped = kinds;
+    pub fn only(mut self, kinds: &[&str]) -> Self {
+        self.faults.retain(|(kind, _)| kinds.contains(kind));
         self
     }
 
@@ -188,7 +187,7 @@
             nodes,
             last_owner: AtomicUsize::new(0),
             config_version: AtomicU64::new(0),
-            skipped: self.skipped.clone(),
+            faults: self.faults.clone(),
         });
         stage.configure(POOLS[0]);
         for node in 0..self.nodes {
@@ -203,9 +202,8 @@
         tokio::spawn(client.clone().run(self.seed, per_second, stop.clone()));
         tokio::time::sleep(Duration::from_millis(WARM_UP_MS)).await;
         let mut lanes = JoinSet::new();
-        for (lane, first) in (0..).zip(LANES) {
-            let seed = self.seed << 8 | lane;
-            lanes.spawn(stage.clone().run_lane(seed, first));
+        for lane in 0..LANES {
+            lanes.spawn(stage.clone().run_lane(self.seed * LANES + lane));
         }
         lanes.join_all().await;
         stage.lift_faults()?;
@@ -246,7 +244,8 @@
     last_owner: AtomicUsize,
     config_version: AtomicU64,
     faults_until: Millis,
-    skipped: Vec<String>,
+    /// Kinds to draw from, with their weights.
+    faults: Vec<(&'static str, u32)>,
 }
 
 impl Stage {
@@ -307,14 +306,11 @@
         self.pause(ms).await;
     }
 
-    async fn run_lane(self: Arc<Self>, seed: u64, mut first: Option<&'static str>) {
+    async fn run_lane(self: Arc<Self>, seed: u64) {
         let mut rng = SmallRng::seed_from_u64(seed);
         while self.host.now() < self.faults_until {
             self.pause(rng.random_range(50..2_000)).await;
-            let drawn = FAULTS.choose_weighted(&mut rng, |(_, weight)| *weight);
-            let drawn = drawn.map_or("", |(kind, _)| *kind);
-            let kind = first.take().unwrap_or(drawn);
-            if !self.skipped.iter().any(|s| s == kind) {
+            if let Ok((kind, _)) = self.faults.choose_weighted(&mut rng, |(_, weight)| *weight) {
                 self.run_fault(kind, &mut rng).await;
             }
         }
--- a/tests/soak.rs
+++ b/tests/soak.rs
@@ -10,10 +10,14 @@
 /// Time with faults of each soak.
 const FAULT_TIME: Duration = Duration::from_secs(20);
 
-async fn soak(seed: u64) {
+/// Runs a soak with the given kinds of faults, or all if there are none; fails if it broke a rule.
+async fn soak(seed: u64, kinds: &[&str]) {
     let folder = std::env::temp_dir().join(format!("dff-soak-{}-{seed}", std::process::id()));
     let daemon = Path::new(env!("CARGO_BIN_EXE_dragonflyferryd"));
-    let soak = Soak::new(seed, daemon, &folder).fault_time(FAULT_TIME);
+    let mut soak = Soak::new(seed, daemon, &folder).fault_time(FAULT_TIME);
+    if !kinds.is_empty() {
+        soak = soak.only(kinds);
+    }
     let report = soak.run().await.expect("the soak runs");
     println!("{report}");
     assert!(report.accepted > 0, "no job was accepted");
@@ -28,8 +32,16 @@
 }
 
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
-async fn tasks_run_once_under_overlapping_faults() {
-    for seed in 1..=3 {
-        soak(seed).await;
-    }
+async fn tasks_run_once_while_owners_and_executors_lose_each_other() {
+    soak(1, &["isolate-executors"]).await;
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn tasks_run_once_while_queues_move_and_owners_change() {
+    soak(2, &["kill-series", "move-queue", "restart-executors"]).await;
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn tasks_run_once_under_faults_of_all_kinds() {
+    soak(3, &[]).await;
 }
