--- a/standins/src/platform_executor.rs
+++ b/standins/src/platform_executor.rs
@@ -267,7 +267,6 @@
                 }
                 ExecutorOutcome::Reply(200, json!({"clockMs": clock}))
             }
-            "/-/pace" => ExecutorOutcome::Reply(200, json!({"clockMs": clock})),
             _ => ExecutorOutcome::Reply(400, json!({"clockMs": clock})),
         }
     }
--- a/standins/src/platform_host.rs
+++ b/standins/src/platform_host.rs
@@ -90,6 +90,8 @@
     ports: Mutex<HashMap<(Party, Party), SocketAddr>>,
     /// Address at which each node accepts other nodes.
     peers: Vec<SocketAddr>,
+    /// When each owner claimed, its number and its node.
+    claims: Mutex<Vec<(Millis, u64, Option<usize>)>>,
 }
 
 impl PlatformHost {
@@ -114,6 +116,7 @@
             heartbeats: Mutex::new(HashMap::new()),
             ports: Mutex::new(HashMap::new()),
             peers,
+            claims: Mutex::new(Vec::new()),
         });
         // The timers end with the host.
         let weak = Arc::downgrade(&host);
@@ -168,11 +171,19 @@
         self.peers.iter().position(|p| *p == address)
     }
 
-    /// Returns the number of owners so far.
-    pub fn owner_number(&self) -> u64 {
+    /// Returns when each owner claimed, its number and its node.
+    pub fn claims(&self) -> Vec<(Millis, u64, Option<usize>)> {
+        lock(&self.claims).clone()
+    }
+
+    fn record_claim(&self, now: Millis) {
         let value = lock(&self.store).value(EPOCH_KEY).unwrap_or_default();
         let record: Result<EpochRecord, _> = postcard::from_bytes(&value);
-        record.map_or(0, |r| r.token)
+        let number = record.map_or(0, |r| r.token);
+        let mut claims = lock(&self.claims);
+        if claims.last().map_or(0, |(_, last, _)| *last) < number {
+            claims.push((now, number, self.owner()));
+        }
     }
 
     /// Crashes an executor; it is back after `down_ms`, under a new id if `renamed`.
@@ -200,6 +211,7 @@
 
     fn tick(self: &Arc<Self>) {
         let now = self.now();
+        self.record_claim(now);
         if lock(&self.store).expire(now) {
             self.store_changed.notify_waiters();
         }
--- a/standins/src/platform_store.rs
+++ b/standins/src/platform_store.rs
@@ -76,14 +76,6 @@
         if let Some(id) = path.strip_prefix("/-/kv-keep/") {
             return self.renew(id.parse().unwrap_or(0), now);
         }
-        if let Some(id) = path.strip_prefix("/-/kv-lease-end/") {
-            let id = id.parse().unwrap_or(0);
-            if self.leases.remove(&id).is_none() {
-                return (404, json!({}));
-            }
-            self.remove_leased(id);
-            return (200, json!({}));
-        }
         match path {
             "/-/kv-key" => self.get(text("key")),
             "/-/kv-range" => self.range(text("prefix"), text("after")),
--- a/standins/src/soak.rs
+++ b/standins/src/soak.rs
@@ -96,7 +96,7 @@
     pub cancelled: usize,
     pub completed: usize,
     pub runs: usize,
-    pub owners: u64,
+    pub owners: usize,
     pub faults: usize,
     pub violations: Vec<Violation>,
 }
@@ -220,6 +220,11 @@
         for span in stage.host.faults.spans_between(0, Millis::MAX) {
             let _ = writeln!(text, "{span}");
         }
+        text += "\nclaims, in ms:\n";
+        for (at, number, node) in stage.host.claims() {
+            let node = node.map_or("gone".to_owned(), |n| n.to_string());
+            let _ = writeln!(text, "{at} owner={number} node={node}");
+        }
         for violation in &report.violations {
             let _ = writeln!(text, "\n{violation}");
         }
@@ -680,7 +685,7 @@
             cancelled: count(&|j| j.cancelled),
             completed: count(&|j| j.completed_at.is_some()),
             runs: self.host.journal.count_runs(),
-            owners: self.host.owner_number(),
+            owners: self.host.claims().len(),
             faults: self.host.faults.count(),
             violations,
         }
