--- a/standins/src/soak.rs
+++ b/standins/src/soak.rs
@@ -329,7 +329,7 @@
         } else {
             rng.random_range(0..self.nodes.count())
         };
-        let freeze_ms = rng.random_range(1_000..6_000);
+        let freeze_ms = rng.random_range(1_000..9_000);
         let down_ms = rng.random_range(100..1_500);
         match kind {
             "compact" => self.host.compact(),
@@ -490,7 +490,7 @@
         }
         // The store removes the entries of cut-off executors after 3 to 4.5 s.
         self.pause(rng.random_range(500..4_500)).await;
-        let freeze_ms = rng.random_range(2_000..6_000);
+        let freeze_ms = rng.random_range(2_000..9_000);
         let down_ms = rng.random_range(100..1_500);
         match rng.random_range(0..6) {
             0 => self.kill(owner, down_ms).await,
