--- a/standins/src/soak.rs
+++ b/standins/src/soak.rs
@@ -68,6 +68,9 @@
 /// Shortest and longest delay of a call that is carried out late, in ms.
 const LATE_MS: std::ops::Range<Millis> = 2_000..12_000;
 
+/// Time after the last effect of a fault in which all accepted jobs must complete, in ms.
+const FINISH_MS: Millis = 30_000;
+
 /// Time before a broken rule whose faults are reported, in ms.
 const CAUSE_MS: Millis = 15_000;
 
@@ -83,7 +86,6 @@
     nodes: usize,
     executors: usize,
     fault_ms: Millis,
-    finish_ms: Millis,
     faults: Vec<(&'static str, u32)>,
 }
 
@@ -134,7 +136,6 @@
             nodes: 6,
             executors: 24,
             fault_ms: 20_000,
-            finish_ms: 30_000,
             faults: FAULTS.to_vec(),
         }
     }
@@ -167,13 +168,6 @@
         self
     }
 
-    /// Sets the time after the last effect of a fault in which all accepted jobs must complete.
-    #[must_use]
-    pub fn finish_time(mut self, time: Duration) -> Self {
-        self.finish_ms = to_ms(time);
-        self
-    }
-
     /// Runs the soak; writes `report.txt` into the folder.
     pub async fn run(self) -> io::Result<SoakReport> {
         let nodes = SoakNodes::new(&self.daemon, &self.folder, self.nodes)?;
@@ -208,7 +202,7 @@
         lanes.join_all().await;
         stage.lift_faults()?;
         stop.store(true, Ordering::Relaxed);
-        let finish_by = stage.host.now() + LATE_MS.end + self.finish_ms;
+        let finish_by = stage.host.now() + LATE_MS.end + FINISH_MS;
         stage.finish(&client, finish_by).await;
         let report = stage.report(self.seed);
         self.write_report(&stage, &report)?;
--- a/tests/soak.rs
+++ b/tests/soak.rs
@@ -3,7 +3,10 @@
 //! `cargo run --release --example soak` runs longer ones.
 
 use {
-    standins::Soak,
+    standins::{
+        Soak,
+        run_journal::{JobRecord, RunEnding, RunJournal, RunRecord, StepPlan},
+    },
     std::{path::Path, time::Duration},
 };
 
@@ -45,3 +48,72 @@
 async fn tasks_run_once_under_faults_of_all_kinds() {
     soak(3, &[]).await;
 }
+
+/// Returns a journal with one job of one task and two runs of it, on two executors. The first runs
+/// from 100 to `first_ends` and ends as `ending`; the second starts at 300.
+fn two_runs(first_ends: u64, ending: RunEnding, allow_duplicates: bool) -> RunJournal {
+    let journal = RunJournal::default();
+    let step = StepPlan {
+        count: 1,
+        run_ms: 100,
+        after_previous: false,
+        allow_duplicates,
+        persistent: false,
+    };
+    let job = JobRecord {
+        queue: "main",
+        steps: vec![step],
+        accepted_at: Some(0),
+        cancelled: false,
+        completed_at: None,
+    };
+    journal.add_job("a", job);
+    for (run, began_at) in [(1, 100), (2, 300)] {
+        let life = journal.begin_life();
+        journal.begin_run(RunRecord {
+            task: "a.0.0.0".to_owned(),
+            run,
+            token: run << 20,
+            node: 0,
+            executor: format!("e{run}"),
+            life,
+            began_at,
+            ended: None,
+            acked_at: None,
+            lapsed_unacked: false,
+        });
+    }
+    journal.end_run(0, first_ends, ending);
+    journal
+}
+
+fn broken_rules(journal: &RunJournal) -> Vec<&'static str> {
+    journal.judge().iter().map(|v| v.rule).collect()
+}
+
+#[test]
+fn the_judge_finds_two_runs_at_once() {
+    assert_eq!(
+        broken_rules(&two_runs(301, RunEnding::Stopped, false)),
+        ["TWICE"]
+    );
+    assert!(broken_rules(&two_runs(300, RunEnding::Stopped, false)).is_empty());
+    assert!(broken_rules(&two_runs(301, RunEnding::Stopped, true)).is_empty());
+}
+
+#[test]
+fn the_judge_finds_a_start_after_an_end_that_was_acknowledged_at_any_time() {
+    let journal = two_runs(200, RunEnding::Done, false);
+    assert!(broken_rules(&journal).is_empty());
+    journal.ack_run(0, 900);
+    assert_eq!(broken_rules(&journal), ["TWICE"]);
+    journal.lapse_unacked(0);
+    assert!(broken_rules(&journal).is_empty());
+}
+
+#[test]
+fn the_judge_finds_a_completed_job_with_an_open_task() {
+    let journal = two_runs(200, RunEnding::Failed, false);
+    journal.record_completed("a", 400);
+    assert_eq!(broken_rules(&journal), ["MIXED"]);
+}
