A job counts as started once an executor has confirmed a start, not when one is sent

Cause: a job was marked as started when its first start command was sent. Where the executor was cut off, nothing had started.

The mark is now set by the executor's reply, by its list, or by an end.

tests/cell.rs: a_job_whose_start_was_not_confirmed_counts_as_waiting failed before (0 instead of 1).

--- a/src/fleet/cell_executors.rs
+++ b/src/fleet/cell_executors.rs
@@ -300,7 +300,8 @@
         if run.number != row.run {
             return;
         }
-        if run.stage == RunStage::StartSent {
+        let confirmed = run.stage == RunStage::StartSent;
+        if confirmed {
             run.stage = RunStage::Confirmed;
             run.stage_since = now.mono;
         }
@@ -319,6 +320,9 @@
         }
         run.load = row.load;
         let resend_stop = run.stage == RunStage::StopAccepted && run.stage_since < sent;
+        if confirmed {
+            self.mark_started(row.task.step.job);
+        }
         self.record_checkpoint(row.task, &row.checkpoint);
         if resend_stop {
             self.stop_run(id, row.task, now);
--- a/src/fleet/cell_run_ends.rs
+++ b/src/fleet/cell_run_ends.rs
@@ -88,6 +88,7 @@
                 ),
             );
         }
+        self.mark_started(row.task.step.job);
         self.record_checkpoint(row.task, &row.checkpoint);
         match row.end {
             RunEnd::Done => {
--- a/src/fleet/cell_runs.rs
+++ b/src/fleet/cell_runs.rs
@@ -7,8 +7,8 @@
     crate::{
         core::{CallId, Millis},
         fleet::{
-            Cell, CellEffect, CommandError, ExecutorCommand, ExecutorId, FleetEvent, Now, Run,
-            RunLoss, RunNumber, RunStage, StartCommand, StepSpec, TaskId,
+            Cell, CellEffect, CommandError, ExecutorCommand, ExecutorId, FleetEvent, JobId, Now,
+            Run, RunLoss, RunNumber, RunStage, StartCommand, StepSpec, TaskId,
         },
     },
     std::sync::Arc,
@@ -69,7 +69,9 @@
             run.measured_estimate_ms = spec.estimate_ms;
         }
         let job = self.jobs.get(&task.step.job);
-        let wait_ms = job.filter(|j| !j.started).map(|j| now.mono - j.received_at);
+        let wait_ms = job
+            .filter(|j| !j.start_sent)
+            .map(|j| now.mono - j.received_at);
         let waited = wait_ms.map_or_else(String::new, |ms| format!(" waited_ms={ms}"));
         let blocked = job.and_then(|j| j.blocked);
         let blocked = blocked.map_or_else(String::new, |b| format!(" blocked={b:?}"));
@@ -88,7 +90,7 @@
 
     /// Records a run on its executor and its task, and in the usage of its tenant.
     fn record_run(&mut self, id: &ExecutorId, task: TaskId, run: Run) {
-        let number = run.number;
+        let (number, stage) = (run.number, run.stage);
         self.update_tenant_usage(task.step.job, &run.need, true);
         if let Some(executor) = self.executors.get_mut(id) {
             executor.add_run(task, run);
@@ -96,7 +98,8 @@
         let Some(job) = self.jobs.get_mut(&task.step.job) else {
             return;
         };
-        job.started = true;
+        job.start_sent = true;
+        job.started |= stage == RunStage::Confirmed;
         let key = (task.step.occurrence, task.step.step);
         let step = job.steps.get_mut(&key);
         if let Some(t) = step.and_then(|s| s.tasks.get_mut(task_index(&task))) {
@@ -105,6 +108,13 @@
         }
     }
 
+    /// Records that an executor confirmed the start of a task of a job, or its end.
+    pub(super) fn mark_started(&mut self, job: JobId) {
+        if let Some(job) = self.jobs.get_mut(&job) {
+            job.started = true;
+        }
+    }
+
     /// Sends the start command of a run, or sends it again; nothing while the executor's clock is
     /// unknown, since the lease end is a time on that clock.
     fn send_start(&mut self, id: &ExecutorId, task: TaskId, now: Now) {
@@ -194,6 +204,7 @@
             (RunStage::StartSent, Ok(()) | Err(CommandError::OldRun)) => {
                 run.stage = RunStage::Confirmed;
                 run.stage_since = now.mono;
+                self.mark_started(task.step.job);
             }
             (RunStage::StopSent, Ok(())) => {
                 run.stage = RunStage::StopAccepted;
--- a/src/fleet/job.rs
+++ b/src/fleet/job.rs
@@ -130,7 +130,9 @@
     /// Estimated time from the start of each step to the end of the last step that depends on it,
     /// in ms.
     remaining_ms: Vec<Millis>,
-    /// Whether any task was ever started, or has stored progress.
+    /// Whether the start of any task was sent.
+    pub start_sent: bool,
+    /// Whether any task has started as far as executors confirmed, or has stored progress.
     pub started: bool,
     /// Taken over from an earlier owner, which may have started tasks of it.
     pub recovered: bool,
@@ -158,6 +160,7 @@
             received_at: 0,
             due: 0,
             remaining_ms,
+            start_sent: progress.is_some(),
             started: progress.is_some(),
             recovered: false,
             over_rate: false,
--- a/tests/cell.rs
+++ b/tests/cell.rs
@@ -99,6 +99,25 @@
     assert_eq!(done.count(), 3);
 }
 
+/// Guards against reporting a job as started whose start command got no reply.
+#[test]
+fn a_job_whose_start_was_not_confirmed_counts_as_waiting() {
+    let mut world = world(1, 1);
+    set_unreachable(&mut world, true);
+    world.submit(job(1, "urgent", vec![step(1, 1_000, 300)]));
+    world.run(200);
+    assert_eq!(world.cell.count_waiting("urgent"), 1);
+    assert_eq!(world.job_status(JobId(1)), Some(JobStatus::Pending));
+    set_unreachable(&mut world, false);
+    world.run(500);
+    assert_eq!(world.cell.count_waiting("urgent"), 0);
+}
+
+fn set_unreachable(world: &mut CellWorld, unreachable: bool) {
+    let executors = world.executors.values_mut();
+    executors.for_each(|e| e.unreachable = unreachable);
+}
+
 /// Guards against exceeding a tenant's cap after a takeover: an executor of another pool does not
 /// reply to the new owner, but still runs the tenant's tasks.
 #[test]
