--- /dev/null
+++ b/tests/review.rs
@@ -0,0 +1,394 @@
+//! Scratch tests of a review of takeovers; each fails where an absence counts as knowledge.
+
+use {
+    dragonflyferry::{
+        core::{CallId, Millis, Resources},
+        fleet::{
+            Cell, CellEffect, CellEvent, CommandError, CommandReply, EndedRow, ExecutorCommand,
+            ExecutorId, ExecutorInfo, FleetConfig, JobId, JobRecord, Now, RecoveredState,
+            RenewCommand, RenewReply, RosterEntry, RunEnd, RunningRow, Schedule, StartCommand,
+            StepId, Submission, TaskId, TenantRule,
+        },
+    },
+    standins::{
+        CellWorld,
+        cell_sample::{capacity, config, job, need, step, world, world_with_config},
+        cell_world::BOUNDS,
+    },
+    std::{collections::HashMap, sync::Arc},
+};
+
+const UNIX: Millis = 1_700_000_000_000;
+
+/// A cell without a simulated platform: the test gives each reply.
+struct Bare {
+    cell: Cell,
+    now: Now,
+    effects: Vec<CellEffect>,
+}
+
+impl Bare {
+    fn new(token: u64, recovered: RecoveredState, now: Now) -> Self {
+        Self {
+            cell: Cell::new(token, BOUNDS, Arc::new(config()), recovered, now),
+            now,
+            effects: Vec::new(),
+        }
+    }
+
+    fn step(&mut self, event: CellEvent) {
+        self.cell.step(event, self.now);
+        self.cell.plan(self.now);
+        self.effects.extend(self.cell.take_effects());
+    }
+
+    fn advance(&mut self, ms: Millis) {
+        for _ in 0..ms {
+            self.now.mono += 1;
+            self.now.unix += 1;
+            self.cell.plan(self.now);
+            if self.now.mono.is_multiple_of(100) {
+                self.cell.step(CellEvent::Tick, self.now);
+                self.cell.plan(self.now);
+            }
+            self.effects.extend(self.cell.take_effects());
+        }
+    }
+
+    /// Confirms all commits sent so far.
+    fn commit(&mut self) {
+        let calls: Vec<CallId> = self
+            .effects
+            .extract_if(.., |e| matches!(e, CellEffect::Commit { .. }))
+            .filter_map(|e| match e {
+                CellEffect::Commit { call, .. } => Some(call),
+                _ => None,
+            })
+            .collect();
+        for call in calls {
+            self.step(CellEvent::CommitResult { call, ok: true });
+        }
+    }
+
+    /// Takes the latest command of a kind to an executor.
+    fn take<T>(
+        &mut self,
+        id: &str,
+        pick: impl Fn(&ExecutorCommand) -> Option<T>,
+    ) -> Option<(CallId, Arc<str>, T)> {
+        let found = self.effects.iter().rposition(|e| {
+            matches!(e, CellEffect::Command { executor, command, .. }
+                if **executor == *id && pick(command).is_some())
+        })?;
+        match self.effects.remove(found) {
+            CellEffect::Command {
+                call,
+                address,
+                command,
+                ..
+            } => Some((call, address, pick(&command)?)),
+            _ => None,
+        }
+    }
+
+    fn take_renewal(&mut self, id: &str) -> Option<(CallId, Arc<str>, RenewCommand)> {
+        self.take(id, |c| match c {
+            ExecutorCommand::Renew(r) => Some(r.clone()),
+            _ => None,
+        })
+    }
+
+    fn take_start(&mut self, id: &str) -> Option<(CallId, Arc<str>, StartCommand)> {
+        self.take(id, |c| match c {
+            ExecutorCommand::Start(s) => Some(s.clone()),
+            _ => None,
+        })
+    }
+
+    fn reply(&mut self, id: &str, call: CallId, result: Result<CommandReply, CommandError>) {
+        self.step(CellEvent::CommandResult {
+            call,
+            executor: Arc::from(id),
+            result,
+        });
+    }
+
+    fn renewed(&mut self, id: &str, call: CallId, reply: RenewReply) {
+        self.reply(id, call, Ok(CommandReply::Renewed(reply)));
+    }
+
+    /// Opens an executor and lets it into the roster.
+    fn open(&mut self, id: &str, address: &str) {
+        self.step(CellEvent::Listed(info(id, address, 1)));
+        let (call, ..) = self.take_renewal(id).expect("first renewal");
+        self.renewed(id, call, lists(1, 1_000, vec![], vec![]));
+        self.advance(60);
+        self.commit();
+    }
+
+    fn log(&self) -> Vec<String> {
+        let lines = self.effects.iter().filter_map(|e| match e {
+            CellEffect::Log { event, detail } => Some(format!("{event:?} {detail}")),
+            _ => None,
+        });
+        lines.collect()
+    }
+}
+
+fn info(id: &str, address: &str, born: u64) -> ExecutorInfo {
+    ExecutorInfo {
+        id: Arc::from(id),
+        pool: Arc::from("pool"),
+        address: Arc::from(address),
+        zone: Arc::from("a"),
+        labels: vec![Arc::from("k"), Arc::from("r0")],
+        capacity: capacity(),
+        draining: false,
+        started_unix_ms: Some(born),
+    }
+}
+
+fn lists(
+    born: u64,
+    clock_ms: Millis,
+    running: Vec<RunningRow>,
+    ended: Vec<EndedRow>,
+) -> RenewReply {
+    RenewReply {
+        clock_ms,
+        started_unix_ms: Some(born),
+        running,
+        ended,
+    }
+}
+
+fn task(job: u64) -> TaskId {
+    TaskId {
+        step: StepId {
+            job: JobId(job),
+            occurrence: 0,
+            step: 0,
+        },
+        index: 0,
+    }
+}
+
+fn entry(id: &str, address: &str) -> RosterEntry {
+    RosterEntry {
+        id: Arc::from(id),
+        address: Arc::from(address),
+        pool: Arc::from("pool"),
+    }
+}
+
+fn host(world: &CellWorld, id: u64) -> ExecutorId {
+    let runs_job = |t: &TaskId| t.step.job == JobId(id);
+    let mut executors = world.executors.values();
+    let host = executors.find(|e| e.running.keys().any(runs_job));
+    host.map(|e| e.info.id.clone()).expect("a run of the job")
+}
+
+fn assert_sound(world: &CellWorld) {
+    let from = world.log.len().saturating_sub(40);
+    assert_eq!(
+        world.violations,
+        Vec::<String>::new(),
+        "{:#?}",
+        &world.log[from..]
+    );
+}
+
+/// Guards against dropping the end of an occurrence that is not due yet by this owner's time of
+/// day: the earlier owner's clock was ahead.
+#[test]
+fn an_end_of_an_occurrence_that_is_not_due_here_is_not_lost() {
+    let mut submission = job(1, "urgent", vec![step(1, 1_000, 100)]);
+    submission.spec.schedule = Some(Schedule {
+        start_unix_ms: UNIX + 2_000,
+        interval_ms: 60_000,
+        count: 1,
+    });
+    let recovered = RecoveredState {
+        jobs: vec![(JobId(1), JobRecord::Open(submission), None)],
+        cancelled: vec![],
+        roster: vec![entry("e0", "a:1")],
+    };
+    let now = Now {
+        mono: 50_000,
+        unix: UNIX,
+    };
+    let mut owner = Bare::new(2, recovered, now);
+    owner.step(CellEvent::Listed(info("e0", "a:1", 1)));
+    let (call, ..) = owner.take_renewal("e0").expect("renewal");
+    let end = EndedRow {
+        seq: 1,
+        task: task(1),
+        run: 7,
+        end: RunEnd::Done,
+        checkpoint: Arc::from(""),
+    };
+    owner.renewed("e0", call, lists(1, 9_000, vec![], vec![end]));
+    owner.advance(300);
+    owner.commit();
+    let (call, _, renewal) = owner.take_renewal("e0").expect("renewal");
+    let acknowledged = renewal.ack_cursor;
+    owner.renewed("e0", call, lists(1, 9_300, vec![], vec![]));
+    owner.advance(2_000);
+    let again = owner.take_start("e0");
+    assert!(
+        again.is_none(),
+        "end 1 acknowledged up to {acknowledged}, started again: {again:?}\n{:#?}",
+        owner.log()
+    );
+}
+
+/// Guards against taking a late refusal from an executor's earlier address for its end.
+#[test]
+fn a_late_reply_from_an_earlier_address_ends_no_run() {
+    let now = Now {
+        mono: 1_000,
+        unix: UNIX,
+    };
+    let mut owner = Bare::new(1, RecoveredState::default(), now);
+    owner.open("e0", "a:1");
+    // The renewal to the old address stays without a reply.
+    let (late, address, _) = owner.take_renewal("e0").expect("renewal");
+    assert_eq!(&*address, "a:1");
+    owner.step(CellEvent::Listed(info("e0", "b:1", 2)));
+    owner.advance(60);
+    owner.commit();
+    let submission = job(1, "urgent", vec![step(1, 1_000, 60_000)]);
+    owner.step(CellEvent::Submitted(Box::new(submission)));
+    owner.advance(60);
+    let (call, address, start) = owner.take_start("e0").expect("start");
+    assert_eq!(&*address, "b:1");
+    owner.reply("e0", call, Ok(CommandReply::Accepted));
+    owner.open("e1", "c:1");
+    // Another executor has the old address now.
+    owner.reply("e0", late, Err(CommandError::OtherLife));
+    owner.advance(200);
+    let again = owner.take_start("e1");
+    assert!(
+        again.is_none(),
+        "run {} goes on at b:1, started again: {again:?}\n{:#?}",
+        start.run,
+        owner.log()
+    );
+}
+
+/// Guards against lists of a new incarnation that were made before it confirmed a start: replies
+/// on different channels may overtake each other.
+#[test]
+fn a_run_that_the_new_incarnation_confirmed_is_not_lost() {
+    let now = Now {
+        mono: 1_000,
+        unix: UNIX,
+    };
+    let mut owner = Bare::new(1, RecoveredState::default(), now);
+    owner.open("e0", "a:1");
+    // It restarts; this renewal reaches the new incarnation, which lists nothing.
+    let (renewal, ..) = owner.take_renewal("e0").expect("renewal");
+    let submission = job(1, "urgent", vec![step(1, 1_000, 60_000)]);
+    owner.step(CellEvent::Submitted(Box::new(submission)));
+    owner.advance(60);
+    let (call, _, start) = owner.take_start("e0").expect("start");
+    owner.reply("e0", call, Ok(CommandReply::Accepted));
+    owner.open("e1", "c:1");
+    owner.renewed("e0", renewal, lists(2, 5, vec![], vec![]));
+    owner.advance(200);
+    let again = owner.take_start("e1").or_else(|| owner.take_start("e0"));
+    assert!(
+        again.is_none(),
+        "run {} goes on at e0, started again: {again:?}\n{:#?}",
+        start.run,
+        owner.log()
+    );
+}
+
+/// Guards against counting an executor as read, whose leases this owner renews, when the leases of
+/// earlier owners have expired.
+#[test]
+fn unread_ends_of_a_renewed_executor_are_waited_for() {
+    let mut world = world(1, 2);
+    world.store_up = false;
+    let mut small = step(600, 10, 500);
+    small.need = Resources {
+        memory_mib: 1,
+        ..need(10)
+    };
+    world.submit(job(1, "urgent", vec![small]));
+    world.run(300);
+    let executors: Vec<ExecutorId> = world.executors.keys().cloned().collect();
+    for executor in &executors {
+        world.cut.insert((1, executor.clone()));
+    }
+    world.run(500);
+    world.replace_owner();
+    world.run(9_000);
+    world.store_up = true;
+    world.run(2_000);
+    let gave_up = world.log.iter().find(|l| l.contains("leases of earlier owners"));
+    let again = world.log.iter().filter(|l| l.contains("began") && l.contains("run 1048577"));
+    assert_eq!(again.count(), 0, "tasks started again after {gave_up:?}");
+    assert_sound(&world);
+}
+
+/// Guards against counting an executor's runs as nothing because its capacity is not known.
+#[test]
+fn runs_on_an_unlisted_executor_count_towards_the_cap() {
+    let tenant: Arc<str> = Arc::from("t");
+    let rule = TenantRule {
+        weight: 100,
+        cap: Resources {
+            cpu_milli: 8_000,
+            ..Resources::default()
+        },
+    };
+    let config = FleetConfig {
+        tenants: HashMap::from([(tenant.clone(), rule)]),
+        ..config()
+    };
+    let of_tenant = |id: u64| -> Submission {
+        let mut submission = job(id, "urgent", vec![step(8, 1_000, 60_000)]);
+        submission.tenant = Some(tenant.clone());
+        submission
+    };
+    let mut world = world_with_config(1, 3, config);
+    world.submit(of_tenant(1));
+    world.run(200);
+    let host = host(&world, 1);
+    // It has left the list; the earlier owner still renews its lease.
+    world.set_listed(&host, false);
+    world.run(500);
+    world.cut.insert((2, host));
+    world.replace_owner();
+    world.run(2_500);
+    world.submit(of_tenant(2));
+    world.run(8_000);
+    assert_sound(&world);
+}
+
+/// Guards against a wait that begins again with each change of owner.
+#[test]
+fn work_starts_although_owners_change_every_five_seconds() {
+    let mut world = world(1, 4);
+    world.submit(job(1, "urgent", vec![step(1, 1_000, 60_000)]));
+    world.run(200);
+    let host = host(&world, 1);
+    let executor = world.executors.get_mut(&host).expect("executor");
+    executor.restart(200);
+    executor.unreachable = true;
+    executor.listed = false;
+    let crashed_at = world.now;
+    for _ in 0..12 {
+        world.replace_owner();
+        world.run(5_000);
+    }
+    let runs = world.executors.values().flat_map(|e| e.running.keys());
+    assert_eq!(
+        runs.count(),
+        1,
+        "no start in the {} ms since the crash of {host}",
+        world.now - crashed_at
+    );
+}
