--- a/tests/review.rs
+++ b/tests/review.rs
@@ -392,3 +392,45 @@
         world.now - crashed_at
     );
 }
+
+/// Guards against tokens that fall when an executor that had restarted is forgotten and comes back.
+#[test]
+fn an_executor_that_was_forgotten_does_not_depose_the_owner() {
+    let mut world = world(1, 2);
+    let now = world.now;
+    world.executors.get_mut("e0").expect("executor").restart(now);
+    world.run(2_000);
+    world.executors.get_mut("e0").expect("executor").unreachable = true;
+    world.set_listed("e0", false);
+    world.run(9_000);
+    assert!(!world.cell.executors.contains_key("e0"));
+    world.executors.get_mut("e0").expect("executor").unreachable = false;
+    world.set_listed("e0", true);
+    world.run(2_000);
+    assert_sound(&world);
+}
+
+/// Guards against keeping an executor for ever that left for good while its list of ends was cut.
+#[test]
+fn an_executor_that_left_with_unread_ends_is_forgotten() {
+    let mut world = world(1, 2);
+    world.store_up = false;
+    let mut small = step(600, 10, 500);
+    small.need = Resources {
+        memory_mib: 1,
+        ..need(10)
+    };
+    world.submit(job(1, "urgent", vec![small]));
+    world.run(200);
+    let host = host(&world, 1);
+    world.run(1_000);
+    world.executors.get_mut(&host).expect("executor").unreachable = true;
+    world.set_listed(&host, false);
+    world.store_up = true;
+    world.run(60_000);
+    assert!(
+        !world.cell.executors.contains_key(&host),
+        "{host} is still in the roster, has_unread_ends={}",
+        world.cell.executors[&host].has_unread_ends
+    );
+}
