--- a/tests/review.rs
+++ b/tests/review.rs
@@ -434,3 +434,52 @@
         world.cell.executors[&host].has_unread_ends
     );
 }
+
+/// Guards against an earlier owner that counts only its own leases while the new one renews.
+#[test]
+fn an_earlier_owner_does_not_restart_a_run_that_the_new_one_renews() {
+    let mut world = world(1, 3);
+    world.submit(job(1, "urgent", vec![step(1, 1_000, 60_000)]));
+    world.run(2_800);
+    let host = host(&world, 1);
+    // Renewals reach the host, but their replies are lost.
+    world.faults.lost_replies = 1_000;
+    world.run(1_500);
+    world.faults.lost_replies = 0;
+    world.cut.insert((1, host.clone()));
+    world.run(4_900);
+    // The new owner reaches only the host, the earlier one all but the host.
+    for other in world.executors.keys().filter(|e| **e != host) {
+        world.cut.insert((2, other.clone()));
+    }
+    world.add_owner();
+    world.run(1_800);
+    world.stop_former_owners();
+    world.run(8_000);
+    assert_sound(&world);
+}
+
+/// Guards against an earlier owner that takes a restart for the loss of a run whose end the new
+/// owner has read.
+#[test]
+fn an_earlier_owner_does_not_restart_a_run_whose_end_the_new_one_read() {
+    let mut world = world(1, 3);
+    world.submit(job(1, "urgent", vec![step(1, 1_000, 400)]));
+    world.run(200);
+    let host = host(&world, 1);
+    for other in world.executors.keys().filter(|e| **e != host) {
+        world.cut.insert((2, other.clone()));
+    }
+    world.cut.insert((1, host.clone()));
+    world.add_owner();
+    world.run(220);
+    // The new owner has read and acknowledged the end.
+    let now = world.now;
+    world.executors.get_mut(&host).expect("executor").restart(now);
+    world.cut.remove(&(1, host.clone()));
+    world.cut.insert((2, host.clone()));
+    world.run(1_580);
+    world.stop_former_owners();
+    world.run(8_000);
+    assert_sound(&world);
+}
