--- a/tests/review.rs
+++ b/tests/succession.rs
@@ -1,4 +1,4 @@
-//! Scratch tests of a review of takeovers; each fails where an absence counts as knowledge.
+//! Tests of what an owner concludes from late replies, restarts and leases around a change of owner.
 
 use {
     dragonflyferry::{
@@ -327,8 +327,14 @@
     world.run(9_000);
     world.store_up = true;
     world.run(2_000);
-    let gave_up = world.log.iter().find(|l| l.contains("leases of earlier owners"));
-    let again = world.log.iter().filter(|l| l.contains("began") && l.contains("run 1048577"));
+    let gave_up = world
+        .log
+        .iter()
+        .find(|l| l.contains("leases of earlier owners"));
+    let again = world
+        .log
+        .iter()
+        .filter(|l| l.contains("began") && l.contains("run 1048577"));
     assert_eq!(again.count(), 0, "tasks started again after {gave_up:?}");
     assert_sound(&world);
 }
@@ -398,7 +404,11 @@
 fn an_executor_that_was_forgotten_does_not_depose_the_owner() {
     let mut world = world(1, 2);
     let now = world.now;
-    world.executors.get_mut("e0").expect("executor").restart(now);
+    world
+        .executors
+        .get_mut("e0")
+        .expect("executor")
+        .restart(now);
     world.run(2_000);
     world.executors.get_mut("e0").expect("executor").unreachable = true;
     world.set_listed("e0", false);
@@ -424,7 +434,11 @@
     world.run(200);
     let host = host(&world, 1);
     world.run(1_000);
-    world.executors.get_mut(&host).expect("executor").unreachable = true;
+    world
+        .executors
+        .get_mut(&host)
+        .expect("executor")
+        .unreachable = true;
     world.set_listed(&host, false);
     world.store_up = true;
     world.run(60_000);
@@ -475,7 +489,11 @@
     world.run(220);
     // The new owner has read and acknowledged the end.
     let now = world.now;
-    world.executors.get_mut(&host).expect("executor").restart(now);
+    world
+        .executors
+        .get_mut(&host)
+        .expect("executor")
+        .restart(now);
     world.cut.remove(&(1, host.clone()));
     world.cut.insert((2, host.clone()));
     world.run(1_580);
