Keep the count of an executor's restarts when it is removed

What callers saw: a needless change of owner; found in the review of the incident's fixes.

Cause: the token of commands rises with each restart that the owner sees of an executor. One that was removed and came back was counted from 0, so its first renewal was refused as that of an earlier owner, and the only owner stepped down.

tests/succession.rs: an_executor_that_was_forgotten_does_not_depose_the_owner failed before.

--- a/src/fleet/cell.rs
+++ b/src/fleet/cell.rs
@@ -76,6 +76,8 @@
     pub bounds: CellBounds,
     pub config: Arc<FleetConfig>,
     pub executors: BTreeMap<ExecutorId, Executor>,
+    /// Restarts seen of executors that were removed, so that the tokens of commands never fall.
+    pub(super) removed_incarnations: HashMap<ExecutorId, u64>,
     pub jobs: BTreeMap<JobId, Job>,
     /// Durable ends, to answer callers, and when each was recorded here.
     pub ended_jobs: HashMap<JobId, (JobEnd, Millis)>,
@@ -136,6 +138,7 @@
             bounds,
             config,
             executors: BTreeMap::new(),
+            removed_incarnations: HashMap::new(),
             jobs: BTreeMap::new(),
             ended_jobs: HashMap::new(),
             pending_cancels: HashMap::new(),
--- a/src/fleet/cell_executors.rs
+++ b/src/fleet/cell_executors.rs
@@ -71,7 +71,8 @@
             known.info = Arc::new(info);
             return;
         }
-        let executor = Executor::new(info, true, now.mono);
+        let mut executor = Executor::new(info, true, now.mono);
+        executor.incarnations = self.removed_incarnations.remove(&id).unwrap_or(0);
         self.executors.insert(id, executor);
         self.commit_queue.roster_dirty = true;
     }
@@ -513,6 +514,10 @@
                 let unacked = executor.unacked.len();
                 let detail = format!("executor={id} unacked={unacked}");
                 self.log(FleetEvent::ExecutorRemoved, detail);
+                if executor.incarnations > 0 {
+                    let restarts = executor.incarnations;
+                    self.removed_incarnations.insert(id, restarts);
+                }
             }
             self.commit_queue.roster_dirty = true;
         }
