A refusal from an executor's earlier address does not end its runs

Cause: the reply that another incarnation answers at an address ended all runs of the executor, also where the command had been sent to an address that the executor no longer has.

Only a command that was sent after the address was set counts.

--- a/src/fleet/cell_executors.rs
+++ b/src/fleet/cell_executors.rs
@@ -65,7 +65,10 @@
                 // Renews at once: the reply lists what the new incarnation runs.
                 known.next_renewal_at = now.mono;
             }
-            self.commit_queue.roster_dirty |= known.info.address != info.address;
+            if known.info.address != info.address {
+                known.address_since = now.mono;
+                self.commit_queue.roster_dirty = true;
+            }
             known.listed = true;
             known.missing_since = None;
             known.info = Arc::new(info);
@@ -181,10 +184,11 @@
                 self.effects.push(CellEffect::StepDown);
                 return;
             }
-            // May be a command to the previous incarnation, which carried a lower token. The
-            // next renewal shows whether there is a newer owner.
+            // May be a command to the previous incarnation, which carried a lower token. The next
+            // renewal shows whether there is a newer owner.
             Err(CommandError::Fenced) => executor.next_renewal_at = now.mono,
-            Err(CommandError::OtherLife) => {
+            // A command to the previous address says nothing of the executor.
+            Err(CommandError::OtherLife) if executor.sent_to_current_address(call) => {
                 self.on_other_incarnation(id, now);
                 return;
             }
--- a/src/fleet/executor.rs
+++ b/src/fleet/executor.rs
@@ -108,6 +108,8 @@
 #[derive(Debug)]
 pub struct Executor {
     pub info: Arc<ExecutorInfo>,
+    /// When its address was last set; replies to earlier commands are of the previous address.
+    pub address_since: Millis,
     /// Whether the platform's list names it.
     pub listed: bool,
     /// Since when a full list, read after a gap in the watch, has not named it.
@@ -157,6 +159,7 @@
     pub fn new(info: ExecutorInfo, listed: bool, now: Millis) -> Self {
         Self {
             info: Arc::new(info),
+            address_since: now,
             listed,
             missing_since: None,
             session: Session::Opening,
@@ -196,6 +199,16 @@
         !self.runs.is_empty() || !self.unknown_runs.is_empty()
     }
 
+    /// Returns whether a command in flight was sent after the address was last set; false if it is
+    /// not known when it was sent.
+    pub fn sent_to_current_address(&self, call: CallId) -> bool {
+        let renewal = self.pending_renewal.filter(|(c, _)| *c == call);
+        let run = self.runs.values().find(|r| r.call == Some(call));
+        let sent = renewal.map(|(_, sent)| sent);
+        let sent = sent.or_else(|| run.map(|r| r.stage_since));
+        sent.is_some_and(|at| at >= self.address_since)
+    }
+
     /// Returns whether the session is open and the last renewal succeeded.
     pub fn is_responsive(&self) -> bool {
         self.session == Session::Open && self.failed_calls == 0
