--- a/tests/review.rs
+++ b/tests/review.rs
@@ -483,3 +483,34 @@
     world.run(8_000);
     assert_sound(&world);
 }
+
+/// Guards against repeating a start at an address that the stored roster does not name yet.
+#[test]
+fn a_start_is_not_repeated_at_an_address_that_no_roster_names() {
+    let now = Now {
+        mono: 1_000,
+        unix: UNIX,
+    };
+    let mut owner = Bare::new(1, RecoveredState::default(), now);
+    owner.open("e0", "a:1");
+    let submission = job(1, "urgent", vec![step(1, 1_000, 60_000)]);
+    owner.step(CellEvent::Submitted(Box::new(submission)));
+    owner.advance(60);
+    let (call, address, _) = owner.take_start("e0").expect("start");
+    assert_eq!(&*address, "a:1");
+    let (renewal, ..) = owner.take_renewal("e0").expect("renewal");
+    owner.reply("e0", renewal, Err(CommandError::Unknown));
+    owner.reply("e0", call, Err(CommandError::Unknown));
+    // It restarts at another address; no commit succeeds from now on.
+    owner.step(CellEvent::Listed(info("e0", "b:1", 2)));
+    owner.advance(400);
+    let (renewal, address, _) = owner.take_renewal("e0").expect("renewal");
+    assert_eq!(&*address, "b:1");
+    owner.renewed("e0", renewal, lists(2, 5, vec![], vec![]));
+    owner.advance(400);
+    let repeated = owner.take_start("e0");
+    assert!(
+        repeated.is_none(),
+        "the store names e0 at a:1 only: {repeated:?}"
+    );
+}
