Lists of a new incarnation say nothing of a run that was confirmed after they were requested

What callers saw: found in the review of the incident's fixes; a task could run twice after an executor had restarted.

Cause: the first lists of a new incarnation ended all confirmed runs that they did not name, also one that the new incarnation had confirmed after the request was sent: replies may overtake each other.

Such a run stays until lists that were requested later do not name it.

tests/succession.rs: a_run_that_the_new_incarnation_confirmed_is_not_lost failed before.

--- a/src/fleet/cell_executors.rs
+++ b/src/fleet/cell_executors.rs
@@ -247,7 +247,7 @@
         if restarted {
             self.on_restart(
                 id,
-                |task, run| ended_with_incarnation(task, run, reply),
+                |task, run| run.stage_since < sent && ended_with_incarnation(task, run, reply),
                 now,
             );
         }
