Start tasks only while no other node can own the cell

Cause: an owner that could not renew its store lease went on starting tasks for 1.8 s after another node could have claimed. In that time it took runs for lost that the new owner renewed or whose ends the new owner had read: its own leases had expired, or their executor had restarted and knew no fencing token.

An owner now starts tasks only until the TTL of its store lease, as the store granted it, has passed since it sent the last successful renewal; for 1.8 s longer it only renews the leases of runs. A new owner knows therefore that no earlier owner has started a job that was stored after its claim: such jobs start at once, and the second read of the list of jobs is gone.

--- a/src/entry/clock.rs
+++ b/src/entry/clock.rs
@@ -4,7 +4,7 @@
 use {
     crate::{core::Millis, fleet::Now},
     rustix::time::{ClockId, clock_gettime},
-    std::time::{Duration, SystemTime, UNIX_EPOCH},
+    std::time::{SystemTime, UNIX_EPOCH},
 };
 
 /// Returns the time since boot, suspended time included, in ms.
@@ -21,11 +21,6 @@
     since.map_or(0, |d| u64::try_from(d.as_millis()).unwrap_or(u64::MAX))
 }
 
-/// Converts a duration to whole ms.
-pub fn millis(duration: Duration) -> Millis {
-    u64::try_from(duration.as_millis()).unwrap_or(u64::MAX)
-}
-
 /// Returns the time of both clocks.
 pub fn now() -> Now {
     Now {
--- a/src/entry/membership.rs
+++ b/src/entry/membership.rs
@@ -9,7 +9,7 @@
             OwnerInput, Shared, StoreLease, claim_rank, clock, owner, owner::OwnershipClaim,
             should_step_down, store_keys as keys,
         },
-        fleet::{EpochRecord, FleetEvent, NodeRecord, OwnerRecord},
+        fleet::{EpochRecord, FleetEvent, NodeRecord, OwnerRecord, policy::OwnershipProof},
         platform::{StoreChange, StoreError, StoreItem, Transaction},
     },
     std::{collections::BTreeMap, sync::Arc, time::Duration},
@@ -61,18 +61,15 @@
             tokio::time::sleep(RETRY_INTERVAL).await;
             continue;
         };
-        let mut confirmed_at = lease.confirmed_at;
+        let mut proof = lease.proof;
         shared.store_lease.send_replace(Some(lease));
-        while clock::mono() < confirmed_at + MAX_LEASE_AGE_MS {
+        while clock::mono() < proof.sent_at + MAX_LEASE_AGE_MS {
             tokio::time::sleep(RENEW_INTERVAL).await;
             let sent_at = clock::mono();
             match shared.renew(lease.id, STORE_TIMEOUT).await {
                 Ok(()) => {
-                    confirmed_at = sent_at;
-                    let renewed = StoreLease {
-                        confirmed_at,
-                        ..lease
-                    };
+                    proof.sent_at = sent_at;
+                    let renewed = StoreLease { proof, ..lease };
                     shared.store_lease.send_replace(Some(renewed));
                 }
                 Err(StoreError::LeaseNotFound) => break,
@@ -83,17 +80,13 @@
     }
 }
 
-/// Returns the TTL of the store lease of a node, which also bounds how soon another node can claim
-/// the cell.
-pub(super) fn lease_ttl(shared: &Shared) -> Duration {
-    let min_ttl = Duration::from_millis(shared.settings.bounds.min_store_lease_ms);
-    LEASE_TTL.max(min_ttl)
-}
-
 /// Creates a lease and the node's key under it; returns the lease.
 async fn register(shared: &Shared) -> Option<StoreLease> {
-    let confirmed_at = clock::mono();
-    let id = shared.grant(lease_ttl(shared), STORE_TIMEOUT).await.ok()?;
+    let min_ttl = Duration::from_millis(shared.settings.bounds.min_store_lease_ms);
+    let sent_at = clock::mono();
+    let granted = shared.grant(LEASE_TTL.max(min_ttl), STORE_TIMEOUT).await;
+    let (id, ttl_ms) = granted.ok()?;
+    let proof = OwnershipProof { sent_at, ttl_ms };
     let record = NodeRecord {
         node: shared.node.clone(),
         address: Arc::from(shared.settings.peer_address.to_string()),
@@ -105,7 +98,7 @@
         ..Transaction::default()
     };
     shared.commit(&txn, STORE_TIMEOUT).await.ok()?;
-    Some(StoreLease { id, confirmed_at })
+    Some(StoreLease { id, proof })
 }
 
 /// Watches the keys of nodes and owner, and publishes both to the node's shared state.
--- a/src/entry/owner.rs
+++ b/src/entry/owner.rs
@@ -7,11 +7,11 @@
         core::{CallId, Millis},
         entry::{
             CellQuery, Commit, PeerMessage, Shared, advice, clock, committer, event_log::Latency,
-            membership, owner_watch, takeover,
+            owner_watch, takeover,
         },
         fleet::{
             AdvisedExecutor, Cell, CellBounds, CellEffect, CellEvent, EpochRecord, ExecutorCommand,
-            ExecutorId, FleetEvent, JobId, Now, Submission, policy,
+            ExecutorId, FleetEvent, JobId, Now, Submission, policy::OwnershipProof,
         },
         platform::StoreError,
     },
@@ -83,8 +83,8 @@
     peers: HashMap<Arc<str>, mpsc::Sender<PeerMessage>>,
     /// Store lease of the claim.
     lease: u64,
-    /// Whether commands were sent at the last round.
-    confirmed: bool,
+    /// Whether no other node could own the cell at the last check.
+    sole_owner: bool,
     stepped_down: bool,
     tasks: JoinSet<()>,
 }
@@ -106,7 +106,6 @@
         max_lease_ms: shared.settings.bounds.max_lease_ms,
         kill_grace_ms: shared.settings.bounds.kill_grace_ms,
         ended_retention_ms: shared.settings.bounds.ended_retention_ms,
-        store_lease_ms: clock::millis(membership::lease_ttl(&shared)),
     };
     let config = shared.config.borrow().clone().unwrap_or_default();
     let token = claim.epoch.token;
@@ -120,7 +119,7 @@
         commits,
         peers: HashMap::new(),
         lease: claim.lease,
-        confirmed: true,
+        sole_owner: true,
         stepped_down: false,
         tasks: JoinSet::new(),
     };
@@ -169,7 +168,7 @@
         tick.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
         let mut batch = Vec::with_capacity(MAX_BATCH);
         while !self.stepped_down {
-            let due = self.cell.next_round_due().filter(|_| self.confirmed);
+            let due = self.cell.next_round_due().filter(|_| self.sole_owner);
             tokio::select! {
                 count = rx.recv_many(&mut batch, MAX_BATCH) => {
                     if count == 0 { return }
@@ -184,9 +183,10 @@
             // Commands carry lease ends that are computed from the time of this check, so one that
             // is sent late extends nothing.
             let now = clock::now();
-            self.check_ownership(now);
-            if self.confirmed && !self.stepped_down {
-                self.cell.plan(now);
+            match self.check_ownership(now) {
+                Some(proof) if proof.may_renew(now.mono) => self.cell.plan(self.sole_owner, now),
+                Some(_) => {}
+                None => self.stepped_down = true,
             }
             for effect in self.cell.take_effects() {
                 self.execute_effect(effect);
@@ -195,19 +195,19 @@
         }
     }
 
-    /// Checks how long ago the ownership was confirmed. Steps down if the store lease of the claim
-    /// has ended, since the owner key went with it.
-    fn check_ownership(&mut self, now: Now) {
-        let confirmed_at = self.shared.lease_confirmed_at(self.lease);
-        let confirmed = policy::may_send_commands(confirmed_at, now.mono);
-        if confirmed != self.confirmed {
-            self.confirmed = confirmed;
-            let age_ms = confirmed_at.map(|at| now.mono.saturating_sub(at));
-            let detail = format!("age_ms={age_ms:?} sends_commands={confirmed}");
+    /// Returns the last proof of ownership; none once the store lease of the claim has ended, since
+    /// the owner key went with it.
+    fn check_ownership(&mut self, now: Now) -> Option<OwnershipProof> {
+        let proof = self.shared.ownership_proof(self.lease);
+        let sole_owner = proof.is_some_and(|p| p.is_sole_owner(now.mono));
+        if sole_owner != self.sole_owner {
+            self.sole_owner = sole_owner;
+            let age_ms = proof.map(|p| now.mono.saturating_sub(p.sent_at));
+            let detail = format!("age_ms={age_ms:?} starts_tasks={sole_owner}");
             self.shared
                 .log_event(FleetEvent::OwnershipUnconfirmed, &detail);
         }
-        self.stepped_down |= confirmed_at.is_none();
+        proof
     }
 
     fn on_input(&mut self, input: OwnerInput, now: Now) {
@@ -280,10 +280,6 @@
                 let read = owner_watch::read_job(self.shared.clone(), self.tx.clone(), job);
                 self.tasks.spawn(read);
             }
-            CellEffect::ReadJobs => {
-                let read = owner_watch::read_jobs(self.shared.clone(), self.tx.clone());
-                self.tasks.spawn(read);
-            }
             CellEffect::StepDown => self.stepped_down = true,
         }
     }
--- a/src/entry/owner_watch.rs
+++ b/src/entry/owner_watch.rs
@@ -136,12 +136,6 @@
     let _ = tx.send(OwnerInput::Cell(CellEvent::JobRead { job, record }));
 }
 
-/// Passes all accepted jobs and cancellations to the cell, and then whether all were read.
-pub(super) async fn read_jobs(shared: Arc<Shared>, tx: mpsc::UnboundedSender<OwnerInput>) {
-    let ok = read_work(&shared, &tx).await.is_ok();
-    let _ = tx.send(OwnerInput::Cell(CellEvent::JobsRead { ok }));
-}
-
 /// Passes all accepted jobs and cancellations to the cell; returns the revision from which a watch
 /// continues.
 async fn read_work(
--- a/src/entry/shared.rs
+++ b/src/entry/shared.rs
@@ -8,7 +8,7 @@
         entry::{
             EventLog, NodeStatus, OwnerInput, OwnerLink, PeerMessage, another_node_serves, clock,
         },
-        fleet::{FleetConfig, FleetEvent, NodeRecord, OwnerRecord},
+        fleet::{FleetConfig, FleetEvent, NodeRecord, OwnerRecord, policy::OwnershipProof},
         platform::{ExecutorClient, NodeSettings, StoreClient},
     },
     std::sync::{Arc, Mutex, MutexGuard, PoisonError},
@@ -28,9 +28,9 @@
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub struct StoreLease {
     pub id: u64,
-    /// When the last successful call that granted or renewed it was sent, in ms since boot. The
-    /// store counts the TTL from the arrival of that call; its reply may be processed much later.
-    pub confirmed_at: Millis,
+    /// The last successful call that granted or renewed it, in ms since boot. Its reply may have
+    /// been processed much later.
+    pub proof: OwnershipProof,
 }
 
 /// State of one node; one per process, behind an `Arc`.
@@ -132,11 +132,10 @@
         PeerMessage::Health { store_age_ms }
     }
 
-    /// Returns when the last renewal of a lease was sent that succeeded, in ms since boot; none if
-    /// the lease has ended.
-    pub fn lease_confirmed_at(&self, id: u64) -> Option<Millis> {
-        let lease = self.store_lease.borrow();
-        lease.filter(|l| l.id == id).map(|l| l.confirmed_at)
+    /// Returns the last proof that a lease of this node is live; none if it has ended.
+    pub fn ownership_proof(&self, lease: u64) -> Option<OwnershipProof> {
+        let current = self.store_lease.borrow();
+        current.filter(|l| l.id == lease).map(|l| l.proof)
     }
 
     /// Records that a connected node reached the store `store_age_ms` ago.
--- a/src/entry/store_calls.rs
+++ b/src/entry/store_calls.rs
@@ -97,8 +97,8 @@
         self.record_call(StoreCall::Commit, result)
     }
 
-    /// Creates a lease; returns its id.
-    pub async fn grant(&self, ttl: Duration, timeout: Duration) -> Result<u64, StoreError> {
+    /// Creates a lease; returns its id and the TTL that applies, in ms.
+    pub async fn grant(&self, ttl: Duration, timeout: Duration) -> Result<(u64, u64), StoreError> {
         let result = self.store.grant(ttl, timeout).await;
         self.record_call(StoreCall::Grant, result)
     }
--- a/src/fleet/cell.rs
+++ b/src/fleet/cell.rs
@@ -31,8 +31,6 @@
     pub kill_grace_ms: Millis,
     /// Retention of an ended job's state, in ms (platform's `status_s`).
     pub ended_retention_ms: Millis,
-    /// TTL of the store lease to which the key of an owner is tied, in ms.
-    pub store_lease_ms: Millis,
 }
 
 /// Readings of both clocks, taken by the caller for one event or round.
@@ -87,13 +85,6 @@
     pub unreconciled: HashSet<ExecutorId>,
     /// When this owner took over.
     pub took_over_at: Millis,
-    /// When every earlier owner has certainly stopped sending commands.
-    pub previous_owner_stopped_at: Millis,
-    /// Whether all jobs that an earlier owner may have started are known: the list of jobs was read
-    /// after it had stopped, or all its executors were reconciled.
-    pub earlier_jobs_known: bool,
-    /// Whether such a read is in flight.
-    reading_jobs: bool,
     /// Jobs whose record is being read, as an executor named them and they are not known.
     pub(super) job_reads: HashSet<JobId>,
     /// When every lease granted by an earlier owner has expired and its stops have finished.
@@ -131,8 +122,6 @@
         recovered: RecoveredState,
         now: Now,
     ) -> Self {
-        let previous_owner_stopped_at =
-            now.mono + policy::earlier_owner_stops_after(bounds.store_lease_ms);
         let mut cell = Self {
             token,
             bounds,
@@ -144,12 +133,9 @@
             pending_cancels: HashMap::new(),
             unreconciled: HashSet::new(),
             took_over_at: now.mono,
-            previous_owner_stopped_at,
-            earlier_jobs_known: false,
-            reading_jobs: false,
             job_reads: HashSet::new(),
-            previous_leases_expired_at: previous_owner_stopped_at
-                + policy::runs_end_after(bounds.max_lease_ms, bounds.kill_grace_ms),
+            previous_leases_expired_at: now.mono
+                + policy::earlier_runs_end_after(bounds.max_lease_ms, bounds.kill_grace_ms),
             tenant_usage: HashMap::new(),
             rate_buckets: HashMap::new(),
             commit_queue: CommitQueue::default(),
@@ -207,14 +193,10 @@
             CellEvent::Unlisted(id) => self.on_unlisted(&id),
             CellEvent::Relisted(infos) => self.on_relisted(infos, now),
             CellEvent::Submitted(submission) => {
-                let recovered = !self.earlier_jobs_known && !self.unreconciled.is_empty();
-                self.add_job(*submission, None, recovered, now);
+                // Stored after this owner's claim, so no earlier owner has started it.
+                self.add_job(*submission, None, false, now);
             }
             CellEvent::JobRead { job, record } => self.on_job_read(job, record.map(|r| *r), now),
-            CellEvent::JobsRead { ok } => {
-                self.reading_jobs = false;
-                self.earlier_jobs_known |= ok;
-            }
             CellEvent::Cancelled(id) => self.cancel(id, now),
             CellEvent::AdviceNodes(nodes) => self.advice_slots.set_nodes(nodes),
             CellEvent::CommandResult {
@@ -288,18 +270,7 @@
         (self.token - 1) * RUN_NUMBERS_PER_OWNER
     }
 
-    /// Requests the list of jobs once no earlier owner sends commands: a job that is stored later
-    /// need not wait for the executors of earlier owners.
-    fn read_jobs_of_earlier_owners(&mut self, now: Now) {
-        let due = now.mono > self.previous_owner_stopped_at && !self.unreconciled.is_empty();
-        if due && !self.earlier_jobs_known && !self.reading_jobs {
-            self.reading_jobs = true;
-            self.effects.push(CellEffect::ReadJobs);
-        }
-    }
-
     fn tick(&mut self, now: Now) {
-        self.read_jobs_of_earlier_owners(now);
         if now.mono >= self.previous_leases_expired_at && !self.unreconciled.is_empty() {
             let left = std::mem::take(&mut self.unreconciled);
             self.log(
--- a/src/fleet/cell_runs.rs
+++ b/src/fleet/cell_runs.rs
@@ -266,12 +266,10 @@
             let in_roster = self.in_roster(&executor.info);
             for (task, run) in executor.runs.iter().filter(|(_, r)| r.call.is_none()) {
                 match run.stage {
-                    RunStage::StartSent if run.start_attempts < MAX_START_ATTEMPTS => {
-                        if in_roster {
-                            starts.push((id.clone(), *task));
-                        }
+                    RunStage::StartSent if run.start_attempts >= MAX_START_ATTEMPTS => {
+                        stops.push((id.clone(), *task));
                     }
-                    RunStage::StartSent => stops.push((id.clone(), *task)),
+                    RunStage::StartSent if in_roster => starts.push((id.clone(), *task)),
                     RunStage::StopSent if run.stage_since + STOP_RETRY_MS <= now.mono => {
                         stops.push((id.clone(), *task));
                     }
--- a/src/fleet/event.rs
+++ b/src/fleet/event.rs
@@ -229,11 +229,6 @@
         /// `None`: there is no such job.
         record: Option<Box<JobRecord>>,
     },
-    /// The read of the jobs ended, after an event for each job that it found.
-    JobsRead {
-        /// Whether the whole list was read.
-        ok: bool,
-    },
     /// Live nodes that can call the advice service, this one included.
     AdviceNodes(Vec<Arc<str>>),
     /// A command got its reply or failed.
@@ -289,9 +284,6 @@
     Log { event: FleetEvent, detail: String },
     /// Reads the record of a job from the store, until it succeeds; see [`CellEvent::JobRead`].
     ReadJob(JobId),
-    /// Reads the accepted jobs and the cancellations from the store; each is an event before
-    /// [`CellEvent::JobsRead`].
-    ReadJobs,
     /// A newer owner exists; this one must stop.
     StepDown,
 }
--- a/src/fleet/policy/mod.rs
+++ b/src/fleet/policy/mod.rs
@@ -17,10 +17,7 @@
 pub use {
     advice::{AdviceChoice, AdviceNeed, AdviceOption, AdviceYield, choose_named},
     order::{EXPIRED_TIMES, Rank, Timeliness},
-    ownership::{
-        MAX_CLOCK_LAG_MILLI, MAX_UNCONFIRMED_MS, earlier_owner_stops_after, may_send_commands,
-        runs_end_after,
-    },
+    ownership::{MAX_CLOCK_LAG_MILLI, OwnershipProof, earlier_runs_end_after},
     pace::round_pause_ms,
     placement::{PlacementOption, choose_best_fit, choose_spread},
     preemption::{Victim, choose_gang_victims, choose_victims},
--- a/src/platform/store_client.rs
+++ b/src/platform/store_client.rs
@@ -6,6 +6,7 @@
 use {
     crate::platform::{
         StoreError,
+        settings::saturating_u64,
         wire_client::{WireClient, WireRequest},
     },
     base64::{Engine, engine::general_purpose::STANDARD},
@@ -78,8 +79,10 @@
 }
 
 #[derive(Deserialize)]
+#[serde(rename_all = "camelCase")]
 struct WireLease {
     lease: u64,
+    ttl_ms: f64,
 }
 
 #[derive(Serialize)]
@@ -234,12 +237,16 @@
         }
     }
 
-    /// Creates a lease and returns its id. Keys tied to it go when it expires.
-    pub async fn grant(&self, ttl: Duration, timeout: Duration) -> Result<u64, StoreError> {
+    /// Creates a lease and returns its id and the TTL that applies, in ms. Keys tied to it go when
+    /// it expires.
+    pub async fn grant(&self, ttl: Duration, timeout: Duration) -> Result<(u64, u64), StoreError> {
         let body = format!("{{\"ttlMs\":{}}}", ttl.as_millis()).into_bytes();
         let path = "/-/kv-lease".to_owned();
         match self.send(Method::POST, path, body, timeout).await? {
-            (StatusCode::OK, body) => Ok(parse::<WireLease>(&body)?.lease),
+            (StatusCode::OK, body) => {
+                let lease: WireLease = parse(&body)?;
+                Ok((lease.lease, saturating_u64(lease.ttl_ms)))
+            }
             _ => Err(StoreError::Unknown),
         }
     }
