Wait for the unread ends of an executor whose lease this owner renews

Cause: 8.1 s after a claim every unread executor was given up, as the leases of earlier owners had expired. One whose list of ends was cut is renewed by the new owner meanwhile, so its ends still stand.

Only executors on which every lease has expired, also those of this owner, are given up.

--- a/src/fleet/cell.rs
+++ b/src/fleet/cell.rs
@@ -270,14 +270,27 @@
         (self.token - 1) * RUN_NUMBERS_PER_OWNER
     }
 
-    fn tick(&mut self, now: Now) {
-        if now.mono >= self.previous_leases_expired_at && !self.unreconciled.is_empty() {
-            let left = std::mem::take(&mut self.unreconciled);
+    /// Stops waiting for executors on which every lease has expired, those of earlier owners and of
+    /// this one: nothing runs there, and ends that were not read bind nobody.
+    fn give_up_unreachable(&mut self, now: Now) {
+        let (executors, grace) = (&self.executors, self.bounds.kill_grace_ms);
+        let expired = |id: &ExecutorId| {
+            let executor = executors.get(id);
+            executor.is_none_or(|e| e.leases_expired(now.mono, grace))
+        };
+        let given_up: Vec<ExecutorId> = self.unreconciled.extract_if(expired).collect();
+        if !given_up.is_empty() {
             self.log(
                 FleetEvent::ExecutorSilent,
-                format!("leases of earlier owners expired; unreachable={left:?}"),
+                format!("leases of earlier owners expired; unreachable={given_up:?}"),
             );
         }
+    }
+
+    fn tick(&mut self, now: Now) {
+        if now.mono >= self.previous_leases_expired_at {
+            self.give_up_unreachable(now);
+        }
         self.unlist_missing(now);
         self.expire_leases(now);
         self.add_due_occurrences(now);
