Forget an executor that left once its leases have expired

What callers saw: found in the review of the incident's fixes; each later change of owner waited 8.1 s for an executor that had left long before.

Cause: an executor whose list of ends was cut stayed in the roster until the rest was read, also when it had left for good. Ends that were not acknowledged before its lease expired bind nobody.

tests/succession.rs: an_executor_that_left_with_unread_ends_is_forgotten failed before (still in the roster after 60 s).

--- a/src/fleet/cell_executors.rs
+++ b/src/fleet/cell_executors.rs
@@ -502,9 +502,12 @@
             {
                 expired.push(id.clone());
             }
+            // Ends that were not acknowledged before a lease expired bind nobody.
+            let lapsed = earlier_expired && executor.leases_expired(now.mono, grace);
             let commits = &self.commit_queue;
+            let ends_closed = executor.has_no_open_ends(|job| commits.is_durable(job));
             let settled = !executor.may_run_tasks()
-                && executor.has_no_open_ends(|job| commits.is_durable(job))
+                && (lapsed || ends_closed)
                 && !self.unreconciled.contains(id);
             if !executor.listed && executor.failed_calls > 0 && settled {
                 removable.push(id.clone());
