--- a/src/fleet/cell.rs
+++ b/src/fleet/cell.rs
@@ -8,9 +8,11 @@
     crate::{
         core::{CallId, Millis, Resources},
         fleet::{
-            AdviceSlots, CellEffect, CellEvent, CommitQueue, Executor, ExecutorId, FencingToken,
-            FleetConfig, FleetEvent, INCARNATIONS_PER_OWNER, Job, JobEnd, JobId, JobRecord,
-            QueueRule, RecoveredState, StepId, job::RUN_NUMBERS_PER_OWNER, policy::AdviceYield,
+            AdviceSlots, CellEffect, CellEvent, CommitQueue, Executor, ExecutorId, ExecutorInfo,
+            FencingToken, FleetConfig, FleetEvent, INCARNATIONS_PER_OWNER, Job, JobEnd, JobId,
+            JobRecord, QueueRule, RecoveredState, StepId,
+            job::RUN_NUMBERS_PER_OWNER,
+            policy::{self, AdviceYield},
         },
     },
     serde::{Deserialize, Serialize},
@@ -29,6 +31,8 @@
     pub kill_grace_ms: Millis,
     /// Retention of an ended job's state, in ms (platform's `status_s`).
     pub ended_retention_ms: Millis,
+    /// TTL of the store lease to which the key of an owner is tied, in ms.
+    pub store_lease_ms: Millis,
 }
 
 /// Readings of both clocks, taken by the caller for one event or round.
@@ -64,15 +68,6 @@
     }
 }
 
-/// How long an earlier owner may still send commands after a newer one has claimed, in ms: an
-/// owner steps down when it has reached neither the store nor half of its peers for so long.
-pub const OWNER_STEP_DOWN_MS: Millis = 1_500;
-
-/// How long after a takeover an unreachable executor that the platform no longer lists may
-/// still run something, in ms: it was silent for three heartbeats (4.5 s) of the maximum
-/// lease (6.1 s by its own clock), and a listing that a store outage dropped is back in 2 s.
-const UNLISTED_GRACE_MS: Millis = 3_000;
-
 /// The scheduler of all pools. Memory only: a new owner builds it from [`RecoveredState`].
 #[derive(Debug)]
 pub struct Cell {
@@ -90,6 +85,15 @@
     pub unreconciled: HashSet<ExecutorId>,
     /// When this owner took over.
     pub took_over_at: Millis,
+    /// When every earlier owner has certainly stopped sending commands.
+    pub previous_owner_stopped_at: Millis,
+    /// Whether all jobs that an earlier owner may have started are known: the list of jobs was read
+    /// after it had stopped, or all its executors were reconciled.
+    pub earlier_jobs_known: bool,
+    /// Whether such a read is in flight.
+    reading_jobs: bool,
+    /// Jobs whose record is being read, as an executor named them and they are not known.
+    pub(super) job_reads: HashSet<JobId>,
     /// When every lease granted by an earlier owner has expired and its stops have finished.
     pub previous_leases_expired_at: Millis,
     /// Sum of the needs of the tracked runs of each tenant, on all executors.
@@ -97,10 +101,11 @@
     /// Token bucket of each tenant's job rate: thousandths of a job, and when refilled.
     pub rate_buckets: HashMap<Arc<str>, (u64, Millis)>,
     pub commit_queue: CommitQueue,
-    /// Executors that the roster in the store names.
-    pub roster: HashSet<ExecutorId>,
-    /// Executors in the roster write that is in flight; `roster` once it is durable.
-    pub roster_sent: Vec<ExecutorId>,
+    /// Executors that the roster in the store certainly names, with their address there, whichever
+    /// of the writes with an unknown outcome took effect.
+    pub roster: HashMap<ExecutorId, Arc<str>>,
+    /// The same of the roster write that is in flight; `roster` once it is durable.
+    pub roster_sent: HashMap<ExecutorId, Arc<str>>,
     pub advice_slots: AdviceSlots,
     /// Advice calls in flight: step, executors named, and when each times out.
     pub advice_calls: HashMap<CallId, (StepId, Vec<ExecutorId>, Millis)>,
@@ -124,6 +129,8 @@
         recovered: RecoveredState,
         now: Now,
     ) -> Self {
+        let previous_owner_stopped_at =
+            now.mono + policy::earlier_owner_stops_after(bounds.store_lease_ms);
         let mut cell = Self {
             token,
             bounds,
@@ -134,15 +141,17 @@
             pending_cancels: HashMap::new(),
             unreconciled: HashSet::new(),
             took_over_at: now.mono,
-            previous_leases_expired_at: now.mono
-                + OWNER_STEP_DOWN_MS
-                + bounds.max_lease_ms * 51 / 50
-                + bounds.kill_grace_ms,
+            previous_owner_stopped_at,
+            earlier_jobs_known: false,
+            reading_jobs: false,
+            job_reads: HashSet::new(),
+            previous_leases_expired_at: previous_owner_stopped_at
+                + policy::runs_end_after(bounds.max_lease_ms, bounds.kill_grace_ms),
             tenant_usage: HashMap::new(),
             rate_buckets: HashMap::new(),
             commit_queue: CommitQueue::default(),
-            roster: HashSet::new(),
-            roster_sent: Vec::new(),
+            roster: HashMap::new(),
+            roster_sent: HashMap::new(),
             advice_slots: AdviceSlots::default(),
             advice_calls: HashMap::new(),
             advice_yields: HashMap::new(),
@@ -152,7 +161,7 @@
             last_call: 0,
         };
         for entry in recovered.roster {
-            cell.roster.insert(entry.id.clone());
+            cell.roster.insert(entry.id.clone(), entry.address.clone());
             cell.unreconciled.insert(entry.id.clone());
             cell.add_from_roster(&entry, now);
         }
@@ -169,6 +178,9 @@
         for id in recovered.cancelled {
             cell.cancel(id, now);
         }
+        let (jobs, executors) = (cell.jobs.len(), &cell.unreconciled);
+        let detail = format!("token={token} jobs={jobs} executors={executors:?}");
+        cell.log(FleetEvent::TakeoverRead, detail);
         cell
     }
 
@@ -192,8 +204,13 @@
             CellEvent::Unlisted(id) => self.on_unlisted(&id),
             CellEvent::Relisted(infos) => self.on_relisted(infos, now),
             CellEvent::Submitted(submission) => {
-                let reconciled = self.unreconciled.is_empty();
-                self.add_job(*submission, None, !reconciled, now);
+                let recovered = !self.earlier_jobs_known && !self.unreconciled.is_empty();
+                self.add_job(*submission, None, recovered, now);
+            }
+            CellEvent::JobRead { job, record } => self.on_job_read(job, record.map(|r| *r), now),
+            CellEvent::JobsRead { ok } => {
+                self.reading_jobs = false;
+                self.earlier_jobs_known |= ok;
             }
             CellEvent::Cancelled(id) => self.cancel(id, now),
             CellEvent::AdviceNodes(nodes) => self.advice_slots.set_nodes(nodes),
@@ -242,6 +259,12 @@
         self.config.queue(name).map_or(&job.submission.queue, |q| q)
     }
 
+    /// Returns whether the roster in the store names an executor at its present address, so that
+    /// the next owner will read it.
+    pub(super) fn in_roster(&self, executor: &ExecutorInfo) -> bool {
+        self.roster.get(&executor.id) == Some(&executor.address)
+    }
+
     pub(super) fn next_call(&mut self) -> CallId {
         self.last_call += 1;
         self.last_call
@@ -262,19 +285,18 @@
         (self.token - 1) * RUN_NUMBERS_PER_OWNER
     }
 
-    /// Drops unreconciled executors that are still not listed after [`UNLISTED_GRACE_MS`]: nothing
-    /// can run there any more.
-    fn drop_unlisted_unreconciled(&mut self, now: Now) {
-        if now.mono < self.took_over_at + UNLISTED_GRACE_MS {
-            return;
+    /// Requests the list of jobs once no earlier owner sends commands: a job that is stored later
+    /// need not wait for the executors of earlier owners.
+    fn read_jobs_of_earlier_owners(&mut self, now: Now) {
+        let due = now.mono > self.previous_owner_stopped_at && !self.unreconciled.is_empty();
+        if due && !self.earlier_jobs_known && !self.reading_jobs {
+            self.reading_jobs = true;
+            self.effects.push(CellEffect::ReadJobs);
         }
-        let executors = &self.executors;
-        self.unreconciled
-            .retain(|id| executors.get(id).is_some_and(|e| e.listed));
     }
 
     fn tick(&mut self, now: Now) {
-        self.drop_unlisted_unreconciled(now);
+        self.read_jobs_of_earlier_owners(now);
         if now.mono >= self.previous_leases_expired_at && !self.unreconciled.is_empty() {
             let left = std::mem::take(&mut self.unreconciled);
             self.log(
--- a/src/fleet/cell_capacity.rs
+++ b/src/fleet/cell_capacity.rs
@@ -9,10 +9,7 @@
         core::Resources,
         fleet::{Cell, ExecutorId, ExecutorInfo, Now, StepId},
     },
-    std::{
-        collections::{HashMap, HashSet},
-        sync::Arc,
-    },
+    std::{collections::HashMap, sync::Arc},
 };
 
 /// A schedulable executor and its free capacity.
@@ -58,9 +55,10 @@
 #[derive(Debug, Default)]
 pub(super) struct CapacitySnapshot {
     pools: HashMap<Arc<str>, PoolCapacity>,
-    /// Pools with unreconciled executors, on which runs of an earlier owner may exist.
-    unreconciled_pools: HashSet<Arc<str>>,
-    /// Sum of the capacities of unreconciled executors: upper bound of what runs there.
+    /// Whether runs of an earlier owner that this owner has not read may exist.
+    pub has_unreconciled: bool,
+    /// Sum of the capacities of unreconciled executors: upper bound of what runs there. One that is
+    /// not listed counts as the largest executor.
     pub unreconciled_capacity: Resources,
 }
 
@@ -109,19 +107,14 @@
         let position = pool.position(executor)?;
         pool.executors.get_mut(position)
     }
-
-    /// Returns whether runs of an earlier owner that this owner has not read may exist in a pool.
-    pub fn has_unreconciled(&self, pool: &str) -> bool {
-        self.unreconciled_pools.contains(pool)
-    }
 }
 
 impl Cell {
     /// Takes the snapshot for one round.
     pub(super) fn capacity_snapshot(&self, now: Now) -> CapacitySnapshot {
         let mut snapshot = CapacitySnapshot::default();
-        for (id, executor) in &self.executors {
-            if !executor.is_schedulable(now.mono) || !self.roster.contains(id) {
+        for executor in self.executors.values() {
+            if !executor.is_schedulable(now.mono) || !self.in_roster(&executor.info) {
                 continue;
             }
             let free = executor.free();
@@ -138,12 +131,19 @@
             });
             pool.max_free.max_assign(&free);
         }
+        snapshot.has_unreconciled = !self.unreconciled.is_empty();
+        let mut largest = Resources::default();
+        let executors = self.executors.values();
+        executors.for_each(|e| largest.max_assign(&e.info.capacity));
         for id in &self.unreconciled {
             if let Some(executor) = self.executors.get(id) {
-                snapshot
-                    .unreconciled_pools
-                    .insert(executor.info.pool.clone());
-                snapshot.unreconciled_capacity.add(&executor.info.capacity);
+                let known = executor.info.capacity != Resources::default();
+                let capacity = if known {
+                    &executor.info.capacity
+                } else {
+                    &largest
+                };
+                snapshot.unreconciled_capacity.add(capacity);
             }
         }
         snapshot
--- a/src/fleet/cell_executors.rs
+++ b/src/fleet/cell_executors.rs
@@ -10,7 +10,7 @@
         fleet::{
             Cell, CellEffect, CommandError, CommandReply, Executor, ExecutorCommand, ExecutorId,
             ExecutorInfo, FleetEvent, JobId, Now, RenewCommand, RenewReply, RosterEntry, Run,
-            RunStage, RunningRow, Session, TaskId, executor::ClockReading, policy,
+            RunLoss, RunStage, RunningRow, Session, TaskId, executor::ClockReading, policy,
         },
     },
     std::{collections::HashSet, sync::Arc},
@@ -29,6 +29,9 @@
 /// Interval of attempts to reach an executor that does not reply, in ms.
 const RENEW_RETRY_INTERVAL_MS: Millis = 300;
 
+/// Number of ended runs at which the platform cuts the list of a renewal reply.
+const MAX_ENDED_ROWS: usize = 500;
+
 /// Consecutive failed calls after which an executor counts as silent.
 const SILENT_FAILED_CALLS: u32 = 2;
 
@@ -36,10 +39,6 @@
 /// the platform says about two seconds.
 const RELIST_GRACE_MS: Millis = 2_000;
 
-/// Maximum time that a run of an unknown job is left running, in ms: its submission may still
-/// be in transit from an entry node.
-pub(super) const UNKNOWN_JOB_GRACE_MS: Millis = 3_000;
-
 impl Cell {
     /// Adds an executor of an earlier owner; its capacity is 0 until the platform lists it.
     pub(super) fn add_from_roster(&mut self, entry: &RosterEntry, now: Now) {
@@ -66,6 +65,7 @@
                 // Renews at once: the reply lists what the new incarnation runs.
                 known.next_renewal_at = now.mono;
             }
+            self.commit_queue.roster_dirty |= known.info.address != info.address;
             known.listed = true;
             known.missing_since = None;
             known.info = Arc::new(info);
@@ -122,7 +122,7 @@
             format!("executor={id} lost_runs={}", runs.len()),
         );
         for (task, run) in runs {
-            self.on_run_lost(id, task, &run, now);
+            self.on_run_lost(id, task, &run, RunLoss::IncarnationEnded, now);
         }
         for job in self.jobs.values_mut() {
             for step in job.steps.values_mut() {
@@ -249,6 +249,8 @@
         let Some(executor) = self.executors.get_mut(id) else {
             return;
         };
+        let complete = reply.ended.len() < MAX_ENDED_ROWS;
+        executor.has_unread_ends = !complete;
         executor.started_unix_ms = reply.started_unix_ms.or(executor.started_unix_ms);
         executor.failed_calls = 0;
         executor.clock = Some(ClockReading {
@@ -263,16 +265,19 @@
             );
         }
         for row in &reply.ended {
-            if !self.process_ended_row(id, row, now) {
-                break;
-            }
+            self.process_ended_row(id, row, now);
         }
         for row in &reply.running {
             self.process_running_row(id, row, sent, now);
         }
-        self.drop_missing_runs(id, sent, &reply.running, now);
+        // A run that is in neither list may have ended beyond the cut.
+        if complete {
+            self.drop_missing_runs(id, sent, &reply.running, now);
+        }
         self.drop_unknown_runs(id, &reply.running);
-        self.unreconciled.remove(id);
+        if complete {
+            self.unreconciled.remove(id);
+        }
         self.stop_stuck_runs(id, now);
         if let Some(executor) = self.executors.get_mut(id) {
             executor.next_renewal_at = if executor.unacked.is_empty() {
@@ -321,7 +326,7 @@
     }
 
     /// Handles a run that is not tracked: adopts it if its job is known, stops it if it must not
-    /// continue, and leaves it for [`UNKNOWN_JOB_GRACE_MS`] if its job is unknown.
+    /// continue, and reads the job if it is unknown.
     fn process_unexpected_row(&mut self, id: &ExecutorId, row: &RunningRow, now: Now) {
         let known = self.jobs.contains_key(&row.task.step.job);
         let ended = self.ended_jobs.contains_key(&row.task.step.job);
@@ -332,12 +337,11 @@
         let Some(executor) = self.executors.get_mut(id) else {
             return;
         };
-        let (_, since) = *executor
-            .unknown_runs
-            .entry(row.task)
-            .or_insert((row.run, now.mono));
-        if ended || known || now.mono > since + UNKNOWN_JOB_GRACE_MS {
+        executor.unknown_runs.insert(row.task, row.run);
+        if ended || known {
             self.send_stop(id, row.task, row.run);
+        } else {
+            self.read_unknown_job(row.task.step.job);
         }
     }
 
@@ -357,7 +361,7 @@
                 return;
             };
             if let Some(run) = executor.remove_run(&task) {
-                self.on_run_lost(id, task, &run, now);
+                self.on_run_lost(id, task, &run, RunLoss::NotListed, now);
             }
         }
     }
@@ -377,7 +381,7 @@
             .iter()
             .flat_map(|(id, e)| {
                 let of_job = e.unknown_runs.iter().filter(|(t, _)| t.step.job == job);
-                of_job.map(|(t, (run, _))| (id.clone(), *t, *run))
+                of_job.map(|(t, run)| (id.clone(), *t, *run))
             })
             .collect();
         for (id, task, run) in found {
@@ -404,7 +408,10 @@
         let call = self.next_call();
         let lease_ms = self.bounds.max_lease_ms;
         let token = self.command_token(id);
-        let in_roster = self.roster.contains(id);
+        let in_roster = self
+            .executors
+            .get(id)
+            .is_some_and(|e| self.in_roster(&e.info));
         let ack_cursor = self.advance_ack_cursor(id);
         let Some(executor) = self.executors.get_mut(id) else {
             return;
@@ -451,12 +458,8 @@
         if !executor.is_responsive() {
             return 0;
         }
-        while let Some(first) = executor.unacked.first_entry() {
-            let durable = first.get().is_none_or(|job| commits.is_durable(job));
-            if !durable {
-                break;
-            }
-            first.remove();
+        while executor.can_acknowledge_next(|job| commits.is_durable(job)) == Some(true) {
+            executor.unacked.pop_first();
         }
         match executor.unacked.first_key_value() {
             Some((number, _)) => number - 1,
@@ -468,40 +471,45 @@
     pub(super) fn renew_after_commit(&mut self, now: Now) {
         let commits = &self.commit_queue;
         for executor in self.executors.values_mut() {
-            let first = executor.unacked.values().next();
-            if first.is_some_and(|j| j.is_none_or(|job| commits.is_durable(job))) {
+            if executor.can_acknowledge_next(|job| commits.is_durable(job)) == Some(true) {
                 executor.next_renewal_at = executor.next_renewal_at.min(now.mono);
             }
         }
     }
 
-    /// Drops runs whose lease has certainly expired, and unlisted executors without runs.
+    /// Drops runs whose lease has certainly expired, and unlisted executors on which nothing is left
+    /// that the next owner must read: no run, and no end that is not durable.
     pub(super) fn expire_leases(&mut self, now: Now) {
         let grace = self.bounds.kill_grace_ms;
+        // Only the leases that this owner sent are known to it.
+        let earlier_expired = now.mono >= self.previous_leases_expired_at;
         let mut expired = Vec::new();
         let mut removable = Vec::new();
         for (id, executor) in &mut self.executors {
-            if executor.failed_calls > 0
-                && !executor.runs.is_empty()
+            if earlier_expired
+                && executor.failed_calls > 0
+                && executor.may_run_tasks()
                 && executor.leases_expired(now.mono, grace)
             {
                 expired.push(id.clone());
             }
-            let reconciled = !self.unreconciled.contains(id);
-            if !executor.listed
-                && executor.runs.is_empty()
-                && executor.failed_calls > 0
-                && reconciled
-            {
+            let commits = &self.commit_queue;
+            let settled = !executor.may_run_tasks()
+                && executor.has_no_open_ends(|job| commits.is_durable(job))
+                && !self.unreconciled.contains(id);
+            if !executor.listed && executor.failed_calls > 0 && settled {
                 removable.push(id.clone());
             }
         }
         for id in expired {
             self.drop_expired_runs(&id, now);
         }
-        // Nothing runs there and no command is open, so the next owner need not wait for it.
         for id in removable {
-            self.executors.remove(&id);
+            if let Some(executor) = self.executors.remove(&id) {
+                let unacked = executor.unacked.len();
+                let detail = format!("executor={id} unacked={unacked}");
+                self.log(FleetEvent::ExecutorRemoved, detail);
+            }
             self.commit_queue.roster_dirty = true;
         }
     }
@@ -512,6 +520,7 @@
             return;
         };
         executor.session = Session::Silent;
+        executor.unknown_runs.clear();
         let tasks: Vec<TaskId> = executor.runs.keys().copied().collect();
         self.log(
             FleetEvent::ExecutorSilent,
@@ -522,7 +531,7 @@
                 return;
             };
             if let Some(run) = executor.remove_run(&task) {
-                self.on_run_lost(id, task, &run, now);
+                self.on_run_lost(id, task, &run, RunLoss::LeaseExpired, now);
             }
         }
     }
--- a/src/fleet/event.rs
+++ b/src/fleet/event.rs
@@ -70,6 +70,19 @@
     Stopped,
 }
 
+/// Why a run counts as ended although its end was not read.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum RunLoss {
+    /// Another incarnation replied at the executor's address.
+    IncarnationEnded,
+    /// Every lease sent to the executor has expired.
+    LeaseExpired,
+    /// The executor had confirmed the run and lists it no more, neither as running nor as ended.
+    NotListed,
+    /// The executor refused the only start command that was sent.
+    StartRefused,
+}
+
 /// A row of the list of ended runs in a renewal reply.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub struct EndedRow {
@@ -210,6 +223,17 @@
     Submitted(Box<Submission>),
     /// A caller cancelled a job.
     Cancelled(JobId),
+    /// The record of a job that executors named and that was not known.
+    JobRead {
+        job: JobId,
+        /// `None`: there is no such job.
+        record: Option<Box<JobRecord>>,
+    },
+    /// The read of the jobs ended, after an event for each job that it found.
+    JobsRead {
+        /// Whether the whole list was read.
+        ok: bool,
+    },
     /// Live nodes that can call the advice service, this one included.
     AdviceNodes(Vec<Arc<str>>),
     /// A command got its reply or failed.
@@ -263,6 +287,11 @@
     FirstStart { wait_ms: Millis },
     /// Logs an event.
     Log { event: FleetEvent, detail: String },
+    /// Reads the record of a job from the store, until it succeeds; see [`CellEvent::JobRead`].
+    ReadJob(JobId),
+    /// Reads the accepted jobs and the cancellations from the store; each is an event before
+    /// [`CellEvent::JobsRead`].
+    ReadJobs,
     /// A newer owner exists; this one must stop.
     StepDown,
 }
@@ -309,11 +338,16 @@
     InvariantBroken,
     JobQueued,
     StepAdvised,
+    TakeoverRead,
+    RunLost,
+    ExecutorRemoved,
+    EndDeferred,
+    OwnershipUnconfirmed,
 }
 
 impl FleetEvent {
     /// All events, in the order of their numbers.
-    pub const ALL: [Self; 27] = [
+    pub const ALL: [Self; 32] = [
         Self::NodeStarted,
         Self::NodeStopping,
         Self::SettingsReloaded,
@@ -341,6 +375,11 @@
         Self::InvariantBroken,
         Self::JobQueued,
         Self::StepAdvised,
+        Self::TakeoverRead,
+        Self::RunLost,
+        Self::ExecutorRemoved,
+        Self::EndDeferred,
+        Self::OwnershipUnconfirmed,
     ];
 
     /// Returns the event with this catalogue number; `None` if there is none.
--- a/src/fleet/mod.rs
+++ b/src/fleet/mod.rs
@@ -42,14 +42,14 @@
 
 pub use {
     advice_slots::AdviceSlots,
-    cell::{Cell, CellBounds, JobStatus, Now, OWNER_STEP_DOWN_MS},
+    cell::{Cell, CellBounds, JobStatus, Now},
     cell_explain::{BlockReason, JobExplanation, StepExplanation},
     cell_summary::{FleetSummary, QueueSummary, TenantSummary},
     commit_queue::CommitQueue,
     event::{
         AdvisedExecutor, CellEffect, CellEvent, CommandError, CommandReply, EndedRow,
         ExecutorCommand, ExecutorInfo, FleetEvent, RecoveredState, RenewCommand, RenewReply,
-        RunEnd, RunningRow, StartCommand, StoreWrite,
+        RunEnd, RunLoss, RunningRow, StartCommand, StoreWrite,
     },
     executor::{Executor, Run, RunStage, Session},
     fleet_config::{AdviceRule, FleetConfig, QueueRule, TenantRule},
--- a/standins/src/lib.rs
+++ b/standins/src/lib.rs
@@ -40,7 +40,7 @@
 
 pub use {
     cell_executor::CellExecutor,
-    cell_world::{CellWorld, Faults},
+    cell_world::{CellWorld, CommitPlan, Faults},
     soak::{Soak, SoakReport},
     store_model::StoreModel,
     worker_model::{Run, WorkerModel},
--- a/tests/cell.rs
+++ b/tests/cell.rs
@@ -3,7 +3,7 @@
 
 use {
     dragonflyferry::{
-        core::Resources,
+        core::{Millis, Resources},
         fleet::{JobId, JobStatus, QueueRule, StepSpec, Submission, TenantRule},
     },
     rand::{Rng, SeedableRng, rngs::SmallRng},
@@ -103,6 +103,17 @@
 /// reply to the new owner, but still runs the tenant's tasks.
 #[test]
 fn a_cap_holds_while_an_executor_is_unreachable_after_a_takeover() {
+    assert_cap_holds_after_a_takeover(true, 200);
+}
+
+/// The same for an executor that the platform no longer lists, so that its capacity is not known.
+#[test]
+fn a_cap_holds_while_an_unlisted_executor_is_unreachable_after_a_takeover() {
+    assert_cap_holds_after_a_takeover(false, 2_200);
+}
+
+/// A tenant's job is submitted `after_ms` after the takeover.
+fn assert_cap_holds_after_a_takeover(listed: bool, after_ms: Millis) {
     let mut config = config();
     let cap = Resources {
         memory_mib: 0,
@@ -130,9 +141,13 @@
     world
         .executors
         .values_mut()
-        .for_each(|e| e.unreachable = !e.running.is_empty());
+        .filter(|e| !e.running.is_empty())
+        .for_each(|e| {
+            e.unreachable = true;
+            e.listed = listed;
+        });
     world.replace_owner();
-    world.run(200);
+    world.run(after_ms);
     world.submit(tenant_job(2, &queue("urgent", 0)));
     world.run(3_000);
     assert_eq!(world.violations, Vec::<String>::new());
@@ -140,10 +155,10 @@
     assert_eq!(world.job_status(JobId(2)), Some(JobStatus::Completed));
 }
 
-/// An executor that left while there was no owner delays recovered work for 3 s, not for the
-/// maximum lease.
+/// An executor that left while there was no owner delays work that may run there for the leases
+/// of the earlier owner and no longer, and other work for as long as that owner may send commands.
 #[test]
-fn recovered_work_waits_briefly_for_an_executor_that_left() {
+fn only_work_that_may_run_on_an_executor_that_left_waits_for_its_leases() {
     let mut world = world(1, 3);
     world.submit(job(1, "urgent", vec![step(2, 4_000, 2_000)]));
     world.run(100);
@@ -154,9 +169,14 @@
     }
     world.replace_owner();
     world.submit(job(2, "urgent", vec![step(1, 4_000, 200)]));
-    world.run(2_900);
+    world.run(1_950);
+    world.submit(job(3, "urgent", vec![step(1, 4_000, 200)]));
+    world.run(250);
+    assert_eq!(world.job_status(JobId(3)), Some(JobStatus::Completed));
     assert_eq!(world.job_status(JobId(2)), Some(JobStatus::Pending));
-    world.run(700);
+    world.run(5_900);
+    assert_eq!(world.job_status(JobId(2)), Some(JobStatus::Pending));
+    world.run(500);
     assert_eq!(world.job_status(JobId(2)), Some(JobStatus::Completed));
     assert_eq!(world.violations, Vec::<String>::new());
 }
