--- a/examples/soak.rs
+++ b/examples/soak.rs
@@ -141,6 +141,8 @@
         }
         fs::remove_dir_all(&folder)?;
     }
+    // Fails while another lane uses it.
+    let _ = fs::remove_dir(&scratch);
     Ok(broken)
 }
 
