Keep ends and runs of an occurrence that is not due by this owner's clock

Cause: an earlier owner whose time of day was ahead had started an occurrence that the new owner had not added yet. Its ends changed nothing and were acknowledged, its runs were stopped, and when the occurrence became due here all its tasks started again.

Such ends and runs are kept like those of an unknown job, unacknowledged, and applied when the occurrence is added, or dropped with the job.

tests/succession.rs: an_end_of_an_occurrence_that_is_not_due_here_is_not_lost failed before.

--- a/src/fleet/cell.rs
+++ b/src/fleet/cell.rs
@@ -301,9 +301,13 @@
     }
 
     fn add_due_occurrences(&mut self, now: Now) {
-        let open_jobs = self.jobs.values_mut().filter(|j| j.end.is_none());
-        for job in open_jobs {
-            job.add_due_occurrences(now.unix);
+        let open_jobs = self.jobs.iter_mut().filter(|(_, j)| j.end.is_none());
+        let grown: Vec<JobId> = open_jobs
+            .filter_map(|(id, job)| job.add_due_occurrences(now.unix).then_some(*id))
+            .collect();
+        for id in grown {
+            self.apply_unknown_ends(id, now);
+            self.adopt_unknown_runs(id, now);
         }
     }
 
--- a/src/fleet/cell_executors.rs
+++ b/src/fleet/cell_executors.rs
@@ -347,6 +347,9 @@
             return;
         };
         executor.unknown_runs.insert(row.task, row.run);
+        if self.is_future(&row.task) {
+            return;
+        }
         if ended || known {
             self.send_stop(id, row.task, row.run);
         } else {
--- a/src/fleet/cell_jobs.rs
+++ b/src/fleet/cell_jobs.rs
@@ -138,6 +138,7 @@
         }
         job.end = Some(end);
         self.commit_queue.mark_dirty(id);
+        self.apply_unknown_ends(id, now);
         self.stop_job_runs(id, now);
     }
 
--- a/src/fleet/cell_run_ends.rs
+++ b/src/fleet/cell_run_ends.rs
@@ -14,6 +14,7 @@
     pub(super) fn process_ended_row(&mut self, id: &ExecutorId, row: &EndedRow, now: Now) {
         let job = row.task.step.job;
         let known = self.jobs.contains_key(&job) || self.ended_jobs.contains_key(&job);
+        let future = self.is_future(&row.task);
         let Some(executor) = self.executors.get_mut(id) else {
             return;
         };
@@ -25,7 +26,7 @@
         // An end that changes nothing waits for the job's record too: another end of the same
         // gang may have changed it just before.
         executor.unacked.insert(row.seq, Some(job));
-        if known {
+        if known && !future {
             self.apply_end_and_finish(id, row, now);
             return;
         }
@@ -35,13 +36,25 @@
             FleetEvent::EndDeferred,
             format!("executor={id} seq={seq} task={task} run={run} end={end:?}"),
         );
-        self.read_unknown_job(job);
+        if !known {
+            self.read_unknown_job(job);
+        }
+    }
+
+    /// Returns whether a task is of an occurrence that is not due here yet.
+    pub(super) fn is_future(&self, task: &TaskId) -> bool {
+        let job = self.jobs.get(&task.step.job);
+        job.is_some_and(|j| j.end.is_none() && j.is_future_occurrence(task.step.occurrence))
     }
 
-    /// Applies the ends of a job that executors had listed before it was known.
+    /// Applies the ends of a job that executors had listed before it, or their occurrence, was known.
     pub(super) fn apply_unknown_ends(&mut self, job: JobId, now: Now) {
         for (id, row) in self.take_unknown_ends(job) {
-            self.apply_end_and_finish(&id, &row, now);
+            if !self.is_future(&row.task) {
+                self.apply_end_and_finish(&id, &row, now);
+            } else if let Some(executor) = self.executors.get_mut(&id) {
+                executor.unknown_ends.insert(row.seq, row);
+            }
         }
     }
 
--- a/src/fleet/job.rs
+++ b/src/fleet/job.rs
@@ -225,6 +225,13 @@
         self.occurrences > previous
     }
 
+    /// Returns whether an occurrence will be added later. An earlier owner whose time of day was ahead
+    /// may have started it.
+    pub fn is_future_occurrence(&self, occurrence: u32) -> bool {
+        let count = self.submission.spec.schedule.map_or(1, |s| s.count);
+        (self.occurrences..count).contains(&occurrence)
+    }
+
     fn add_occurrence(&mut self) {
         for (i, spec) in self.submission.spec.steps.iter().enumerate() {
             let index = u16::try_from(i).unwrap_or(u16::MAX);
