A roster that cannot be decoded is not an empty one

After a change of owner with a roster that cannot be decoded, as after a downgrade, tasks could run twice.

Cause: such a roster was logged and taken as empty, so the new owner waited for no executor.

The new owner now waits until every lease that an earlier owner may have granted has expired.

tests/takeover.rs: a_roster_that_cannot_be_decoded_is_not_an_empty_one fails without the wait (TWICE).

--- a/src/entry/takeover.rs
+++ b/src/entry/takeover.rs
@@ -55,10 +55,11 @@
             recovered.jobs.push((id, record, done.remove(&id)));
         }
     }
-    if let Some(item) = roster
-        && let Some(roster) = ok_or_log(shared, keys::decode::<Roster>(&item.key, &item.value))
-    {
-        recovered.roster = roster.executors;
+    if let Some(item) = roster {
+        match ok_or_log(shared, keys::decode::<Roster>(&item.key, &item.value)) {
+            Some(roster) => recovered.roster = roster.executors,
+            None => recovered.roster_unreadable = true,
+        }
     }
     let executors = executor_items
         .iter()
--- a/src/fleet/cell.rs
+++ b/src/fleet/cell.rs
@@ -66,6 +66,9 @@
     }
 }
 
+/// Name in the place of the executors of a roster that could not be decoded.
+const UNREADABLE_ROSTER: &str = "(roster not readable)";
+
 /// The scheduler of all pools. Memory only: a new owner builds it from [`RecoveredState`].
 #[derive(Debug)]
 pub struct Cell {
@@ -154,6 +157,9 @@
             cell.unreconciled.insert(entry.id.clone());
             cell.add_from_roster(&entry, now);
         }
+        if recovered.roster_unreadable {
+            cell.unreconciled.insert(Arc::from(UNREADABLE_ROSTER));
+        }
         for (id, record, progress) in recovered.jobs {
             match record {
                 JobRecord::Open(submission) => {
--- a/src/fleet/event.rs
+++ b/src/fleet/event.rs
@@ -297,6 +297,8 @@
     pub cancelled: Vec<JobId>,
     /// Executors that earlier owners may have used.
     pub roster: Vec<RosterEntry>,
+    /// Whether the roster could not be decoded, so that any executor may have been used.
+    pub roster_unreadable: bool,
 }
 
 /// A numbered event of the log; the catalogue is docs/EVENTS.md. The number follows from the
--- a/standins/src/cell_world.rs
+++ b/standins/src/cell_world.rs
@@ -105,6 +105,8 @@
     pub commit_plans: VecDeque<CommitPlan>,
     pub executors: BTreeMap<ExecutorId, CellExecutor>,
     pub records: Records,
+    /// Whether a takeover cannot decode the roster.
+    pub roster_unreadable: bool,
     /// Jobs that a takeover does not find, as they were stored after its read.
     pub unread_jobs: HashSet<JobId>,
     /// Rises with each claim and commit.
@@ -158,6 +160,7 @@
             commit_plans: VecDeque::new(),
             executors: BTreeMap::new(),
             records: Records::default(),
+            roster_unreadable: false,
             unread_jobs: HashSet::new(),
             revision: 0,
             submissions: BTreeMap::new(),
@@ -232,6 +235,7 @@
                 .collect(),
             cancelled: self.records.cancelled.iter().copied().collect(),
             roster: self.records.roster.clone(),
+            roster_unreadable: self.roster_unreadable,
         };
         self.log.push(format!("{} owner {token}", self.now));
         let cell = Cell::new(
--- a/tests/succession.rs
+++ b/tests/succession.rs
@@ -212,6 +212,7 @@
         jobs: vec![(JobId(1), JobRecord::Open(submission), None)],
         cancelled: vec![],
         roster: vec![entry("e0", "a:1")],
+        roster_unreadable: false,
     };
     let now = Now {
         mono: 50_000,
--- a/tests/takeover.rs
+++ b/tests/takeover.rs
@@ -355,3 +355,18 @@
     assert_sound(&world);
     assert_eq!(world.job_status(JobId(2)), Some(JobStatus::Completed));
 }
+
+/// Guards against taking a roster that cannot be decoded for an empty one.
+#[test]
+fn a_roster_that_cannot_be_decoded_is_not_an_empty_one() {
+    let mut world = world(1, 3);
+    world.submit(tasks(1, 1, LONG_MS));
+    world.run(200);
+    let host = host(&world, 1);
+    world.set_listed(&host, false);
+    world.records.roster.clear();
+    world.roster_unreadable = true;
+    take_over_cut_from(&mut world, &host);
+    world.run(9_000);
+    assert_sound(&world);
+}
