Count runs of an ended job in caps until their stops have taken effect

Cause: a job that was cancelled while there was no owner had ended for the new one before it read the executors.

Such runs are adopted and then stopped, and the job is kept until all executors were read.

tests/cell.rs: a_cap_counts_the_runs_of_a_job_that_was_cancelled_before_a_takeover failed before (QUOTA: t).

--- a/src/fleet/cell.rs
+++ b/src/fleet/cell.rs
@@ -297,6 +297,7 @@
         if now.mono >= self.previous_leases_expired_at {
             self.give_up_unreachable(now);
         }
+        self.drop_finished_jobs();
         self.unlist_missing(now);
         self.expire_leases(now);
         self.add_due_occurrences(now);
--- a/src/fleet/cell_jobs.rs
+++ b/src/fleet/cell_jobs.rs
@@ -153,7 +153,7 @@
     }
 
     /// Ends a job whose tasks are all done, and drops one whose end is durable once it has no runs
-    /// left.
+    /// left on any executor.
     pub(super) fn try_finish_job(&mut self, id: JobId, now: Now) {
         let Some(job) = self.jobs.get(&id) else {
             return;
@@ -164,11 +164,18 @@
             }
             return;
         }
-        if job.end_durable && !job.has_runs() {
+        if job.end_durable && !job.has_runs() && self.unreconciled.is_empty() {
             self.jobs.remove(&id);
         }
     }
 
+    /// Drops ended jobs that were kept as executors which were not read might run tasks of them.
+    pub(super) fn drop_finished_jobs(&mut self) {
+        if self.unreconciled.is_empty() {
+            self.jobs.retain(|_, j| !j.end_durable || j.has_runs());
+        }
+    }
+
     /// Sends the next commit if records or the roster are dirty, none is in flight and the commit
     /// interval has passed.
     pub(super) fn send_commit(&mut self, now: Now) {
--- a/src/fleet/cell_runs.rs
+++ b/src/fleet/cell_runs.rs
@@ -339,8 +339,8 @@
         }
     }
 
-    /// Adopts a run that an earlier owner started; returns false if it must not continue, as its
-    /// job has ended or is not known, its task is done, or another run of the task is active.
+    /// Adopts a run that an earlier owner started, and stops it if its job has ended; returns false if
+    /// its job is not known, its task is done, or another run of the task is active.
     pub(super) fn adopt_run(
         &mut self,
         id: &ExecutorId,
@@ -351,9 +351,7 @@
         let Some(job) = self.jobs.get_mut(&task.step.job) else {
             return false;
         };
-        if job.end.is_some() {
-            return false;
-        }
+        let ended = job.end.is_some();
         let Some(spec) = job.spec(task.step.step).cloned() else {
             return false;
         };
@@ -370,6 +368,9 @@
         }
         let run = new_run(run, RunStage::Confirmed, &spec, None, now.mono);
         self.record_run(id, task, run);
+        if ended {
+            self.stop_run(id, task, now);
+        }
         true
     }
 
--- a/tests/cell.rs
+++ b/tests/cell.rs
@@ -358,3 +358,29 @@
     }
     step
 }
+
+/// Guards against forgetting, in caps of tenants, runs of a job that was cancelled while there was no
+/// owner: they go on until the new owner's stops take effect.
+#[test]
+fn a_cap_counts_the_runs_of_a_job_that_was_cancelled_before_a_takeover() {
+    let mut config = config();
+    let cap = Resources {
+        memory_mib: 0,
+        ..need(8_000)
+    };
+    let rule = TenantRule { weight: 100, cap };
+    config.tenants.insert(Arc::from("t"), rule);
+    let mut world = world_with_config(1, 4, config);
+    let tenant_job = |id| Submission {
+        tenant: Some(Arc::from("t")),
+        ..job(id, "urgent", vec![step(2, 4_000, 4_000)])
+    };
+    world.submit(tenant_job(1));
+    world.run(100);
+    world.records.cancelled.insert(JobId(1));
+    world.replace_owner();
+    world.submit(tenant_job(2));
+    world.run(1_000);
+    assert_eq!(world.violations, Vec::<String>::new());
+    assert_eq!(world.job_status(JobId(2)), Some(JobStatus::Active));
+}
