Bound the leases at an opened executor by its clock, not by those of all earlier owners

The bound is still needed for executors that were never read. At an opened one the renewal that read its lists has fenced earlier owners, so none of their leases ends later than the executor's clock in that reply plus the longest lease. One that restarts later runs nothing of before, and earlier owners start nothing after the claim.

--- a/src/fleet/cell_executors.rs
+++ b/src/fleet/cell_executors.rs
@@ -262,6 +262,11 @@
             clock_ms: reply.clock_ms,
             at: now.mono,
         });
+        if restarted || executor.session != Session::Open {
+            // An earlier owner may have renewed up to here, but not once this renewal has fenced it.
+            let lease_end_ms = reply.clock_ms + self.bounds.max_lease_ms;
+            executor.max_lease_end_ms = executor.max_lease_end_ms.max(lease_end_ms);
+        }
         if executor.session != Session::Open {
             executor.session = Session::Open;
             self.log(
@@ -493,20 +498,17 @@
     /// that the next owner must read: no run, and no end that is not durable.
     pub(super) fn expire_leases(&mut self, now: Now) {
         let grace = self.bounds.kill_grace_ms;
-        // Only the leases that this owner sent are known to it.
-        let earlier_expired = now.mono >= self.previous_leases_expired_at;
         let mut expired = Vec::new();
         let mut removable = Vec::new();
         for (id, executor) in &mut self.executors {
-            if earlier_expired
-                && executor.failed_calls > 0
+            if executor.failed_calls > 0
                 && executor.may_run_tasks()
                 && executor.leases_expired(now.mono, grace)
             {
                 expired.push(id.clone());
             }
             // Ends that were not acknowledged before a lease expired bind nobody.
-            let lapsed = earlier_expired && executor.leases_expired(now.mono, grace);
+            let lapsed = executor.leases_expired(now.mono, grace);
             let commits = &self.commit_queue;
             let ends_closed = executor.has_no_open_ends(|job| commits.is_durable(job));
             let settled = !executor.may_run_tasks()
