An owner sends nothing once another node may own the cell

Cause: an owner renewed leases for 1.8 s after its ownership was certain, so that runs survive longer outages of the store, and the next owner had to wait for 8.1 s (8.8 s there) for an executor that cannot be read.

An owner now acts only while it is certainly the sole one; the wait is 6.3 s. What it costs: runs are killed after about 6 s of an outage, 8 s before.

--- a/src/entry/owner.rs
+++ b/src/entry/owner.rs
@@ -184,7 +184,7 @@
             // is sent late extends nothing.
             let now = clock::now();
             match self.check_ownership(now) {
-                Some(proof) if proof.may_renew(now.mono) => self.cell.plan(self.sole_owner, now),
+                Some(_) if self.sole_owner => self.cell.plan(now),
                 Some(_) => {}
                 None => self.stepped_down = true,
             }
@@ -203,7 +203,7 @@
         if sole_owner != self.sole_owner {
             self.sole_owner = sole_owner;
             let age_ms = proof.map(|p| now.mono.saturating_sub(p.sent_at));
-            let detail = format!("age_ms={age_ms:?} starts_tasks={sole_owner}");
+            let detail = format!("age_ms={age_ms:?} sends_commands={sole_owner}");
             self.shared
                 .log_event(FleetEvent::OwnershipUnconfirmed, &detail);
         }
--- a/src/fleet/cell_plan.rs
+++ b/src/fleet/cell_plan.rs
@@ -29,10 +29,9 @@
 
 impl Cell {
     /// Starts tasks, requests advice, commits records and renews leases as far as they are due;
-    /// call after a batch of events. Tasks start only if this is certainly the sole owner.
-    pub fn plan(&mut self, sole_owner: bool, now: Now) {
-        let round_due = self.next_round_due().is_some_and(|due| due <= now.mono);
-        if sole_owner && round_due {
+    /// call after a batch of events, and only while no other node can own the cell.
+    pub fn plan(&mut self, now: Now) {
+        if self.next_round_due().is_some_and(|due| due <= now.mono) {
             self.needs_placement = false;
             self.resend_commands(now);
             self.place_waiting(now);
--- a/src/fleet/policy/ownership.rs
+++ b/src/fleet/policy/ownership.rs
@@ -1,17 +1,11 @@
 //! How long an owner may act on its last proof of ownership, and what the next one may conclude.
 //!
 //! The key of an owner is tied to its store lease, so no other node can claim the cell before that
-//! lease has run out. Until then the owner is the only one and may start tasks. In an outage of the
-//! store it renews the leases of runs for a bounded time longer; the next owner takes that time into
-//! account.
+//! lease has run out. Until then the owner is the only one, and only until then it sends commands
+//! that start tasks or renew the leases of runs.
 
 use crate::core::Millis;
 
-/// How long an owner renews the leases of runs after its store lease may have run out, in ms.
-/// Bounds how long an outage of the store may last before runs are killed, and by how much the next
-/// owner waits longer for an executor that it cannot reach.
-pub const RENEWALS_BEYOND_OWNERSHIP_MS: Millis = 1_800;
-
 /// Maximum lag of an executor's clock, in thousandths: the platform's protocol allows 2%.
 pub const MAX_CLOCK_LAG_MILLI: Millis = 20;
 
@@ -30,16 +24,11 @@
     pub fn is_sole_owner(&self, now: Millis) -> bool {
         now < self.sent_at + self.ttl_ms
     }
-
-    /// Returns whether the owner may renew the leases of runs at `now`.
-    pub fn may_renew(&self, now: Millis) -> bool {
-        now < self.sent_at + self.ttl_ms + RENEWALS_BEYOND_OWNERSHIP_MS
-    }
 }
 
-/// Returns how long after a claim runs may go on because of an earlier owner, in ms: its last
-/// renewal, the lease by a clock that lags, and the time to kill the run.
+/// Returns how long after a claim runs may go on because of an earlier owner, in ms: the lease by a
+/// clock that lags, and the time to kill the run.
 pub fn earlier_runs_end_after(max_lease_ms: Millis, kill_grace_ms: Millis) -> Millis {
     let lease_ms = (max_lease_ms * 1000).div_ceil(1000 - MAX_CLOCK_LAG_MILLI);
-    RENEWALS_BEYOND_OWNERSHIP_MS + lease_ms + kill_grace_ms
+    lease_ms + kill_grace_ms
 }
--- a/standins/src/cell_world.rs
+++ b/standins/src/cell_world.rs
@@ -468,7 +468,9 @@
             return;
         };
         // An owner can be replaced only after its store lease has run out.
-        cell.plan(sole_owner, now);
+        if sole_owner {
+            cell.plan(now);
+        }
         let effects = cell.take_effects();
         self.cell_time += started_at.elapsed();
         self.rounds += 1;
--- a/tests/cell.rs
+++ b/tests/cell.rs
@@ -190,7 +190,7 @@
     world.submit(job(2, "urgent", vec![step(1, 2_000, 200)]));
     world.run(300);
     assert_eq!(world.job_status(JobId(2)), Some(JobStatus::Completed));
-    world.run(7_800);
+    world.run(6_000);
     assert_eq!(world.job_status(JobId(1)), Some(JobStatus::Active));
     world.run(1_500);
     assert_eq!(world.job_status(JobId(1)), Some(JobStatus::Completed));
--- a/tests/succession.rs
+++ b/tests/succession.rs
@@ -38,7 +38,7 @@
 
     fn step(&mut self, event: CellEvent) {
         self.cell.step(event, self.now);
-        self.cell.plan(true, self.now);
+        self.cell.plan(self.now);
         self.effects.extend(self.cell.take_effects());
     }
 
@@ -46,10 +46,10 @@
         for _ in 0..ms {
             self.now.mono += 1;
             self.now.unix += 1;
-            self.cell.plan(true, self.now);
+            self.cell.plan(self.now);
             if self.now.mono.is_multiple_of(100) {
                 self.cell.step(CellEvent::Tick, self.now);
-                self.cell.plan(true, self.now);
+                self.cell.plan(self.now);
             }
             self.effects.extend(self.cell.take_effects());
         }
