--- a/tests/succession.rs
+++ b/tests/succession.rs
@@ -198,8 +198,7 @@
     );
 }
 
-/// Guards against dropping the end of an occurrence that is not due yet by this owner's time of
-/// day: the earlier owner's clock was ahead.
+/// Guards against dropping an end that an earlier owner, whose clock was ahead, had caused.
 #[test]
 fn an_end_of_an_occurrence_that_is_not_due_here_is_not_lost() {
     let mut submission = job(1, "urgent", vec![step(1, 1_000, 100)]);
@@ -277,8 +276,7 @@
     );
 }
 
-/// Guards against lists of a new incarnation that were made before it confirmed a start: replies
-/// on different channels may overtake each other.
+/// Guards against lists that were made before the new incarnation confirmed a start.
 #[test]
 fn a_run_that_the_new_incarnation_confirmed_is_not_lost() {
     let now = Now {
@@ -306,8 +304,7 @@
     );
 }
 
-/// Guards against counting an executor as read, whose leases this owner renews, when the leases of
-/// earlier owners have expired.
+/// Guards against counting an executor with unread ends as read while its lease is renewed.
 #[test]
 fn unread_ends_of_a_renewed_executor_are_waited_for() {
     let mut world = world(1, 2);
@@ -474,8 +471,7 @@
     assert_sound(&world);
 }
 
-/// Guards against an earlier owner that takes a restart for the loss of a run whose end the new
-/// owner has read.
+/// Guards against taking a restart for the loss of a run whose end was read elsewhere.
 #[test]
 fn an_earlier_owner_does_not_restart_a_run_whose_end_the_new_one_read() {
     let mut world = world(1, 3);
