Let the wait for leases of earlier owners go on across changes of owner

What callers saw: with a dead executor in the roster and a change of owner every 5 s a job that was taken over did not start in 60 s.

Cause: a new owner cannot know when an executor that it has not opened was last renewed, so it waits a whole lease, 6.3 s after its claim; each change of owner began that wait anew.

An owner that has granted no lease on an executor records how long it has waited, in each second, under the guard of the epoch key. The owner that directly follows waits for the rest. No lease is granted on an executor that a record in the store may name, whichever of the writes without a reply took effect. Ruled out: the time of day (clocks of nodes differ) and the roster itself (its format is read by earlier builds).

New: a_recorded_wait_ends_when_the_executor_is_opened, an_executor_is_not_used_while_the_store_names_it_as_unopened, a_wait_of_an_owner_that_was_not_the_last_one_does_not_count.

--- a/src/entry/committer.rs
+++ b/src/entry/committer.rs
@@ -136,6 +136,10 @@
                     txn.remove.push(keys::job(*job));
                     txn.remove.push(keys::cancellation(*job));
                 }
+                StoreWrite::LeaseWaits(waits) => {
+                    txn.set
+                        .push((keys::LEASE_WAITS.to_owned(), keys::encode(waits)?, 0));
+                }
                 StoreWrite::Roster(roster) => {
                     txn.set
                         .push((keys::ROSTER.to_owned(), keys::encode(roster)?, 0));
--- a/src/entry/store_keys.rs
+++ b/src/entry/store_keys.rs
@@ -22,6 +22,9 @@
 /// Key of the roster: the executors that an owner may have used.
 pub const ROSTER: &str = "c/roster";
 
+/// Key of the waits for leases of earlier owners.
+pub const LEASE_WAITS: &str = "c/waits";
+
 /// Prefix of the keys of accepted jobs and cancellations; the owner watches it.
 pub const WORK_PREFIX: &str = "w/";
 
--- a/src/entry/takeover.rs
+++ b/src/entry/takeover.rs
@@ -25,10 +25,11 @@
 /// Reads jobs, progress, roster and executors. The claim was written before, so no earlier owner
 /// can change them any more.
 pub(super) async fn load(shared: &Shared) -> Result<TakeoverState, StoreError> {
-    let (work, progress, roster, executor_items) = tokio::try_join!(
+    let (work, progress, roster, waits, executor_items) = tokio::try_join!(
         shared.range(keys::WORK_PREFIX, READ_TIMEOUT),
         shared.range(keys::PROGRESS_PREFIX, READ_TIMEOUT),
         shared.get(keys::ROSTER, READ_TIMEOUT),
+        shared.get(keys::LEASE_WAITS, READ_TIMEOUT),
         shared.range(EXECUTORS_PREFIX, READ_TIMEOUT),
     )?;
     let (work, work_revision) = work;
@@ -61,6 +62,9 @@
             None => recovered.roster_unreadable = true,
         }
     }
+    // Without a record that can be read the whole wait is kept.
+    recovered.lease_waits =
+        waits.and_then(|item| ok_or_log(shared, keys::decode(&item.key, &item.value)));
     let executors = executor_items
         .iter()
         .filter_map(|i| executor_or_log(shared, i))
--- a/src/fleet/cell.rs
+++ b/src/fleet/cell.rs
@@ -8,9 +8,9 @@
     crate::{
         core::{CallId, Millis, Resources},
         fleet::{
-            AdviceSlots, CellEffect, CellEvent, CommitQueue, Executor, ExecutorId, ExecutorInfo,
-            FencingToken, FleetConfig, FleetEvent, INCARNATIONS_PER_OWNER, Job, JobEnd, JobId,
-            JobRecord, QueueRule, RecoveredState, StepId,
+            AdviceSlots, CellEffect, CellEvent, CommitQueue, EarlierLeases, Executor, ExecutorId,
+            ExecutorInfo, FencingToken, FleetConfig, FleetEvent, INCARNATIONS_PER_OWNER, Job,
+            JobEnd, JobId, JobRecord, QueueRule, RecoveredState, StepId,
             job::RUN_NUMBERS_PER_OWNER,
             policy::{self, AdviceYield},
         },
@@ -90,8 +90,8 @@
     pub took_over_at: Millis,
     /// Jobs whose record is being read, as an executor named them and they are not known.
     pub(super) job_reads: HashSet<JobId>,
-    /// When every lease granted by an earlier owner has expired and its stops have finished.
-    pub previous_leases_expired_at: Millis,
+    /// Leases that earlier owners granted on executors which were not opened since.
+    pub earlier_leases: EarlierLeases,
     /// Sum of the needs of the tracked runs of each tenant, on all executors.
     pub tenant_usage: HashMap<Arc<str>, Resources>,
     /// Token bucket of each tenant's job rate: thousandths of a job, and when refilled.
@@ -125,6 +125,7 @@
         recovered: RecoveredState,
         now: Now,
     ) -> Self {
+        let roster_ids: Vec<ExecutorId> = recovered.roster.iter().map(|e| e.id.clone()).collect();
         let mut cell = Self {
             token,
             bounds,
@@ -137,8 +138,13 @@
             unreconciled: HashSet::new(),
             took_over_at: now.mono,
             job_reads: HashSet::new(),
-            previous_leases_expired_at: now.mono
-                + policy::earlier_runs_end_after(bounds.max_lease_ms, bounds.kill_grace_ms),
+            earlier_leases: EarlierLeases::new(
+                token,
+                &roster_ids,
+                recovered.lease_waits,
+                policy::earlier_runs_end_after(bounds.max_lease_ms, bounds.kill_grace_ms),
+                now.mono,
+            ),
             tenant_usage: HashMap::new(),
             rate_buckets: HashMap::new(),
             commit_queue: CommitQueue::default(),
@@ -250,10 +256,11 @@
         self.config.queue(name).map_or(&job.submission.queue, |q| q)
     }
 
-    /// Returns whether the roster in the store names an executor at its present address, so that
-    /// the next owner will read it.
+    /// Returns whether leases may be granted on an executor: the roster in the store names it at
+    /// its present address, so that the next owner will read it and wait for them.
     pub(super) fn in_roster(&self, executor: &ExecutorInfo) -> bool {
         self.roster.get(&executor.id) == Some(&executor.address)
+            && self.earlier_leases.may_grant(&executor.id)
     }
 
     pub(super) fn next_call(&mut self) -> CallId {
@@ -280,9 +287,11 @@
     /// this one: nothing runs there, and ends that were not read bind nobody.
     fn give_up_unreachable(&mut self, now: Now) {
         let (executors, grace) = (&self.executors, self.bounds.kill_grace_ms);
+        let earlier = &self.earlier_leases;
         let expired = |id: &ExecutorId| {
             let executor = executors.get(id);
-            executor.is_none_or(|e| e.leases_expired(now.mono, grace))
+            now.mono >= earlier.expired_at(id)
+                && executor.is_none_or(|e| e.leases_expired(now.mono, grace))
         };
         let given_up: Vec<ExecutorId> = self.unreconciled.extract_if(expired).collect();
         if !given_up.is_empty() {
@@ -294,9 +303,7 @@
     }
 
     fn tick(&mut self, now: Now) {
-        if now.mono >= self.previous_leases_expired_at {
-            self.give_up_unreachable(now);
-        }
+        self.give_up_unreachable(now);
         self.drop_finished_jobs();
         self.unlist_missing(now);
         self.expire_leases(now);
--- a/src/fleet/cell_executors.rs
+++ b/src/fleet/cell_executors.rs
@@ -67,7 +67,7 @@
             }
             if known.info.address != info.address {
                 known.address_since = now.mono;
-                self.commit_queue.roster_dirty = true;
+                self.commit_queue.roster.dirty = true;
             }
             known.listed = true;
             known.missing_since = None;
@@ -77,7 +77,7 @@
         let mut executor = Executor::new(info, true, now.mono);
         executor.incarnations = self.removed_incarnations.remove(&id).unwrap_or(0);
         self.executors.insert(id, executor);
-        self.commit_queue.roster_dirty = true;
+        self.commit_queue.roster.dirty = true;
     }
 
     /// Handles the removal of an executor from the platform's list; its lease may still run.
@@ -269,6 +269,7 @@
         }
         if executor.session != Session::Open {
             executor.session = Session::Open;
+            self.earlier_leases.remove(id);
             self.log(
                 FleetEvent::ExecutorOpened,
                 format!("executor={id} running={}", reply.running.len()),
@@ -523,6 +524,7 @@
         }
         for id in removable {
             if let Some(executor) = self.executors.remove(&id) {
+                self.earlier_leases.remove(&id);
                 let unacked = executor.unacked.len();
                 let detail = format!("executor={id} unacked={unacked}");
                 self.log(FleetEvent::ExecutorRemoved, detail);
@@ -531,7 +533,7 @@
                     self.removed_incarnations.insert(id, restarts);
                 }
             }
-            self.commit_queue.roster_dirty = true;
+            self.commit_queue.roster.dirty = true;
         }
     }
 
--- a/src/fleet/cell_jobs.rs
+++ b/src/fleet/cell_jobs.rs
@@ -179,6 +179,7 @@
     /// Sends the next commit if records or the roster are dirty, none is in flight and the commit
     /// interval has passed.
     pub(super) fn send_commit(&mut self, now: Now) {
+        self.commit_queue.waits.dirty |= self.earlier_leases.needs_write(now.mono);
         let jobs = &self.jobs;
         let ended = &self.ended_jobs;
         let entries = |id: JobId| {
@@ -192,9 +193,13 @@
             .iter()
             .filter_map(|id| self.store_write_for(*id, now))
             .collect();
-        if self.commit_queue.roster_in_flight {
+        if self.commit_queue.roster.in_flight {
             writes.push(self.roster_write());
         }
+        if self.commit_queue.waits.in_flight {
+            let waits = self.earlier_leases.write(self.token, now.mono);
+            writes.push(StoreWrite::LeaseWaits(waits));
+        }
         let call = self.next_call();
         self.commit_queue.on_sent(call, batch);
         self.effects.push(CellEffect::Commit { call, writes });
@@ -237,20 +242,25 @@
     /// Handles the result of a commit. Ends in it become visible to callers unless the job is dirty
     /// again; failed writes are queued again.
     pub(super) fn on_commit_result(&mut self, call: CallId, ok: bool, now: Now) {
-        let Some((jobs, roster)) = self.commit_queue.on_result(call, ok, now.mono) else {
-            if !ok {
-                self.log(
-                    FleetEvent::CommitFailed,
-                    format!("call={call}; tried again"),
-                );
-            }
+        let Some(batch) = self.commit_queue.on_result(call, ok, now.mono) else {
             return;
         };
-        if roster {
+        if batch.waits {
+            self.earlier_leases.on_written(ok);
+            self.needs_placement |= ok;
+        }
+        if !ok {
+            self.log(
+                FleetEvent::CommitFailed,
+                format!("call={call}; tried again"),
+            );
+            return;
+        }
+        if batch.roster {
             self.needs_placement = true;
             self.roster = std::mem::take(&mut self.roster_sent);
         }
-        for id in jobs {
+        for id in batch.jobs {
             let Some(job) = self.jobs.get_mut(&id) else {
                 continue;
             };
--- a/src/fleet/commit_queue.rs
+++ b/src/fleet/commit_queue.rs
@@ -22,6 +22,15 @@
 /// Backoff after a failed commit, in ms.
 const COMMIT_RETRY_MS: Millis = 200;
 
+/// State of a record that is written whole.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct SingleWrite {
+    /// Whether it must be written.
+    pub dirty: bool,
+    /// Whether the commit under way writes it.
+    pub in_flight: bool,
+}
+
 /// Queue of records to write; at most one commit is under way.
 #[derive(Debug, Default)]
 pub struct CommitQueue {
@@ -33,10 +42,19 @@
     pending_call: Option<CallId>,
     /// Earliest next commit, in ms on the owner's monotonic clock.
     next_commit_at: Millis,
-    /// Whether the roster must be written.
-    pub roster_dirty: bool,
-    /// Whether the commit under way writes the roster.
-    pub roster_in_flight: bool,
+    pub roster: SingleWrite,
+    /// Waits for the leases of earlier owners.
+    pub waits: SingleWrite,
+}
+
+/// What a commit that ended had in it.
+#[derive(Clone, Debug, Default, Eq, PartialEq)]
+pub struct CommittedBatch {
+    /// Whether it is durable; if not, all of it is queued again.
+    pub ok: bool,
+    pub jobs: Vec<JobId>,
+    pub roster: bool,
+    pub waits: bool,
 }
 
 impl CommitQueue {
@@ -58,11 +76,12 @@
         now: Millis,
         entry_count: impl Fn(JobId) -> usize,
     ) -> Option<Vec<JobId>> {
-        let idle = self.dirty.is_empty() && !self.roster_dirty;
+        let idle = self.dirty.is_empty() && !self.roster.dirty && !self.waits.dirty;
         if self.pending_call.is_some() || now < self.next_commit_at || idle {
             return None;
         }
-        let mut free_entries = MAX_COMMIT_ENTRIES - usize::from(self.roster_dirty);
+        let mut free_entries =
+            MAX_COMMIT_ENTRIES - usize::from(self.roster.dirty) - usize::from(self.waits.dirty);
         let mut batch = Vec::new();
         for job in &self.dirty {
             let size = entry_count(*job);
@@ -75,7 +94,8 @@
         for job in &batch {
             self.dirty.remove(job);
         }
-        self.roster_in_flight = std::mem::take(&mut self.roster_dirty);
+        self.roster.in_flight = std::mem::take(&mut self.roster.dirty);
+        self.waits.in_flight = std::mem::take(&mut self.waits.dirty);
         Some(batch)
     }
 
@@ -85,22 +105,27 @@
         self.in_flight = jobs;
     }
 
-    /// Ends the commit under way and returns the jobs that became durable, and whether the roster
-    /// did. A failed commit is queued again; it and an unknown call return `None`.
-    pub fn on_result(&mut self, call: CallId, ok: bool, now: Millis) -> Option<(Vec<JobId>, bool)> {
+    /// Ends the commit under way and returns what it had in it; `None` for an unknown call. A failed
+    /// commit is queued again.
+    pub fn on_result(&mut self, call: CallId, ok: bool, now: Millis) -> Option<CommittedBatch> {
         if self.pending_call != Some(call) {
             return None;
         }
         self.pending_call = None;
-        let jobs = std::mem::take(&mut self.in_flight);
-        let roster = std::mem::take(&mut self.roster_in_flight);
+        let batch = CommittedBatch {
+            ok,
+            jobs: std::mem::take(&mut self.in_flight),
+            roster: std::mem::take(&mut self.roster.in_flight),
+            waits: std::mem::take(&mut self.waits.in_flight),
+        };
         if ok {
             self.next_commit_at = now + COMMIT_INTERVAL_MS;
-            return Some((jobs, roster));
+        } else {
+            self.next_commit_at = now + COMMIT_RETRY_MS;
+            self.dirty.extend(batch.jobs.iter().copied());
+            self.roster.dirty |= batch.roster;
+            self.waits.dirty |= batch.waits;
         }
-        self.next_commit_at = now + COMMIT_RETRY_MS;
-        self.dirty.extend(jobs);
-        self.roster_dirty |= roster;
-        None
+        Some(batch)
     }
 }
--- a/src/fleet/event.rs
+++ b/src/fleet/event.rs
@@ -7,8 +7,8 @@
     crate::{
         core::{CallId, Millis, Resources},
         fleet::{
-            ExecutorId, FencingToken, FleetConfig, JobId, JobProgress, JobRecord, Roster,
-            RosterEntry, RunNumber, StepId, Submission, TaskId,
+            ExecutorId, FencingToken, FleetConfig, JobId, JobProgress, JobRecord, LeaseWaits,
+            Roster, RosterEntry, RunNumber, StepId, Submission, TaskId,
         },
     },
     serde::{Deserialize, Serialize},
@@ -204,6 +204,8 @@
     Delete { job: JobId },
     /// Replaces the roster.
     Roster(Roster),
+    /// Replaces the waits for leases of earlier owners.
+    LeaseWaits(LeaseWaits),
 }
 
 /// An input of the cell.
@@ -297,6 +299,8 @@
     pub cancelled: Vec<JobId>,
     /// Executors that earlier owners may have used.
     pub roster: Vec<RosterEntry>,
+    /// Waits for leases that the last owner wrote, if any.
+    pub lease_waits: Option<LeaseWaits>,
     /// Whether the roster could not be decoded, so that any executor may have been used.
     pub roster_unreadable: bool,
 }
--- a/src/fleet/mod.rs
+++ b/src/fleet/mod.rs
@@ -31,6 +31,7 @@
 mod cell_runs;
 mod cell_summary;
 mod commit_queue;
+mod earlier_leases;
 mod event;
 mod executor;
 mod fleet_config;
@@ -46,6 +47,7 @@
     cell_explain::{BlockReason, JobExplanation, StepExplanation},
     cell_summary::{FleetSummary, QueueSummary, TenantSummary},
     commit_queue::CommitQueue,
+    earlier_leases::EarlierLeases,
     event::{
         AdvisedExecutor, CellEffect, CellEvent, CommandError, CommandReply, EndedRow,
         ExecutorCommand, ExecutorInfo, FleetEvent, RecoveredState, RenewCommand, RenewReply,
@@ -60,7 +62,7 @@
     job::{Job, Step, Task},
     job_spec::{JobSpec, Schedule, StepSpec},
     records::{
-        EpochRecord, JobEnd, JobProgress, JobRecord, NodeRecord, OwnerRecord, Roster, RosterEntry,
-        StepProgress, Submission, TaskProgress,
+        EpochRecord, JobEnd, JobProgress, JobRecord, LeaseWaits, NodeRecord, OwnerRecord, Roster,
+        RosterEntry, StepProgress, Submission, TaskProgress,
     },
 };
--- a/src/fleet/records.rs
+++ b/src/fleet/records.rs
@@ -116,3 +116,14 @@
     pub address: Arc<str>,
     pub pool: Arc<str>,
 }
+
+/// How long owners have waited for the leases of earlier ones, for executors on which the writer has
+/// granted none. The owner that follows it waits for the rest only.
+#[derive(Clone, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
+pub struct LeaseWaits {
+    /// Fencing token of the writer. Means nothing to an owner that does not follow it directly.
+    pub token: u64,
+    /// Executors, and the time since the claim of the first owner that granted no lease there, in
+    /// ms when it was written.
+    pub waited: Vec<(Arc<str>, Millis)>,
+}
--- a/standins/src/cell_world.rs
+++ b/standins/src/cell_world.rs
@@ -10,7 +10,8 @@
         fleet::{
             AdvisedExecutor, Cell, CellBounds, CellEffect, CellEvent, CommandError, CommandReply,
             ExecutorCommand, ExecutorId, ExecutorInfo, FleetConfig, JobId, JobProgress, JobRecord,
-            JobStatus, Now, RecoveredState, RosterEntry, StepId, StoreWrite, Submission, TaskId,
+            JobStatus, LeaseWaits, Now, RecoveredState, RosterEntry, StepId, StoreWrite,
+            Submission, TaskId,
         },
     },
     rand::{Rng, SeedableRng, rngs::SmallRng},
@@ -90,6 +91,7 @@
     pub progress: BTreeMap<JobId, JobProgress>,
     pub cancelled: HashSet<JobId>,
     pub roster: Vec<RosterEntry>,
+    pub lease_waits: Option<LeaseWaits>,
 }
 
 /// One cell and the simulated platform around it.
@@ -235,6 +237,7 @@
                 .collect(),
             cancelled: self.records.cancelled.iter().copied().collect(),
             roster: self.records.roster.clone(),
+            lease_waits: self.records.lease_waits.clone(),
             roster_unreadable: self.roster_unreadable,
         };
         self.log.push(format!("{} owner {token}", self.now));
@@ -608,6 +611,7 @@
                 StoreWrite::Delete { job } => {
                     self.records.jobs.remove(&job);
                 }
+                StoreWrite::LeaseWaits(waits) => self.records.lease_waits = Some(waits),
                 StoreWrite::Roster(roster) => self.records.roster = roster.executors,
             }
         }
--- a/tests/succession.rs
+++ b/tests/succession.rs
@@ -211,6 +211,7 @@
         jobs: vec![(JobId(1), JobRecord::Open(submission), None)],
         cancelled: vec![],
         roster: vec![entry("e0", "a:1")],
+        lease_waits: None,
         roster_unreadable: false,
     };
     let now = Now {
@@ -397,6 +398,68 @@
     );
 }
 
+/// Guards against counting a wait that ended with a lease of the owner which recorded it.
+#[test]
+fn a_recorded_wait_ends_when_the_executor_is_opened() {
+    for opened_after in [1_200, 2_000, 3_500, 5_900] {
+        let mut world = world(1, 3);
+        world.submit(job(1, "urgent", vec![step(1, 1_000, 60_000)]));
+        world.run(200);
+        let host = host(&world, 1);
+        world.cut.insert((2, host.clone()));
+        world.replace_owner();
+        world.run(opened_after);
+        let waits = world.records.lease_waits.clone().expect("waits");
+        assert_eq!(*waits.waited[0].0, *host);
+        world.cut.remove(&(2, host.clone()));
+        world.run(1_500);
+        world.cut.insert((3, host));
+        world.replace_owner();
+        world.run(9_000);
+        assert_sound(&world);
+    }
+}
+
+/// Guards against granting a lease while a record that names the executor may be in the store.
+#[test]
+fn an_executor_is_not_used_while_the_store_names_it_as_unopened() {
+    let mut world = world(1, 3);
+    world.submit(job(1, "urgent", vec![step(1, 1_000, 60_000)]));
+    world.run(200);
+    let host = host(&world, 1);
+    world.cut.insert((2, host.clone()));
+    world.replace_owner();
+    world.run(3_000);
+    world.store_up = false;
+    world.cut.remove(&(2, host.clone()));
+    world.run(1_000);
+    world.cut.insert((3, host));
+    world.replace_owner();
+    world.store_up = true;
+    world.run(9_000);
+    assert_sound(&world);
+}
+
+/// Guards against a wait that is recorded by an owner before the last one.
+#[test]
+fn a_wait_of_an_owner_that_was_not_the_last_one_does_not_count() {
+    let mut world = world(1, 3);
+    world.submit(job(1, "urgent", vec![step(1, 1_000, 60_000)]));
+    world.run(200);
+    let host = host(&world, 1);
+    world.cut.insert((2, host.clone()));
+    world.replace_owner();
+    world.run(5_000);
+    let waits = world.records.lease_waits.clone();
+    world.replace_owner();
+    world.run(1_500);
+    world.records.lease_waits = waits;
+    world.cut.insert((4, host));
+    world.replace_owner();
+    world.run(9_000);
+    assert_sound(&world);
+}
+
 /// Guards against tokens that fall when an executor that had restarted is forgotten and comes back.
 #[test]
 fn an_executor_that_was_forgotten_does_not_depose_the_owner() {
