Send the owner's commands through the other nodes in large fleets

From 100 executors on, each executor's commands go through one node of its zone, chosen by weighted rendezvous hashing (fleet/policy/dispatch.rs). Token, run number, lease end and retries stay the owner's; the node is a slower network (entry/dispatch.rs, entry/dispatcher.rs). A node sends nothing after a time on its own clock that is never after the end of the owner's proof of ownership or 250 ms after the command. When a node is lost its renewals are sent again at once, and an executor that got no reply through a node is called directly for 5 s, then longer. A node that drains, or runs an earlier build, gets no commands. Messages that are queued for a peer share a flush.

--- /dev/null
+++ b/src/entry/dispatch.rs
@@ -0,0 +1,168 @@
+//! Commands that other nodes send for the owner: which node sends them, which of them await a
+//! reply, and until when a node may send one.
+//!
+//! Used by the owner task. Nothing here sends a message or reads a clock. A node in between makes a
+//! command later or loses it, as the network does; fencing tokens, run numbers and lease ends are
+//! the owner's.
+
+use {
+    crate::{
+        core::{CallId, Millis},
+        fleet::{
+            ExecutorCommand, ExecutorId,
+            policy::{Dispatcher, choose_dispatcher},
+        },
+    },
+    serde::{Deserialize, Serialize},
+    std::{
+        collections::{BTreeMap, HashMap},
+        sync::Arc,
+    },
+};
+
+/// Time for which the owner itself sends an executor's commands after a node got no reply, in ms;
+/// doubles with each further failure.
+const MIN_DIRECT_MS: Millis = 5_000;
+
+/// Maximum of that time, in ms.
+const MAX_DIRECT_MS: Millis = 60_000;
+
+/// A command to one executor, with what a node needs to send it.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct RemoteCommand {
+    pub call: CallId,
+    pub executor: ExecutorId,
+    /// IP address and port.
+    pub address: Arc<str>,
+    pub command: ExecutorCommand,
+    /// Timeout of the call to the executor, in ms.
+    pub timeout_ms: Millis,
+    /// Time on the sending node's clock from which the command must not be sent, in ms since boot.
+    pub send_before: Millis,
+}
+
+/// A node that sends commands, as seen by the owner.
+#[derive(Clone, Debug)]
+struct Node {
+    /// Lower bound of the node's clock minus the owner's, in ms.
+    clock_offset: i64,
+}
+
+/// A command that another node sends and whose reply has not arrived.
+#[derive(Clone, Debug)]
+pub struct RemoteCall {
+    pub node: Arc<str>,
+    pub executor: ExecutorId,
+    pub address: Arc<str>,
+    /// The command if it can be sent again without the cell, which holds for renewals.
+    pub renewal: Option<ExecutorCommand>,
+    /// When the owner stops waiting, in ms on its monotonic clock.
+    pub times_out_at: Millis,
+}
+
+/// The time for which the owner itself sends the commands of one executor.
+#[derive(Clone, Copy, Debug)]
+struct DirectPhase {
+    until: Millis,
+    duration_ms: Millis,
+}
+
+/// Nodes that send commands for the owner, and the calls in flight. Times are in ms on the owner's
+/// monotonic clock unless stated.
+#[derive(Debug, Default)]
+pub struct Dispatch {
+    nodes: BTreeMap<Arc<str>, Node>,
+    /// The same nodes, in the form that the choice takes.
+    dispatchers: Vec<Dispatcher>,
+    /// The choice made for each executor; emptied when the nodes change.
+    chosen: HashMap<ExecutorId, Arc<str>>,
+    calls: HashMap<CallId, RemoteCall>,
+    direct: HashMap<ExecutorId, DirectPhase>,
+}
+
+impl Dispatch {
+    /// Adds a node or updates it. `node_ms` is a reading of its clock, taken before `now`. Returns
+    /// whether it was added.
+    pub fn set_node(&mut self, dispatcher: Dispatcher, node_ms: Millis, now: Millis) -> bool {
+        let clock_offset = node_ms.cast_signed() - now.cast_signed();
+        let node = Node { clock_offset };
+        let known = self.nodes.insert(dispatcher.node.clone(), node).is_some();
+        if !self.dispatchers.contains(&dispatcher) {
+            self.dispatchers.retain(|d| d.node != dispatcher.node);
+            self.dispatchers.push(dispatcher);
+            self.chosen.clear();
+        }
+        !known
+    }
+
+    /// Removes a node; returns its calls in flight, whose outcome is unknown.
+    pub fn remove_node(&mut self, node: &str) -> Vec<(CallId, RemoteCall)> {
+        if self.nodes.remove(node).is_none() {
+            return Vec::new();
+        }
+        self.dispatchers.retain(|d| *d.node != *node);
+        self.chosen.clear();
+        self.calls.extract_if(|_, c| *c.node == *node).collect()
+    }
+
+    /// Returns the number of nodes.
+    pub fn node_count(&self) -> usize {
+        self.nodes.len()
+    }
+
+    /// Returns the node that sends the commands of an executor; `None` if the owner does.
+    pub fn route(&mut self, executor: &ExecutorId, zone: &str, now: Millis) -> Option<Arc<str>> {
+        if self.direct.get(executor).is_some_and(|d| now < d.until) {
+            return None;
+        }
+        if let Some(node) = self.chosen.get(executor) {
+            return Some(node.clone());
+        }
+        let index = choose_dispatcher(executor, zone, &self.dispatchers)?;
+        let node = self.dispatchers[index].node.clone();
+        self.chosen.insert(executor.clone(), node.clone());
+        Some(node)
+    }
+
+    /// Returns a time on the node's clock that is not after `owner_ms` on the owner's; `None` if the
+    /// node is not known.
+    pub fn to_node_clock(&self, node: &str, owner_ms: Millis) -> Option<Millis> {
+        let offset = self.nodes.get(node)?.clock_offset;
+        Some(owner_ms.saturating_add_signed(offset))
+    }
+
+    /// Records a command that was passed to a node.
+    pub fn add_call(&mut self, call: CallId, remote: RemoteCall) {
+        self.calls.insert(call, remote);
+    }
+
+    /// Ends a call; `None` if it was given up before. `answered` is whether the executor replied.
+    pub fn complete(&mut self, call: CallId, answered: bool, now: Millis) -> Option<RemoteCall> {
+        let remote = self.calls.remove(&call)?;
+        if answered {
+            self.direct.remove(&remote.executor);
+        } else {
+            self.send_directly(&remote.executor, now);
+        }
+        Some(remote)
+    }
+
+    /// Gives up the calls whose replies are overdue, and returns them.
+    pub fn expire(&mut self, now: Millis) -> Vec<(CallId, RemoteCall)> {
+        let overdue = |_: &CallId, c: &mut RemoteCall| c.times_out_at <= now;
+        let overdue: Vec<_> = self.calls.extract_if(overdue).collect();
+        for (_, remote) in &overdue {
+            self.send_directly(&remote.executor, now);
+        }
+        overdue
+    }
+
+    /// Has the owner itself send the commands of an executor for a time.
+    fn send_directly(&mut self, executor: &ExecutorId, now: Millis) {
+        let doubled = |d: &DirectPhase| (d.duration_ms * 2).min(MAX_DIRECT_MS);
+        let duration_ms = self.direct.get(executor).map_or(MIN_DIRECT_MS, doubled);
+        let until = now + duration_ms;
+        let phase = DirectPhase { until, duration_ms };
+        self.direct.insert(executor.clone(), phase);
+    }
+}
--- a/src/entry/mod.rs
+++ b/src/entry/mod.rs
@@ -9,6 +9,8 @@
 mod committer;
 mod config_watch;
 mod daemon;
+mod dispatch;
+mod dispatcher;
 mod election;
 mod errors;
 mod event_log;
@@ -32,6 +34,7 @@
     cell_query::{CellQuery, QueryError},
     committer::Commit,
     daemon::{check_settings, run},
+    dispatch::{Dispatch, RemoteCall, RemoteCommand},
     election::{claim_rank, should_step_down},
     errors::EntryError,
     event_log::{EventLog, MAX_LINES_PER_SECOND},
--- a/src/entry/owner.rs
+++ b/src/entry/owner.rs
@@ -6,12 +6,14 @@
     crate::{
         core::{CallId, Millis},
         entry::{
-            CellQuery, Commit, PeerMessage, Shared, advice, clock, committer, event_log::Latency,
-            owner_watch, takeover,
+            CellQuery, Commit, Dispatch, PeerMessage, RemoteCall, RemoteCommand, Shared, advice,
+            clock, committer, event_log::Latency, owner_watch, peer_message::DispatchOffer,
+            takeover,
         },
         fleet::{
-            AdvisedExecutor, Cell, CellBounds, CellEffect, CellEvent, EpochRecord, ExecutorCommand,
-            ExecutorId, FleetEvent, JobId, Now, Submission, policy::OwnershipProof,
+            AdvisedExecutor, Cell, CellBounds, CellEffect, CellEvent, CommandError, CommandReply,
+            EpochRecord, ExecutorCommand, ExecutorId, FleetEvent, JobId, Now, Submission,
+            policy::{Dispatcher, OwnershipProof},
         },
         platform::StoreError,
     },
@@ -31,6 +33,14 @@
 /// Timeout of a renew command beyond the wait that the command itself requests.
 const RENEW_TIMEOUT_MARGIN: Duration = Duration::from_millis(500);
 
+/// Number of executors from which other nodes send the commands. With fewer the owner's exchange
+/// takes a few percent of a core, and the loss of a node would delay a larger part of them.
+const MIN_DISPATCH_EXECUTORS: usize = 100;
+
+/// Time after which another node must not send a command that it was passed, in ms; the owner waits
+/// as much longer for the reply.
+const MAX_DISPATCH_DELAY_MS: Millis = 250;
+
 /// Timeout of a call for advice, in ms, including the time that the advice service takes.
 const ADVICE_TIMEOUT_MS: Millis = 2_000;
 
@@ -59,6 +69,18 @@
         /// How long the tickets are valid, in ms; 0 if unknown.
         valid_ms: Millis,
     },
+    /// An entry node read its clock, and offers to send commands or, if none, no longer does.
+    DispatchOffer {
+        node: Arc<str>,
+        /// The node's time since boot, in ms.
+        node_ms: Millis,
+        offer: Option<DispatchOffer>,
+    },
+    /// An entry node sent a command for this one and passes the reply on.
+    RemoteReply {
+        call: CallId,
+        result: Result<CommandReply, CommandError>,
+    },
     /// There is a newer owner, or this node gives up ownership.
     StepDown,
 }
@@ -81,6 +103,9 @@
     tx: mpsc::UnboundedSender<OwnerInput>,
     commits: mpsc::UnboundedSender<Commit>,
     peers: HashMap<Arc<str>, mpsc::Sender<PeerMessage>>,
+    dispatch: Dispatch,
+    /// End of the last proof of ownership, in ms since boot.
+    proved_until: Millis,
     /// Store lease of the claim.
     lease: u64,
     /// Whether no other node could own the cell at the last check.
@@ -118,6 +143,8 @@
         tx: tx.clone(),
         commits,
         peers: HashMap::new(),
+        dispatch: Dispatch::default(),
+        proved_until: 0,
         lease: claim.lease,
         sole_owner: true,
         stepped_down: false,
@@ -162,6 +189,20 @@
     }
 }
 
+/// Returns how long to wait for the reply to a command.
+fn command_timeout(command: &ExecutorCommand) -> Duration {
+    match command {
+        ExecutorCommand::Renew(renewal) => {
+            RENEW_TIMEOUT_MARGIN + Duration::from_millis(renewal.wait_ms)
+        }
+        _ => COMMAND_TIMEOUT,
+    }
+}
+
+fn millis(duration: Duration) -> Millis {
+    Millis::try_from(duration.as_millis()).unwrap_or(Millis::MAX)
+}
+
 impl OwnerTask {
     async fn serve(&mut self, rx: &mut mpsc::UnboundedReceiver<OwnerInput>) {
         let mut tick = tokio::time::interval(TICK_INTERVAL);
@@ -177,7 +218,13 @@
                         self.on_input(input, now);
                     }
                 }
-                _ = tick.tick() => self.cell.step(CellEvent::Tick, clock::now()),
+                _ = tick.tick() => {
+                    let now = clock::now();
+                    self.cell.step(CellEvent::Tick, now);
+                    for (call, remote) in self.dispatch.expire(now.mono) {
+                        self.on_no_reply(call, remote.executor);
+                    }
+                }
                 () = next_round_due(due) => {}
             }
             // Commands carry lease ends that are computed from the time of this check, so one that
@@ -200,6 +247,7 @@
     fn check_ownership(&mut self, now: Now) -> Option<OwnershipProof> {
         let proof = self.shared.ownership_proof(self.lease);
         let sole_owner = proof.is_some_and(|p| p.is_sole_owner(now.mono));
+        self.proved_until = proof.map_or(0, |p| p.sent_at + p.ttl_ms);
         if sole_owner != self.sole_owner {
             self.sole_owner = sole_owner;
             let age_ms = proof.map(|p| now.mono.saturating_sub(p.sent_at));
@@ -219,15 +267,37 @@
             OwnerInput::Cancelled(job) => self.cell.step(CellEvent::Cancelled(job), now),
             OwnerInput::Query(query) => query.run(&self.cell, now),
             OwnerInput::PeerUp { node, tx } => {
+                self.remove_dispatcher(&node);
                 self.peers.insert(node, tx);
                 self.set_advice_nodes(now);
             }
             OwnerInput::PeerDown { node } => {
                 if self.peers.get(&node).is_some_and(mpsc::Sender::is_closed) {
                     self.peers.remove(&node);
+                    self.remove_dispatcher(&node);
                 }
                 self.set_advice_nodes(now);
             }
+            OwnerInput::DispatchOffer {
+                node,
+                node_ms,
+                offer,
+            } => match offer {
+                Some(offer) => self.set_dispatcher(node, node_ms, offer, now),
+                None => self.remove_dispatcher(&node),
+            },
+            OwnerInput::RemoteReply { call, result } => {
+                let answered = !matches!(result, Err(CommandError::Unknown));
+                if let Some(remote) = self.dispatch.complete(call, answered, now.mono) {
+                    let executor = remote.executor;
+                    let event = CellEvent::CommandResult {
+                        call,
+                        executor,
+                        result,
+                    };
+                    self.cell.step(event, now);
+                }
+            }
             OwnerInput::AdviceReply {
                 call,
                 advised,
@@ -250,6 +320,49 @@
         self.cell.step(CellEvent::AdviceNodes(nodes), now);
     }
 
+    fn set_dispatcher(&mut self, node: Arc<str>, node_ms: Millis, offer: DispatchOffer, now: Now) {
+        let dispatcher = Dispatcher {
+            node,
+            zone: offer.zone,
+            cpu_milli: offer.cpu_milli,
+        };
+        if self.dispatch.set_node(dispatcher, node_ms, now.mono) {
+            self.log_dispatchers();
+        }
+    }
+
+    /// Stops passing commands to a node. Renewals that it has in flight are sent again at once; the
+    /// cell sends the other commands again.
+    fn remove_dispatcher(&mut self, node: &str) {
+        let before = self.dispatch.node_count();
+        for (call, remote) in self.dispatch.remove_node(node) {
+            match remote.renewal {
+                Some(command) => {
+                    self.send_directly(call, remote.executor, remote.address, command, true);
+                }
+                None => self.on_no_reply(call, remote.executor),
+            }
+        }
+        if self.dispatch.node_count() != before {
+            self.log_dispatchers();
+        }
+    }
+
+    fn log_dispatchers(&self) {
+        let detail = format!("nodes={}", self.dispatch.node_count());
+        self.shared.log_event(FleetEvent::DispatchChanged, &detail);
+    }
+
+    /// Reports to the cell that a command got no reply.
+    fn on_no_reply(&self, call: CallId, executor: ExecutorId) {
+        let event = CellEvent::CommandResult {
+            call,
+            executor,
+            result: Err(CommandError::Unknown),
+        };
+        let _ = self.tx.send(OwnerInput::Cell(event));
+    }
+
     fn execute_effect(&mut self, effect: CellEffect) {
         match effect {
             CellEffect::Command {
@@ -284,6 +397,8 @@
         }
     }
 
+    /// Sends a command through the node that has the executor, or directly if the fleet is small,
+    /// there is no node, or the last call failed.
     fn send_command(
         &mut self,
         call: CallId,
@@ -292,13 +407,71 @@
         command: ExecutorCommand,
         new_connection: bool,
     ) {
-        let (client, tx) = (self.shared.executor_client.clone(), self.tx.clone());
-        let timeout = match &command {
-            ExecutorCommand::Renew(renewal) => {
-                RENEW_TIMEOUT_MARGIN + Duration::from_millis(renewal.wait_ms)
-            }
-            _ => COMMAND_TIMEOUT,
+        let direct = new_connection || self.cell.executors.len() < MIN_DISPATCH_EXECUTORS;
+        let passed_on = !direct && self.send_remotely(call, &executor, &address, &command);
+        if !passed_on {
+            self.send_directly(call, executor, address, command, new_connection);
+        }
+    }
+
+    /// Passes a command to the node that has the executor; false if there is none or it takes no
+    /// more messages.
+    fn send_remotely(
+        &mut self,
+        call: CallId,
+        executor: &ExecutorId,
+        address: &Arc<str>,
+        command: &ExecutorCommand,
+    ) -> bool {
+        let now = clock::mono();
+        let known = self.cell.executors.get(executor);
+        let zone = known.map_or_else(|| Arc::from(""), |e| e.info.zone.clone());
+        let Some(node) = self.dispatch.route(executor, &zone, now) else {
+            return false;
+        };
+        let timeout = command_timeout(command);
+        let mut send_before = now + MAX_DISPATCH_DELAY_MS;
+        if command.grants_lease() {
+            send_before = send_before.min(self.proved_until);
+        }
+        let Some(send_before) = self.dispatch.to_node_clock(&node, send_before) else {
+            return false;
         };
+        let timeout_ms = millis(timeout);
+        let message = PeerMessage::CommandRequest(Box::new(RemoteCommand {
+            call,
+            executor: executor.clone(),
+            address: address.clone(),
+            command: command.clone(),
+            timeout_ms,
+            send_before,
+        }));
+        let peer = self.peers.get(&node);
+        if peer.is_none_or(|tx| tx.try_send(message).is_err()) {
+            return false;
+        }
+        let renewal = matches!(command, ExecutorCommand::Renew(_)).then(|| command.clone());
+        let remote = RemoteCall {
+            node,
+            executor: executor.clone(),
+            address: address.clone(),
+            renewal,
+            times_out_at: now + timeout_ms + MAX_DISPATCH_DELAY_MS,
+        };
+        self.dispatch.add_call(call, remote);
+        true
+    }
+
+    fn send_directly(
+        &mut self,
+        call: CallId,
+        executor: ExecutorId,
+        address: Arc<str>,
+        command: ExecutorCommand,
+        new_connection: bool,
+    ) {
+        let (client, tx) = (self.shared.executor_client.clone(), self.tx.clone());
+        let timeout = command_timeout(&command);
         self.tasks.spawn(async move {
             let result = client
                 .send_command(&executor, &address, &command, timeout, new_connection)
--- a/src/entry/owner_link.rs
+++ b/src/entry/owner_link.rs
@@ -6,13 +6,14 @@
     crate::{
         core::Millis,
         entry::{
-            OwnerInput, PeerMessage, RelayedCall, RelayedOutcome, Shared, advice, clock,
-            peer_message::frame_codec,
+            OwnerInput, PeerMessage, RelayedCall, RelayedOutcome, RemoteCommand, Shared, advice,
+            clock, dispatcher,
+            peer_message::{DispatchOffer, frame_codec, send_queued},
         },
-        fleet::{FleetEvent, JobId, JobStatus, OwnerRecord, Submission},
+        fleet::{CommandError, FleetEvent, JobId, JobStatus, OwnerRecord, Submission},
         platform::StoreError,
     },
-    futures_util::{SinkExt, StreamExt},
+    futures_util::StreamExt,
     std::{
         collections::HashMap,
         sync::{Arc, Mutex, MutexGuard, PoisonError},
@@ -21,6 +22,7 @@
     tokio::{
         net::TcpStream,
         sync::{mpsc, oneshot},
+        task::JoinSet,
     },
     tokio_util::codec::Framed,
 };
@@ -53,6 +55,9 @@
 /// Max number of messages queued for a connection that does not accept them.
 const MAX_QUEUED_MESSAGES: usize = 4_096;
 
+/// Max number of the owner's commands in flight at this node.
+const MAX_COMMANDS: usize = 1_024;
+
 #[derive(Debug)]
 enum Reply {
     Status(Option<JobStatus>),
@@ -251,30 +256,85 @@
     shared.log_event(FleetEvent::PeerConnected, &format!("owner={}", record.node));
     let mut ping = tokio::time::interval(PING_INTERVAL);
     let mut received_at = clock::mono();
+    // Commands in flight end with the connection: nobody would read their replies.
+    let mut commands = JoinSet::new();
+    let mut offered = true;
     loop {
         tokio::select! {
             Some(message) = rx.recv() => {
-                let Some(frame) = PeerMessage::encode(&message) else { continue };
-                let sent = tokio::time::timeout(CONNECT_TIMEOUT, sink.send(frame)).await;
-                if !matches!(sent, Ok(Ok(()))) { break }
+                if send_queued(&mut sink, message, &mut rx, CONNECT_TIMEOUT).await.is_none() {
+                    break;
+                }
             }
             frame = source.next() => {
                 let Some(Ok(frame)) = frame else { break };
                 received_at = clock::mono();
-                on_frame(shared, &tx, &frame);
+                on_frame(shared, &tx, &mut commands, &frame);
+                while commands.try_join_next().is_some() {}
             }
             _ = ping.tick() => {
                 if clock::mono() > received_at + IDLE_TIMEOUT_MS { break }
                 let _ = tx.try_send(PeerMessage::Ping);
                 let _ = tx.try_send(shared.health());
+                if offered && shared.is_draining() {
+                    offered = false;
+                    let _ = tx.try_send(clock_reply(shared));
+                }
             }
         }
     }
     shared.log_event(FleetEvent::PeerLost, &format!("owner={}", record.node));
 }
 
-fn on_frame(shared: &Arc<Shared>, tx: &mpsc::Sender<PeerMessage>, frame: &[u8]) {
+/// Returns a reading of this node's clock, with its offer to send commands for the owner.
+fn clock_reply(shared: &Shared) -> PeerMessage {
+    let settings = &shared.settings;
+    let offer = (!shared.is_draining()).then(|| DispatchOffer {
+        zone: settings.zone.clone(),
+        cpu_milli: settings.cpu_milli,
+    });
+    PeerMessage::ClockReply {
+        node_ms: clock::mono(),
+        offer,
+    }
+}
+
+/// Sends a command of the owner to its executor in a task of its own.
+fn start_command(
+    shared: &Arc<Shared>,
+    tx: &mpsc::Sender<PeerMessage>,
+    commands: &mut JoinSet<()>,
+    remote: Box<RemoteCommand>,
+) {
+    let (shared, tx) = (shared.clone(), tx.clone());
+    let call = remote.call;
+    if commands.len() >= MAX_COMMANDS {
+        let detail = format!("executor={} too many commands in flight", remote.executor);
+        shared.log_event(FleetEvent::CommandExpired, &detail);
+        let result = Err(CommandError::Unknown);
+        // A full queue loses the reply; the owner then waits for its timeout.
+        let _ = tx.try_send(PeerMessage::CommandReply { call, result });
+        return;
+    }
+    commands.spawn(async move {
+        let result = dispatcher::send_command(&shared, &remote).await;
+        // Fails only if the connection is closed.
+        let _ = tx.send(PeerMessage::CommandReply { call, result }).await;
+    });
+}
+
+fn on_frame(
+    shared: &Arc<Shared>,
+    tx: &mpsc::Sender<PeerMessage>,
+    commands: &mut JoinSet<()>,
+    frame: &[u8],
+) {
     match PeerMessage::decode(frame) {
+        Some(PeerMessage::ClockRequest) => {
+            // A full queue loses the reply; the owner asks again.
+            let _ = tx.try_send(clock_reply(shared));
+        }
+        Some(PeerMessage::CommandRequest(remote)) => start_command(shared, tx, commands, remote),
         Some(PeerMessage::StatusReply { call, status }) => {
             shared.owner_link.complete(call, Reply::Status(status));
         }
--- a/src/entry/peer_message.rs
+++ b/src/entry/peer_message.rs
@@ -4,19 +4,27 @@
 
 use {
     crate::{
-        core::Millis,
-        entry::{RelayedCall, RelayedOutcome},
-        fleet::{AdvisedExecutor, ExecutorId, JobId, JobStatus, StepId, Submission},
+        core::{CallId, Millis},
+        entry::{RelayedCall, RelayedOutcome, RemoteCommand},
+        fleet::{
+            AdvisedExecutor, CommandError, CommandReply, ExecutorId, JobId, JobStatus, StepId,
+            Submission,
+        },
     },
     bytes::Bytes,
+    futures_util::{Sink, SinkExt},
     serde::{Deserialize, Serialize},
-    std::sync::Arc,
+    std::{io, sync::Arc, time::Duration},
+    tokio::sync::mpsc,
     tokio_util::codec::LengthDelimitedCodec,
 };
 
 /// Max size of a frame, in bytes: a job's text has up to 4,000, a step names up to 100 executors.
 const MAX_FRAME_BYTES: usize = 1 << 20;
 
+/// Max number of messages written before the connection is flushed.
+const MAX_BATCH: usize = 256;
+
 /// One message. The entry node opens the connection; `call` matches a reply to its request.
 #[derive(Clone, Debug, Deserialize, Serialize)]
 pub enum PeerMessage {
@@ -78,6 +86,29 @@
         call: u64,
         outcome: RelayedOutcome,
     },
+    /// The owner asks for a reading of the entry node's clock. Earlier versions ignore it, and
+    /// send no commands for the owner.
+    ClockRequest,
+    ClockReply {
+        /// The node's time since boot, in ms.
+        node_ms: Millis,
+        /// What the node offers to do for the owner; none while it drains.
+        offer: Option<DispatchOffer>,
+    },
+    /// The owner has the entry node send a command to an executor.
+    CommandRequest(Box<RemoteCommand>),
+    CommandReply {
+        call: CallId,
+        result: Result<CommandReply, CommandError>,
+    },
+}
+
+/// Offer of an entry node to send commands to executors.
+#[derive(Clone, Debug, Deserialize, Serialize)]
+pub struct DispatchOffer {
+    pub zone: Arc<str>,
+    /// CPU time granted to the node's VM, in thousandths of a core.
+    pub cpu_milli: u32,
 }
 
 impl PeerMessage {
@@ -98,3 +129,31 @@
         .max_frame_length(MAX_FRAME_BYTES)
         .new_codec()
 }
+
+/// Writes a message and those queued behind it, and flushes them together; none if the connection
+/// failed or did not take them within `timeout`.
+pub async fn send_queued<S>(
+    sink: &mut S,
+    first: PeerMessage,
+    rx: &mut mpsc::Receiver<PeerMessage>,
+    timeout: Duration,
+) -> Option<()>
+where
+    S: Sink<Bytes, Error = io::Error> + Unpin,
+{
+    let write = async {
+        let mut next = Some(first);
+        for _ in 0..MAX_BATCH {
+            let Some(message) = next else { break };
+            if let Some(frame) = message.encode() {
+                sink.feed(frame).await.ok()?;
+            }
+            next = rx.try_recv().ok();
+        }
+        if let Some(frame) = next.and_then(|m| m.encode()) {
+            sink.feed(frame).await.ok()?;
+        }
+        sink.flush().await.ok()
+    };
+    tokio::time::timeout(timeout, write).await.ok()?
+}
--- a/src/entry/peer_server.rs
+++ b/src/entry/peer_server.rs
@@ -5,9 +5,12 @@
 use {
     crate::{
         core::Millis,
-        entry::{CellQuery, OwnerInput, PeerMessage, Shared, clock, peer_message::frame_codec},
+        entry::{
+            CellQuery, OwnerInput, PeerMessage, Shared, clock,
+            peer_message::{frame_codec, send_queued},
+        },
     },
-    futures_util::{SinkExt, StreamExt},
+    futures_util::StreamExt,
     std::{sync::Arc, time::Duration},
     tokio::{
         net::{TcpListener, TcpStream},
@@ -25,6 +28,9 @@
 /// Time without a message after which a connection is closed, in ms; peers ping every 300 ms.
 const IDLE_TIMEOUT_MS: Millis = 1_500;
 
+/// Time between readings of a peer's clock, in ms.
+const CLOCK_INTERVAL_MS: Millis = 2_000;
+
 /// Time between checks for an idle connection, and the wait after a failed accept.
 const IDLE_CHECK_INTERVAL: Duration = Duration::from_millis(500);
 
@@ -53,26 +59,41 @@
     let mut idle_check = tokio::time::interval(IDLE_CHECK_INTERVAL);
     let mut received_at = clock::mono();
     let mut peer: Option<Arc<str>> = None;
+    let mut clock_requested_at = received_at;
     loop {
         tokio::select! {
             Some(message) = rx.recv() => {
-                let Some(frame) = message.encode() else { continue };
-                let sent = tokio::time::timeout(SEND_TIMEOUT, sink.send(frame)).await;
-                if !matches!(sent, Ok(Ok(()))) { break }
+                if send_queued(&mut sink, message, &mut rx, SEND_TIMEOUT).await.is_none() { break }
             }
             frame = source.next() => {
                 let Some(Ok(frame)) = frame else { break };
                 received_at = clock::mono();
                 let Some(message) = PeerMessage::decode(&frame) else { break };
-                if let PeerMessage::Hello { node } = message {
-                    peer = Some(node.clone());
-                    let _ = owner.send(OwnerInput::PeerUp { node, tx: tx.clone() });
-                } else if on_message(&shared, &owner, &tx, message).is_none() {
-                    break;
+                match message {
+                    PeerMessage::Hello { node } => {
+                        peer = Some(node.clone());
+                        let _ = owner.send(OwnerInput::PeerUp { node, tx: tx.clone() });
+                        let _ = tx.try_send(PeerMessage::ClockRequest);
+                        clock_requested_at = clock::mono();
+                    }
+                    PeerMessage::ClockReply { node_ms, offer } => {
+                        let Some(node) = peer.clone() else { break };
+                        let _ = owner.send(OwnerInput::DispatchOffer { node, node_ms, offer });
+                    }
+                    message => {
+                        if on_message(&shared, &owner, &tx, message).is_none() {
+                            break;
+                        }
+                    }
                 }
             }
             _ = idle_check.tick() => {
-                if clock::mono() > received_at + IDLE_TIMEOUT_MS || owner.is_closed() { break }
+                let now = clock::mono();
+                if now > received_at + IDLE_TIMEOUT_MS || owner.is_closed() { break }
+                if peer.is_some() && now > clock_requested_at + CLOCK_INTERVAL_MS {
+                    clock_requested_at = now;
+                    let _ = tx.try_send(PeerMessage::ClockRequest);
+                }
             }
         }
     }
@@ -132,6 +153,7 @@
             advised,
             valid_ms,
         },
+        PeerMessage::CommandReply { call, result } => OwnerInput::RemoteReply { call, result },
         _ => return Some(()),
     };
     owner.send(input).ok()
--- a/src/fleet/event.rs
+++ b/src/fleet/event.rs
@@ -41,7 +41,7 @@
 }
 
 /// A row of the list of running tasks in a renewal reply.
-#[derive(Clone, Debug, Eq, PartialEq)]
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub struct RunningRow {
     pub task: TaskId,
     pub run: RunNumber,
@@ -54,7 +54,7 @@
 }
 
 /// How a run ended.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+#[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub enum RunEnd {
     /// Another member of the gang ended.
     Broken,
@@ -84,7 +84,7 @@
 }
 
 /// A row of the list of ended runs in a renewal reply.
-#[derive(Clone, Debug, Eq, PartialEq)]
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub struct EndedRow {
     /// Position in the executor's list, from 1 in each incarnation.
     pub seq: u64,
@@ -96,7 +96,7 @@
 }
 
 /// An executor's reply to a renewal of its lease.
-#[derive(Clone, Debug, Eq, PartialEq)]
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub struct RenewReply {
     /// Time on the executor's clock.
     pub clock_ms: Millis,
@@ -108,7 +108,7 @@
 }
 
 /// Why a command to an executor failed.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+#[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub enum CommandError {
     /// The executor has seen a higher fencing token.
     Fenced,
@@ -129,7 +129,7 @@
 }
 
 /// A command to renew the lease of all runs on an executor and to list them.
-#[derive(Clone, Debug, Eq, PartialEq)]
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub struct RenewCommand {
     pub token: FencingToken,
     /// End of the lease on the executor's clock; `None` before that clock is known, or before the
@@ -142,7 +142,7 @@
 }
 
 /// A command to start a task.
-#[derive(Clone, Debug, Eq, PartialEq)]
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub struct StartCommand {
     pub task: TaskId,
     pub run: RunNumber,
@@ -158,7 +158,7 @@
 }
 
 /// A command to one executor, fenced by the token of the sender.
-#[derive(Clone, Debug, Eq, PartialEq)]
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub enum ExecutorCommand {
     Renew(RenewCommand),
     /// Sets the share of a best-effort run.
@@ -177,8 +177,20 @@
     },
 }
 
+impl ExecutorCommand {
+    /// Returns whether the command extends the lease of runs, so that only an owner whose ownership
+    /// is proved may send it.
+    pub fn grants_lease(&self) -> bool {
+        match self {
+            Self::Renew(renewal) => renewal.deadline_ms.is_some(),
+            Self::Start(_) => true,
+            Self::Stop { .. } | Self::Throttle { .. } => false,
+        }
+    }
+}
+
 /// An executor's reply to a command that it carried out.
-#[derive(Clone, Debug, Eq, PartialEq)]
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub enum CommandReply {
     /// Reply to a renewal.
     Renewed(RenewReply),
@@ -341,11 +353,13 @@
     ExecutorRemoved,
     EndDeferred,
     OwnershipUnconfirmed,
+    CommandExpired,
+    DispatchChanged,
 }
 
 impl FleetEvent {
     /// All events, in the order of their numbers.
-    pub const ALL: [Self; 32] = [
+    pub const ALL: [Self; 34] = [
         Self::NodeStarted,
         Self::NodeStopping,
         Self::SettingsReloaded,
@@ -378,6 +392,8 @@
         Self::ExecutorRemoved,
         Self::EndDeferred,
         Self::OwnershipUnconfirmed,
+        Self::CommandExpired,
+        Self::DispatchChanged,
     ];
 
     /// Returns the event with this catalogue number; `None` if there is none.
--- a/src/fleet/policy/mod.rs
+++ b/src/fleet/policy/mod.rs
@@ -5,6 +5,7 @@
 //! reads a clock or sends a command.
 
 mod advice;
+mod dispatch;
 mod order;
 mod ownership;
 mod pace;
@@ -16,6 +17,7 @@
 
 pub use {
     advice::{AdviceChoice, AdviceNeed, AdviceOption, AdviceYield, choose_named},
+    dispatch::{Dispatcher, choose_dispatcher},
     order::{EXPIRED_TIMES, Rank, Timeliness},
     ownership::{MAX_CLOCK_LAG_MILLI, OwnershipProof, earlier_runs_end_after},
     pace::round_pause_ms,
--- a/standins/src/platform_host.rs
+++ b/standins/src/platform_host.rs
@@ -2,7 +2,8 @@
 //! connections between nodes, each through the rules of `platform_faults`.
 //!
 //! Each node has ports of its own for the store, for each executor and for each other node, so
-//! that the host knows both ends of a call. Replies of the store name these ports to the node.
+//! that the host knows both ends of a call. Replies of the store and commands that another node is to
+//! send name these ports to the node.
 
 use {
     crate::{
@@ -14,10 +15,13 @@
     },
     axum::body::Body,
     base64::{Engine, engine::general_purpose::STANDARD},
+    bytes::Bytes,
     dragonflyferry::{
         core::Millis,
+        entry::PeerMessage,
         fleet::{EpochRecord, NodeRecord, OwnerRecord},
     },
+    futures_util::{SinkExt, StreamExt},
     http_body_util::BodyExt,
     hyper::{Request, Response, body::Incoming, server::conn::http1, service::service_fn},
     hyper_util::rt::TokioIo,
@@ -30,10 +34,10 @@
         time::{Duration, Instant},
     },
     tokio::{
-        io::{AsyncReadExt, AsyncWriteExt},
         net::{TcpListener, TcpStream, tcp},
         sync::Notify,
     },
+    tokio_util::codec::{FramedRead, FramedWrite, LengthDelimitedCodec},
 };
 
 /// Time between checks of runs, leases and heartbeats.
@@ -496,18 +500,20 @@
     }
 
     async fn pump(
-        &self,
-        mut read: tcp::OwnedReadHalf,
-        mut write: tcp::OwnedWriteHalf,
+        self: &Arc<Self>,
+        read: tcp::OwnedReadHalf,
+        write: tcp::OwnedWriteHalf,
         from: Party,
         to: Party,
     ) {
         let opened_at = self.now();
-        let mut buf = vec![0; 16_384];
+        let mut read = FramedRead::new(read, LengthDelimitedCodec::new());
+        let mut write = FramedWrite::new(write, LengthDelimitedCodec::new());
         loop {
-            let Ok(count @ 1..) = read.read(&mut buf).await else {
+            let Some(Ok(frame)) = read.next().await else {
                 return;
             };
+            let frame = self.readdress_frame(to, frame.freeze());
             loop {
                 match self.faults.decide(from, to, "", opened_at) {
                     None => break,
@@ -515,11 +521,29 @@
                     Some(_) => tokio::time::sleep(Duration::from_millis(50)).await,
                 }
             }
-            if write.write_all(&buf[..count]).await.is_err() {
+            if write.send(frame).await.is_err() {
                 return;
             }
         }
     }
+
+    /// Replaces the address in a command that a node is to send by the port for that node.
+    fn readdress_frame(self: &Arc<Self>, to: Party, frame: Bytes) -> Bytes {
+        let Some(PeerMessage::CommandRequest(mut remote)) = PeerMessage::decode(&frame) else {
+            return frame;
+        };
+        let address: Option<SocketAddr> = remote.address.parse().ok();
+        let executor = {
+            let ports = lock(&self.ports);
+            let mut known = ports.iter();
+            known.find_map(|((_, target), at)| (Some(*at) == address).then_some(*target))
+        };
+        let port = executor.and_then(|target| self.port(to, target).ok());
+        let Some(port) = port else { return frame };
+        remote.address = Arc::from(port.to_string());
+        let message = PeerMessage::CommandRequest(remote);
+        message.encode().unwrap_or(frame)
+    }
 }
 
 async fn read_call(req: Request<Incoming>, opened_at: Millis) -> io::Result<Call> {
--- a/tests/soak.rs
+++ b/tests/soak.rs
@@ -13,14 +13,22 @@
 /// Time with faults of each soak.
 const FAULT_TIME: Duration = Duration::from_secs(20);
 
+/// Executors from which nodes other than the owner send the commands.
+const LARGE_FLEET: usize = 120;
+
 /// Runs a soak with the given kinds of faults, or all if there are none; fails if it broke a rule.
 async fn soak(seed: u64, kinds: &[&str]) {
+    run(seed, kinds, |soak| soak).await;
+}
+
+async fn run(seed: u64, kinds: &[&str], set_size: impl Fn(Soak) -> Soak) {
     let folder = std::env::temp_dir().join(format!("dff-soak-{}-{seed}", std::process::id()));
     let daemon = Path::new(env!("CARGO_BIN_EXE_dragonflyferryd"));
     let mut soak = Soak::new(seed, daemon, &folder).fault_time(FAULT_TIME);
     if !kinds.is_empty() {
         soak = soak.only(kinds);
     }
+    soak = set_size(soak);
     let report = soak.run().await.expect("the soak runs");
     println!("{report}");
     assert!(report.accepted > 0, "no job was accepted");
@@ -44,6 +52,12 @@
     soak(3, &["kill-series", "move-queue"]).await;
 }
 
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn tasks_run_once_while_other_nodes_send_the_commands() {
+    let kinds = ["freeze", "isolate-executors", "kill-series", "split-nodes"];
+    run(4, &kinds, |soak| soak.executors(LARGE_FLEET)).await;
+}
+
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn tasks_run_once_under_faults_of_all_kinds() {
     soak(2, &[]).await;
