Log the runs of a round or reply in one line, and tell apart what keeps advice

Lists of executors are cut at 20 ids with their number. Advice is split: no advised executor has room, no reply yet, no slot free, tickets expired. log explain reads both forms.

--- a/src/entry/dispatch.rs
+++ b/src/entry/dispatch.rs
@@ -149,8 +149,10 @@
         Some(remote)
     }
 
-    /// Gives up the calls whose replies are overdue, and returns them.
+    /// Gives up the calls whose replies are overdue, and returns them. Failures of long ago no longer
+    /// count.
     pub fn expire(&mut self, now: Millis) -> Vec<(CallId, RemoteCall)> {
+        self.direct.retain(|_, d| now < d.until + MAX_DIRECT_MS);
         let overdue = |_: &CallId, c: &mut RemoteCall| c.times_out_at <= now;
         let overdue: Vec<_> = self.calls.extract_if(overdue).collect();
         for (_, remote) in &overdue {
--- a/src/fleet/cell.rs
+++ b/src/fleet/cell.rs
@@ -13,6 +13,7 @@
             JobEnd, JobId, JobRecord, QueueRule, RecoveredState, StepId,
             job::RUN_NUMBERS_PER_OWNER,
             policy::{self, AdviceYield},
+            run_log::{EndedRun, StartedRun},
         },
     },
     serde::{Deserialize, Serialize},
@@ -69,6 +70,17 @@
 /// Name in the place of the executors of a roster that could not be decoded.
 const UNREADABLE_ROSTER: &str = "(roster not readable)";
 
+/// Ids that a log line names; the rest is counted.
+const MAX_LOGGED_IDS: usize = 20;
+
+/// Formats ids for a log line: their number and the first of them, without spaces.
+fn list_ids<'a>(ids: impl IntoIterator<Item = &'a ExecutorId>) -> String {
+    let ids: Vec<&str> = ids.into_iter().map(|id| &**id).collect();
+    let named = &ids[..ids.len().min(MAX_LOGGED_IDS)];
+    let more = if ids.len() > named.len() { ",..." } else { "" };
+    format!("{}:{}{more}", ids.len(), named.join(","))
+}
+
 /// The scheduler of all pools. Memory only: a new owner builds it from [`RecoveredState`].
 #[derive(Debug)]
 pub struct Cell {
@@ -111,6 +123,12 @@
     pub(super) needs_placement: bool,
     /// Earliest time of the next round.
     pub(super) next_round_at: Millis,
+    /// Runs started in this round whose line is not logged yet, all of one step.
+    pub(super) started_runs: Vec<StartedRun>,
+    /// How long the job of `started_runs` waited, in ms, if they hold its first run.
+    pub(super) first_wait_ms: Option<Millis>,
+    /// Runs whose ends were read from the reply in work and whose line is not logged yet.
+    pub(super) ended_runs: Vec<EndedRun>,
     pub(super) effects: Vec<CellEffect>,
     last_call: CallId,
 }
@@ -155,6 +173,9 @@
             advice_yields: HashMap::new(),
             needs_placement: true,
             next_round_at: now.mono,
+            started_runs: Vec::new(),
+            first_wait_ms: None,
+            ended_runs: Vec::new(),
             effects: Vec::new(),
             last_call: 0,
         };
@@ -179,8 +200,8 @@
         for id in recovered.cancelled {
             cell.cancel(id, now);
         }
-        let (jobs, executors) = (cell.jobs.len(), &cell.unreconciled);
-        let detail = format!("token={token} jobs={jobs} executors={executors:?}");
+        let (jobs, executors) = (cell.jobs.len(), list_ids(&cell.unreconciled));
+        let detail = format!("token={token} jobs={jobs} executors={executors}");
         cell.log(FleetEvent::TakeoverRead, detail);
         cell
     }
@@ -297,7 +318,10 @@
         if !given_up.is_empty() {
             self.log(
                 FleetEvent::ExecutorSilent,
-                format!("leases of earlier owners expired; unreachable={given_up:?}"),
+                format!(
+                    "leases of earlier owners expired; unreachable={}",
+                    list_ids(&given_up)
+                ),
             );
         }
     }
--- a/src/fleet/cell_executors.rs
+++ b/src/fleet/cell_executors.rs
@@ -290,6 +290,7 @@
         for row in &reply.ended {
             self.process_ended_row(id, row, now);
         }
+        self.log_ended();
         for row in &reply.running {
             self.process_running_row(id, row, sent, now);
         }
--- a/src/fleet/cell_explain.rs
+++ b/src/fleet/cell_explain.rs
@@ -12,8 +12,12 @@
 /// What blocked tasks of a job in the last round that considered them.
 #[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub enum BlockReason {
-    /// No advised executor has enough free capacity, or advice has not arrived yet.
+    /// No advised executor has enough free capacity.
     Advice,
+    /// A call to the advice service is in flight.
+    AdvicePending,
+    /// All advice slots that its calls may use are in use.
+    AdviceSlots,
     /// The tenant's cap.
     Cap,
     /// Other members of the gang still run or wait for the end of a backoff.
@@ -24,17 +28,37 @@
     Room,
     /// Runs of an earlier owner that this owner has not read may exist in the pool.
     Takeover,
+    /// Advised executors have room, but the tickets for them have expired.
+    Ticket,
+}
+
+impl BlockReason {
+    /// Returns whether room made on other executors may let the step start.
+    pub(super) fn lacks_capacity(self) -> bool {
+        match self {
+            Self::Advice
+            | Self::AdvicePending
+            | Self::AdviceSlots
+            | Self::Members
+            | Self::Room
+            | Self::Ticket => true,
+            Self::Cap | Self::Pause | Self::Takeover => false,
+        }
+    }
 }
 
 impl fmt::Display for BlockReason {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         f.write_str(match self {
             Self::Advice => "no advised executor has room",
+            Self::AdvicePending => "the advice service has not replied yet",
+            Self::AdviceSlots => "all slots for calls to the advice service are in use",
             Self::Cap => "the organisation is at its cap",
             Self::Members => "other members of the gang still run or are paused",
             Self::Pause => "paused after a failure",
             Self::Room => "no executor has room",
             Self::Takeover => "runs of an earlier owner are not all known",
+            Self::Ticket => "advised executors have room, but their tickets have expired",
         })
     }
 }
--- a/src/fleet/cell_plan.rs
+++ b/src/fleet/cell_plan.rs
@@ -54,14 +54,12 @@
         let mut unadvised = Vec::new();
         for candidate in &candidates {
             let reason = self.place_step(candidate.step, &mut snapshot, now);
+            self.log_started(&candidate.step);
             self.set_blocked(candidate.step, reason);
             if !matches!(reason, None | Some(BlockReason::Cap | BlockReason::Members)) {
                 unadvised.push(candidate.step);
             }
-            let lacks_capacity = matches!(
-                reason,
-                Some(BlockReason::Advice | BlockReason::Members | BlockReason::Room)
-            );
+            let lacks_capacity = reason.is_some_and(BlockReason::lacks_capacity);
             if lacks_capacity && candidate.rank.timeliness == Timeliness::InTime {
                 let reserved = self.reserve(candidate.step, &mut snapshot);
                 self.preempt(candidate, &snapshot, now);
@@ -130,15 +128,22 @@
         }
     }
 
-    /// Returns the reason for a step that found no executor: advice if its queue needs it.
-    fn no_capacity_reason(&self, id: &StepId) -> BlockReason {
-        let advised = self
-            .lookup_step(id)
-            .map(|(job, _, _)| self.queue_rule(job).advice);
-        if advised.flatten().is_some() {
-            BlockReason::Advice
-        } else {
-            BlockReason::Room
+    /// Returns the reason for a step that found no executor; if its queue needs advice, what keeps
+    /// the advice.
+    fn no_capacity_reason(&self, id: &StepId, snapshot: &CapacitySnapshot) -> BlockReason {
+        let Some((job, spec, step)) = self.lookup_step(id) else {
+            return BlockReason::Room;
+        };
+        let Some(rule) = self.queue_rule(job).advice else {
+            return BlockReason::Room;
+        };
+        let need = spec.allocation();
+        let has_room = |e: &&ExecutorCapacity| e.is_open_to(id) && e.free.covers(&need);
+        match () {
+            () if step.advice.calls_pending > 0 => BlockReason::AdvicePending,
+            () if self.advised_executors(id, snapshot).iter().any(has_room) => BlockReason::Ticket,
+            () if !self.advice_slots.is_free_for(rule.call_cost_ms(1)) => BlockReason::AdviceSlots,
+            () => BlockReason::Advice,
         }
     }
 
@@ -257,7 +262,7 @@
                 policy::choose_best_fit(&need, task_options)
             };
             let Some(chosen) = chosen else {
-                return Some(self.no_capacity_reason(&id));
+                return Some(self.no_capacity_reason(&id, snapshot));
             };
             let option = &mut options[chosen];
             option.free = option.free.saturating_sub(&need);
@@ -299,7 +304,7 @@
         }
         let all_executors = vec![true; ids.len()];
         let Some(places) = places.or_else(|| fit_gang(spec, &options, &all_executors)) else {
-            return Some(self.no_capacity_reason(&id));
+            return Some(self.no_capacity_reason(&id, snapshot));
         };
         let members: Vec<u32> = (0..spec.count).collect();
         let number = self.next_run_number(&id, &members);
--- a/src/fleet/cell_run_ends.rs
+++ b/src/fleet/cell_run_ends.rs
@@ -6,6 +6,7 @@
 use crate::fleet::{
     Cell, EndedRow, ExecutorId, FleetEvent, JobEnd, JobId, Now, RecordChange, RunEnd, TaskId,
     cell_runs::task_index,
+    run_log::{EndedRun, format_ended},
 };
 
 impl Cell {
@@ -47,11 +48,20 @@
         job.is_some_and(|j| j.end.is_none() && j.is_future_occurrence(task.step.occurrence))
     }
 
+    /// Logs the runs that ended since the last call.
+    pub(super) fn log_ended(&mut self) {
+        let runs = std::mem::take(&mut self.ended_runs);
+        for detail in format_ended(&runs) {
+            self.log(FleetEvent::RunEnded, detail);
+        }
+    }
+
     /// Applies the ends of a job that executors had listed before it, or their occurrence, was known.
     pub(super) fn apply_unknown_ends(&mut self, job: JobId, now: Now) {
         for (id, row) in self.take_unknown_ends(job) {
             if !self.is_future(&row.task) {
                 self.apply_end_and_finish(&id, &row, now);
+                self.log_ended();
             } else if let Some(executor) = self.executors.get_mut(&id) {
                 executor.unknown_ends.insert(row.seq, row);
             }
@@ -93,13 +103,13 @@
             {
                 executor.run_time.record(ran_ms, run.measured_estimate_ms);
             }
-            self.log(
-                FleetEvent::RunEnded,
-                format!(
-                    "task={} run={} executor={id} end={:?} ran_ms={ran_ms}",
-                    row.task, row.run, row.end
-                ),
-            );
+            self.ended_runs.push(EndedRun {
+                task: row.task,
+                run: row.run,
+                executor: id.clone(),
+                end: row.end,
+                ran_ms,
+            });
         }
         self.mark_started(row.task.step.job);
         self.record_checkpoint(row.task, &row.checkpoint);
--- a/src/fleet/cell_runs.rs
+++ b/src/fleet/cell_runs.rs
@@ -8,10 +8,11 @@
         core::{CallId, Millis},
         fleet::{
             Cell, CellEffect, CommandError, ExecutorCommand, ExecutorId, FleetEvent, JobId, Now,
-            Run, RunLoss, RunNumber, RunStage, StartCommand, StepSpec, TaskId,
+            Run, RunLoss, RunNumber, RunStage, StartCommand, StepId, StepSpec, TaskId,
+            run_log::{StartedRun, format_started},
         },
     },
-    std::sync::Arc,
+    std::{fmt::Write, sync::Arc},
 };
 
 /// Bounds the start commands sent for one run; then the run is stopped and starts elsewhere.
@@ -76,18 +77,36 @@
         let wait_ms = job
             .filter(|j| !j.start_sent)
             .map(|j| now.mono - j.received_at);
-        let waited = wait_ms.map_or_else(String::new, |ms| format!(" waited_ms={ms}"));
-        let blocked = job.and_then(|j| j.blocked);
-        let blocked = blocked.map_or_else(String::new, |b| format!(" blocked={b:?}"));
-        let detail = format!("task={task} run={number} executor={id}{waited}{blocked}");
         if let Some(wait_ms) = wait_ms {
+            self.first_wait_ms = Some(wait_ms);
             self.effects.push(CellEffect::FirstStart { wait_ms });
         }
         self.record_run(id, task, run);
-        self.log(FleetEvent::RunStarted, detail);
+        self.started_runs.push(StartedRun {
+            task,
+            run: number,
+            executor: id.clone(),
+        });
         self.send_start(id, task, now);
     }
 
+    /// Logs the runs of a step that were started since the last call.
+    pub(super) fn log_started(&mut self, step: &StepId) {
+        let runs = std::mem::take(&mut self.started_runs);
+        let wait_ms = self.first_wait_ms.take();
+        if runs.is_empty() {
+            return;
+        }
+        let mut detail = format_started(step, &runs);
+        if let Some(ms) = wait_ms {
+            let _ = write!(detail, " waited_ms={ms}");
+        }
+        if let Some(blocked) = self.jobs.get(&step.job).and_then(|j| j.blocked) {
+            let _ = write!(detail, " blocked={blocked:?}");
+        }
+        self.log(FleetEvent::RunStarted, detail);
+    }
+
     pub(super) fn step_spec(&self, task: &TaskId) -> Option<&StepSpec> {
         self.jobs.get(&task.step.job)?.spec(task.step.step)
     }
--- a/src/fleet/mod.rs
+++ b/src/fleet/mod.rs
@@ -40,6 +40,7 @@
 mod job_spec;
 pub mod policy;
 mod records;
+mod run_log;
 
 pub use {
     advice_slots::AdviceSlots,
--- a/src/report/job_timeline.rs
+++ b/src/report/job_timeline.rs
@@ -228,6 +228,13 @@
         FleetEvent::JobCancelled => "the owner took in its cancellation".to_owned(),
         FleetEvent::JobEnded => format!("its end is durable: {}", field("end")),
         FleetEvent::RunStarted => describe_start(&fields),
+        FleetEvent::RunEnded if fields.contains_key("runs") => format!(
+            "runs of {} ended on {} as {}, index/run and ms: {}",
+            field("step"),
+            field("executor"),
+            field("end"),
+            field("runs")
+        ),
         FleetEvent::RunEnded => format!(
             "run {} of {} ended on {} as {} after {} ms",
             field("run"),
@@ -307,12 +314,20 @@
 
 fn describe_start(fields: &Fields<'_>) -> String {
     let field = |name: &str| fields.get(name).map_or("?", String::as_str);
-    let mut text = format!(
-        "run {} of {} was ordered on {}",
-        field("run"),
-        field("task"),
-        field("executor")
-    );
+    let mut text = if fields.contains_key("runs") {
+        format!(
+            "runs of {} were ordered, index/run and executor: {}",
+            field("step"),
+            field("runs")
+        )
+    } else {
+        format!(
+            "run {} of {} was ordered on {}",
+            field("run"),
+            field("task"),
+            field("executor")
+        )
+    };
     if let Some(ms) = fields.get("waited_ms") {
         let _ = write!(text, ", its first start, after {ms} ms at the owner");
     }
--- a/tests/cell_views.rs
+++ b/tests/cell_views.rs
@@ -175,3 +175,21 @@
         assert!(!should_step_down(&unknown, "a"));
     }
 }
+
+/// Guards against a line for each run, which exceeds the rate limit of the log on a large fleet.
+#[test]
+fn the_runs_of_a_round_and_of_a_reply_share_a_line() {
+    let mut world = world_with_config(1, 2, config());
+    world.submit(job(1, "urgent", vec![step(6, 1_000, 300)]));
+    world.run(1_000);
+    let count = |event: &str| world.log.iter().filter(|l| l.contains(event)).count();
+    assert_eq!(count("RunStarted"), 1, "{:#?}", world.log);
+    assert!(count("RunEnded") <= 2, "{:#?}", world.log);
+    let named: usize = world
+        .log
+        .iter()
+        .filter(|l| l.contains("RunEnded"))
+        .map(|l| l.matches("/1:").count())
+        .sum();
+    assert_eq!(named, 6);
+}
--- a/tests/story.rs
+++ b/tests/story.rs
@@ -166,3 +166,23 @@
     assert!(text.contains("advised 9 of 30 executors"), "{text}");
     assert!(text.contains("failures of several jobs in a row"), "{text}");
 }
+
+#[test]
+fn the_runs_of_a_step_that_start_or_end_together_are_told_in_one_line() {
+    let started =
+        format!("step={JOB}.0.0 runs=0/1@i-1,1/1@i-2 waited_ms=120 blocked=AdvicePending");
+    let ended = format!("step={JOB}.0.0 executor=i-1 end=Done runs=0/1:950");
+    let lines = [
+        line(
+            10_000,
+            "n1",
+            FleetEvent::JobAccepted,
+            &format!("job={JOB} queue=q"),
+        ),
+        line(10_120, "n2", FleetEvent::RunStarted, &started),
+        line(11_100, "n2", FleetEvent::RunEnded, &ended),
+    ];
+    let story = JobTimeline::new(JOB, &lines);
+    assert_eq!(story.outcome, LoggedOutcome::Accepted);
+    insta::assert_snapshot!(story.text());
+}
