Log when an executor drains, and how long a lost run's executor was silent

The record of a lost run did not tell whether its executor had announced its exit, what ran there then, and how long it had not replied when the run was given up.

--- a/src/fleet/cell_runs.rs
+++ b/src/fleet/cell_runs.rs
@@ -111,6 +111,11 @@
         self.jobs.get(&task.step.job)?.spec(task.step.step)
     }
 
+    /// Returns whether a task belongs to a persistent step.
+    pub(super) fn is_persistent(&self, task: &TaskId) -> bool {
+        self.step_spec(task).is_some_and(|s| s.persistent)
+    }
+
     /// Records a run on its executor and its task, and in the usage of its tenant.
     fn record_run(&mut self, id: &ExecutorId, task: TaskId, run: Run) {
         let (number, stage, started_at) = (run.number, run.stage, run.started_at);
@@ -328,9 +333,11 @@
         let evidence = self.executors.get(id).map_or_else(String::new, |e| {
             let clock = e.estimate_clock(now.mono).unwrap_or(0);
             let lease_end = e.max_lease_end_ms;
+            let silent_ms = e.clock.map_or(0, |c| now.mono.saturating_sub(c.at));
             format!(
-                " clock_ms={clock} lease_end_ms={lease_end} listed={}",
-                e.listed
+                " clock_ms={clock} lease_end_ms={lease_end} silent_ms={silent_ms} listed={} \
+                 draining={}",
+                e.listed, e.info.draining
             )
         });
         self.log(
--- a/src/fleet/event.rs
+++ b/src/fleet/event.rs
@@ -29,6 +29,8 @@
     pub capacity: Resources,
     /// It stops gracefully and gets no new work.
     pub draining: bool,
+    /// Minimum time until it exits, in ms when the entry was written; `None` if not stated.
+    pub min_remaining_ms: Option<Millis>,
     /// Start of the incarnation in Unix ms, if the entry states it.
     pub started_unix_ms: Option<u64>,
 }
@@ -375,11 +377,12 @@
     WaveCompleted,
     WaveWithdrawn,
     MachinesUnread,
+    ExecutorDraining,
 }
 
 impl FleetEvent {
     /// All events, in the order of their numbers.
-    pub const ALL: [Self; 42] = [
+    pub const ALL: [Self; 43] = [
         Self::NodeStarted,
         Self::NodeStopping,
         Self::SettingsReloaded,
@@ -422,6 +425,7 @@
         Self::WaveCompleted,
         Self::WaveWithdrawn,
         Self::MachinesUnread,
+        Self::ExecutorDraining,
     ];
 
     /// Returns the event with this catalogue number; `None` if there is none.
--- a/src/fleet/mod.rs
+++ b/src/fleet/mod.rs
@@ -21,6 +21,7 @@
 mod cell;
 mod cell_advice;
 mod cell_capacity;
+mod cell_departures;
 mod cell_evacuation;
 mod cell_executors;
 mod cell_explain;
--- a/src/platform/wire_executor.rs
+++ b/src/platform/wire_executor.rs
@@ -28,6 +28,8 @@
     #[serde(default)]
     labels: Vec<Arc<str>>,
     born: Option<f64>,
+    #[serde(default, rename = "remainingMs")]
+    remaining_ms: Option<f64>,
 }
 
 /// Parses the entry of an executor; the rest of the key after the prefix is its id. E5005 if the
@@ -57,6 +59,7 @@
         labels: entry.labels,
         capacity: capacity.to_resources(),
         draining,
+        min_remaining_ms: entry.remaining_ms.map(saturating_u64),
         started_unix_ms: entry.born.map(saturating_u64),
     })
 }
--- a/standins/src/cell_world.rs
+++ b/standins/src/cell_world.rs
@@ -229,6 +229,7 @@
             labels: vec![Arc::from("k"), Arc::from(rack)],
             capacity,
             draining: false,
+            min_remaining_ms: None,
             started_unix_ms: Some(1),
         };
         let executor = CellExecutor::new(info.clone(), self.now);
--- a/tests/succession.rs
+++ b/tests/succession.rs
@@ -144,6 +144,7 @@
         labels: vec![Arc::from("k"), Arc::from("r0")],
         capacity: capacity(),
         draining: false,
+        min_remaining_ms: None,
         started_unix_ms: Some(born),
     }
 }
