Failing tests: tasks on executors that announced their exit

Persistent tasks stay until the executor exits and then wait for its lease: 8 s without a run in the simulated world, 12 s where leases last 10 s. Work that cannot end in time is not stopped either.

--- a/standins/src/cell_executor.rs
+++ b/standins/src/cell_executor.rs
@@ -51,6 +51,8 @@
     pub hung: bool,
     /// Run time of tasks here in percent of their estimate.
     pub run_time_percent: Millis,
+    /// When it exits, in ms of simulated time; it announced that it drains.
+    pub exits_at: Option<Millis>,
     /// Whether the platform includes it in the list of executors.
     pub listed: bool,
     pub running: BTreeMap<TaskId, ExecutorRun>,
@@ -94,6 +96,7 @@
             reply_delay_ms: 0,
             hung: false,
             run_time_percent: 100,
+            exits_at: None,
             listed: true,
             running: BTreeMap::new(),
             ended: Vec::new(),
@@ -132,6 +135,24 @@
         !self.unreachable && now >= self.down_until
     }
 
+    /// Announces that it drains and exits after `remaining_ms`.
+    pub fn drain(&mut self, remaining_ms: Millis, now: Millis) {
+        self.exits_at = Some(now + remaining_ms);
+        self.info.draining = true;
+        self.info.min_remaining_ms = Some(remaining_ms);
+    }
+
+    /// Exits if it is time; returns whether it does. What runs here ends with it, unreported.
+    pub fn exit_if_due(&mut self, now: Millis) -> bool {
+        let due = self.listed && self.exits_at.is_some_and(|at| at <= now);
+        if due {
+            self.running.clear();
+            self.unreachable = true;
+            self.listed = false;
+        }
+        due
+    }
+
     fn clock_ms(&self, now: Millis) -> Millis {
         now - self.clock_origin
     }
--- a/standins/src/cell_world.rs
+++ b/standins/src/cell_world.rs
@@ -341,6 +341,16 @@
         });
     }
 
+    /// Has an executor announce that it drains; it exits `remaining_ms` later.
+    pub fn drain(&mut self, name: &str, remaining_ms: Millis) {
+        let Some(executor) = self.executors.get_mut(name) else {
+            return;
+        };
+        executor.drain(remaining_ms, self.now);
+        let info = executor.info.clone();
+        self.step(CellEvent::Listed(info));
+    }
+
     /// Sends the owner the complete list of executors, as after an interrupted watch.
     pub fn relist(&mut self) {
         let listed = self.executors.values().filter(|e| e.listed);
@@ -391,6 +401,12 @@
         for executor in self.executors.values_mut() {
             executor.advance(now);
         }
+        let executors = self.executors.values_mut();
+        let exited = executors.filter_map(|e| e.exit_if_due(now).then(|| e.info.id.clone()));
+        for id in exited.collect::<Vec<_>>() {
+            self.log.push(format!("{now} exited {id}"));
+            self.step(CellEvent::Unlisted(id));
+        }
         if self.now.is_multiple_of(self.check_interval_ms) {
             self.check_invariants();
         }
--- /dev/null
+++ b/tests/departures.rs
@@ -0,0 +1,131 @@
+//! Tests of executors that announce their exit: what becomes of the tasks that run there.
+
+use {
+    dragonflyferry::{
+        core::Millis,
+        fleet::{AdviceRule, FleetConfig, JobId, StepSpec, TaskId},
+    },
+    standins::{
+        CellWorld,
+        cell_sample::{capacity, config, job, step, world, world_with_config},
+    },
+    std::{collections::BTreeMap, sync::Arc},
+};
+
+/// Time in which a persistent task must run again after its run ended, in ms: the platform's.
+const MAX_GAP_MS: Millis = 6_000;
+
+/// Time that an executor announces before it exits, in ms.
+const NOTICE_MS: Millis = 5_000;
+
+/// Returns a configuration whose patient queue needs advice that takes half a second.
+fn config_with_advice() -> FleetConfig {
+    let mut config = config();
+    let queue = Arc::make_mut(&mut config.queues[1]);
+    queue.advice = Some(AdviceRule {
+        call_cost_us: 560_000,
+        executor_cost_us: 8_000,
+        valid_ms: 2_000,
+    });
+    config
+}
+
+fn persistent(count: u32) -> StepSpec {
+    StepSpec {
+        persistent: true,
+        ..step(count, 2_000, 500)
+    }
+}
+
+/// Advances the simulation and returns the longest time that each task of a job did not run.
+fn longest_gaps(world: &mut CellWorld, job: u64, ms: Millis) -> BTreeMap<TaskId, Millis> {
+    let mut last_run: BTreeMap<TaskId, Millis> = BTreeMap::new();
+    let mut gaps: BTreeMap<TaskId, Millis> = BTreeMap::new();
+    let end = world.now + ms;
+    while world.now < end {
+        world.run(10);
+        for executor in world.executors.values() {
+            let tasks = executor.running.keys();
+            for task in tasks.filter(|t| t.step.job == JobId(job)) {
+                last_run.insert(*task, world.now);
+            }
+        }
+        for (task, at) in &last_run {
+            let gap = gaps.entry(*task).or_default();
+            *gap = (*gap).max(world.now - at);
+        }
+    }
+    gaps
+}
+
+fn assert_sound(world: &CellWorld) {
+    assert_eq!(world.violations, Vec::<String>::new());
+}
+
+fn tail(world: &CellWorld) -> &[String] {
+    &world.log[world.log.len().saturating_sub(80)..]
+}
+
+/// Guards against waiting for the end of a lease where the exit was announced.
+#[test]
+fn a_persistent_task_does_not_wait_for_the_lease_of_an_executor_that_announced_its_exit() {
+    for seed in 0..4 {
+        let mut world = world_with_config(seed, 12, config_with_advice());
+        world.advised_percent = 50;
+        world.submit(job(1, "patient", vec![persistent(4)]));
+        world.run(5_000);
+        for i in 0..6 {
+            world.drain(&format!("e{i}"), NOTICE_MS);
+            world.add_executor(&format!("f{i}"), "pool", "r9", capacity());
+            let gaps = longest_gaps(&mut world, 1, 500);
+            assert!(gaps.values().all(|g| *g <= MAX_GAP_MS), "{gaps:?}");
+        }
+        let gaps = longest_gaps(&mut world, 1, 20_000);
+        assert_eq!(gaps.len(), 4, "seed {seed}: {:#?}", tail(&world));
+        let longest = gaps.values().max().copied().unwrap_or(0);
+        assert!(longest <= MAX_GAP_MS, "seed {seed}: {:#?}", tail(&world));
+        assert_sound(&world);
+    }
+}
+
+/// Guards against losing a run, and a lease's time, on an executor whose exit is known.
+#[test]
+fn a_run_that_cannot_end_before_an_announced_exit_is_stopped_and_starts_elsewhere() {
+    let mut world = world(1, 3);
+    world.submit(job(1, "patient", vec![step(1, 7_000, 60_000)]));
+    world.run(2_000);
+    let host = host_of(&world, 1);
+    world.drain(&host, NOTICE_MS);
+    world.run(NOTICE_MS);
+    assert!(was_stopped(&world), "{:#?}", tail(&world));
+    world.run(1_000);
+    assert_ne!(host_of(&world, 1), "", "{:#?}", tail(&world));
+    assert_sound(&world);
+}
+
+/// Guards against stopping work that ends in time.
+#[test]
+fn a_run_that_ends_before_an_announced_exit_is_left_alone() {
+    let mut world = world(1, 3);
+    world.submit(job(1, "patient", vec![step(1, 7_000, 6_500)]));
+    world.run(2_000);
+    let host = host_of(&world, 1);
+    world.drain(&host, NOTICE_MS);
+    world.run(NOTICE_MS);
+    assert_eq!(world.executors[&*host].ever_done.len(), 1);
+    assert!(!was_stopped(&world));
+    assert_sound(&world);
+}
+
+fn was_stopped(world: &CellWorld) -> bool {
+    world.log.iter().any(|l| l.contains("end=Stopped"))
+}
+
+fn host_of(world: &CellWorld, id: u64) -> String {
+    let runs_job = |t: &TaskId| t.step.job == JobId(id);
+    let host = world
+        .executors
+        .values()
+        .find(|e| e.running.keys().any(runs_job));
+    host.map(|e| e.info.id.to_string()).unwrap_or_default()
+}
