Move persistent tasks off executors that announced their exit

A draining executor got no new tasks, but its persistent tasks stayed until it exited. Then the owner waited for the last lease to expire, as after a crash, and only then asked for advice.

While an executor drains, advice is requested for its persistent tasks as for waiting ones. Each is stopped once another executor is known that may run it, within the number that its step may miss, or regardless of it shortly before the exit. The time of the exit comes from the executor's entry.

--- a/src/fleet/cell_advice.rs
+++ b/src/fleet/cell_advice.rs
@@ -193,6 +193,12 @@
     ) -> Option<ExecutorSearch<'a>> {
         let (job, spec, step) = self.lookup_step(id)?;
         let rule = self.queue_rule(job);
+        let departing = if spec.persistent {
+            self.count_departing(id, step)
+        } else {
+            0
+        };
+        let waiting = step.count_waiting() + departing;
         let mut search = ExecutorSearch {
             id,
             spec,
@@ -201,7 +207,7 @@
             advice: rule.advice?,
             yield_percent: self.advice_yield(&rule.name).percent(),
             needs_speed: job.needs_speed(id.step, now.mono),
-            waiting: step.count_waiting(),
+            waiting,
             valid_fits: 0,
             candidates: Vec::new(),
         };
@@ -336,7 +342,7 @@
     /// Share of executors that the service advises for the queue, in percent.
     yield_percent: u32,
     needs_speed: bool,
-    /// Tasks that wait.
+    /// Tasks that wait, or that must move from executors which drain.
     waiting: u32,
     /// Of these, tasks that fit on executors with a valid ticket.
     valid_fits: u32,
--- a/src/fleet/cell_departures.rs
+++ b/src/fleet/cell_departures.rs
@@ -1,27 +1,127 @@
-//! Executors that drain: what runs there when they announce that they will exit.
+//! Executors that announced their exit: their persistent tasks move away before it, and what cannot
+//! end in time is stopped, so that its end is read instead of a lease's.
 //!
-//! Called by the handling of the platform's list.
+//! Answers planned departures under load, where many executors leave in a row. Called by the handling
+//! of the platform's list and in each round; where tasks go is decided by placement.
 
-use crate::fleet::{Cell, ExecutorInfo, FleetEvent};
+use {
+    crate::{
+        core::Millis,
+        fleet::{
+            Cell, Executor, ExecutorId, ExecutorInfo, FleetEvent, Now, RunStage, Step, StepId,
+            TaskId, cell_capacity::CapacitySnapshot, policy,
+        },
+    },
+    std::collections::BTreeMap,
+};
 
 impl Cell {
-    /// Logs that an executor has begun to drain.
-    pub(super) fn on_drain_state(&mut self, info: &ExecutorInfo) {
-        let known = self.executors.get(&info.id);
-        let Some(executor) = known.filter(|e| info.draining && !e.info.draining) else {
+    /// Takes in whether an executor drains and when it exits; called before its entry is replaced.
+    pub(super) fn on_drain_state(&mut self, info: &ExecutorInfo, now: Now) {
+        let Some(executor) = self.executors.get_mut(&info.id) else {
             return;
         };
-        let persistent = executor
-            .runs
-            .keys()
-            .filter(|t| self.is_persistent(t))
-            .count();
+        let begins = info.draining && !executor.info.draining;
+        let exits_at = info.min_remaining_ms.map(|ms| now.mono + ms);
+        executor.exits_at = match (info.draining, executor.exits_at, exits_at) {
+            (false, ..) => None,
+            (true, Some(earlier), Some(at)) => Some(earlier.min(at)),
+            (true, earlier, at) => earlier.or(at),
+        };
+        if !begins {
+            return;
+        }
+        let runs = executor.runs.len();
+        let tasks: Vec<TaskId> = executor.runs.keys().copied().collect();
+        let persistent = tasks.iter().filter(|t| self.is_persistent(t)).count();
         let detail = format!(
-            "executor={} runs={} persistent={persistent} min_remaining_ms={:?}",
-            info.id,
-            executor.runs.len(),
-            info.min_remaining_ms
+            "executor={} runs={runs} persistent={persistent} min_remaining_ms={:?}",
+            info.id, info.min_remaining_ms
         );
         self.log(FleetEvent::ExecutorDraining, detail);
     }
+
+    /// Stops persistent tasks on executors that drain, each once another executor is known that may
+    /// run it. Returns the steps for which none is known.
+    pub(super) fn move_departing(
+        &mut self,
+        snapshot: &mut CapacitySnapshot,
+        now: Now,
+    ) -> Vec<StepId> {
+        let mut unplaced = Vec::new();
+        for (step, tasks) in self.departing_tasks() {
+            let Some((job, spec, _)) = self.lookup_step(&step) else {
+                continue;
+            };
+            if job.recovered && snapshot.has_unreconciled {
+                continue;
+            }
+            let (need, max_per_executor) = (spec.allocation(), spec.max_per_executor);
+            let pool = self.queue_rule(job).pool.clone();
+            let (ids, mut options) = self.placement_options(&step, snapshot, now);
+            for (from, task) in tasks {
+                let Some(i) = policy::choose_spread(&need, options.iter().copied()) else {
+                    unplaced.push(step);
+                    break;
+                };
+                if !self.may_stop(&task) && !self.must_stop_soon(&from, now) {
+                    continue;
+                }
+                self.stop_run(&from, task, now);
+                snapshot.allocate(&pool, &ids[i], &need);
+                options[i].take(&need, max_per_executor);
+            }
+        }
+        unplaced
+    }
+
+    /// Lists the persistent tasks that run on executors which drain, by step.
+    fn departing_tasks(&self) -> BTreeMap<StepId, Vec<(ExecutorId, TaskId)>> {
+        let mut departing: BTreeMap<StepId, Vec<(ExecutorId, TaskId)>> = BTreeMap::new();
+        let draining = self.executors.iter().filter(|(_, e)| e.is_departing());
+        for (id, executor) in draining {
+            let confirmed = executor
+                .runs
+                .iter()
+                .filter(|(_, r)| r.stage == RunStage::Confirmed);
+            for (task, _) in confirmed.filter(|(t, _)| self.is_persistent(t)) {
+                let of_step = departing.entry(task.step).or_default();
+                of_step.push((id.clone(), *task));
+            }
+        }
+        for tasks in departing.values_mut() {
+            tasks.sort();
+        }
+        departing
+    }
+
+    /// Counts the tasks of a persistent step that run on executors which drain.
+    pub(super) fn count_departing(&self, id: &StepId, step: &Step) -> u32 {
+        let departs = |(index, name): (u32, &ExecutorId)| {
+            let executor = self.executors.get(name).filter(|e| e.is_departing());
+            let run = executor.and_then(|e| e.runs.get(&TaskId { step: *id, index }));
+            run.is_some_and(|r| r.stage == RunStage::Confirmed)
+        };
+        let runs = (0u32..).zip(&step.tasks);
+        let runs = runs.flat_map(|(i, t)| t.active_on.iter().map(move |name| (i, name)));
+        u32::try_from(runs.filter(|r| departs(*r)).count()).unwrap_or(u32::MAX)
+    }
+
+    fn must_stop_soon(&self, id: &ExecutorId, now: Now) -> bool {
+        let executor = self.executors.get(id);
+        let time_left = executor.and_then(|e| e.time_left(now.mono));
+        time_left.is_some_and(|ms| ms <= policy::exit_lead_ms(self.bounds.kill_grace_ms))
+    }
+}
+
+impl Executor {
+    /// Returns whether it drains and replies, so that its runs can be stopped in order.
+    fn is_departing(&self) -> bool {
+        self.info.draining && self.is_responsive()
+    }
+
+    /// Returns the minimum time until it exits, in ms; `None` if it announced none.
+    fn time_left(&self, now: Millis) -> Option<Millis> {
+        self.exits_at.map(|at| at.saturating_sub(now))
+    }
 }
--- a/src/fleet/cell_executors.rs
+++ b/src/fleet/cell_executors.rs
@@ -64,7 +64,7 @@
     /// Adds or updates an executor that the platform lists.
     pub(super) fn on_listed(&mut self, info: ExecutorInfo, now: Now) {
         let id = info.id.clone();
-        self.on_drain_state(&info);
+        self.on_drain_state(&info, now);
         if let Some(known) = self.executors.get_mut(&id) {
             if matches!((known.started_unix_ms, info.started_unix_ms), (Some(a), Some(b)) if a < b)
             {
--- a/src/fleet/cell_plan.rs
+++ b/src/fleet/cell_plan.rs
@@ -68,6 +68,7 @@
                 self.preempt_for_gang(candidate, &reserved, now);
             }
         }
+        unadvised.extend(self.move_departing(&mut snapshot, now));
         self.request_advice(&unadvised, &snapshot, now);
         self.request_advice_ahead(&snapshot, now);
     }
@@ -182,7 +183,7 @@
     }
 
     /// Lists the executors that may run a task of a step now: ids and options, index by index.
-    fn placement_options(
+    pub(super) fn placement_options(
         &self,
         id: &StepId,
         snapshot: &CapacitySnapshot,
@@ -265,12 +266,7 @@
             let Some(chosen) = chosen else {
                 return Some(self.no_capacity_reason(&id, snapshot));
             };
-            let option = &mut options[chosen];
-            option.free = option.free.saturating_sub(&need);
-            option.same_step += 1;
-            if spec.max_per_executor > 0 && option.same_step >= spec.max_per_executor {
-                option.free = Resources::default();
-            }
+            options[chosen].take(&need, spec.max_per_executor);
             let number = self.next_run_number(&id, &[*index]);
             self.start(&ids[chosen], id, *index, number, now);
             snapshot.allocate(&pool, &ids[chosen], &need);
@@ -440,12 +436,7 @@
     let mut placement = Vec::new();
     for _ in 0..spec.count {
         let chosen = policy::choose_best_fit(&need, options.iter().copied())?;
-        let option = &mut options[chosen];
-        option.free = option.free.saturating_sub(&need);
-        option.same_step += 1;
-        if spec.max_per_executor > 0 && option.same_step >= spec.max_per_executor {
-            option.free = Resources::default();
-        }
+        options[chosen].take(&need, spec.max_per_executor);
         placement.push(chosen);
     }
     Some(placement)
--- a/src/fleet/cell_upkeep.rs
+++ b/src/fleet/cell_upkeep.rs
@@ -68,7 +68,7 @@
     /// Returns whether a running task may be stopped: fewer other tasks of its persistent step are
     /// unavailable than the step allows. A task that does not work counts at once, not only after the
     /// time that the platform allows, which may delay a stop by that time.
-    fn may_stop(&self, task: &TaskId) -> bool {
+    pub(super) fn may_stop(&self, task: &TaskId) -> bool {
         let Some((_, spec, step)) = self.lookup_step(&task.step) else {
             return false;
         };
--- a/src/fleet/executor.rs
+++ b/src/fleet/executor.rs
@@ -124,6 +124,8 @@
     pub listed: bool,
     /// Since when a full list, read after a gap in the watch, has not named it.
     pub missing_since: Option<Millis>,
+    /// Earliest time at which it exits; `None` unless it drains and stated that.
+    pub exits_at: Option<Millis>,
     pub session: Session,
     /// Start of the incarnation in Unix ms, if it was reported.
     pub started_unix_ms: Option<u64>,
@@ -179,6 +181,7 @@
             address_since: now,
             listed,
             missing_since: None,
+            exits_at: None,
             session: Session::Opening,
             started_unix_ms: None,
             incarnations: 0,
--- a/src/fleet/policy/placement.rs
+++ b/src/fleet/policy/placement.rs
@@ -16,6 +16,17 @@
     pub same_step: u32,
 }
 
+impl PlacementOption {
+    /// Counts a task of the step that was placed there; `max_per_executor` of 0 means no limit.
+    pub fn take(&mut self, need: &Resources, max_per_executor: u32) {
+        self.free = self.free.saturating_sub(need);
+        self.same_step += 1;
+        if max_per_executor > 0 && self.same_step >= max_per_executor {
+            self.free = Resources::default();
+        }
+    }
+}
+
 /// Chooses an executor for one task by best fit and returns its index; `None` if the task fits on
 /// no candidate.
 ///
