Stop runs that cannot end before an announced exit

Callers of jobs whose tasks ran on a leaving executor waited for its lease after it had exited, 7 s, or 11 s where leases last 10 s, although the exit was announced. The run stayed until the exit, so its end was never listed.

Shortly before the exit the runs whose estimated rest is longer than the time left are stopped, gangs as a whole: their progress is saved, and their ends are read. Work that ends in time is left alone.

--- a/src/fleet/cell_departures.rs
+++ b/src/fleet/cell_departures.rs
@@ -8,7 +8,7 @@
     crate::{
         core::Millis,
         fleet::{
-            Cell, Executor, ExecutorId, ExecutorInfo, FleetEvent, Now, RunStage, Step, StepId,
+            Cell, Executor, ExecutorId, ExecutorInfo, FleetEvent, Now, Run, RunStage, Step, StepId,
             TaskId, cell_capacity::CapacitySnapshot, policy,
         },
     },
@@ -75,6 +75,42 @@
         unplaced
     }
 
+    /// Stops the runs that will not end before their executor exits, shortly before it does. A gang is
+    /// stopped as a whole.
+    pub(super) fn stop_exiting(&mut self, now: Now) {
+        let exiting = |(id, e): (&ExecutorId, &Executor)| {
+            (e.is_departing() && self.must_stop_soon(id, now)).then(|| id.clone())
+        };
+        let exiting: Vec<ExecutorId> = self.executors.iter().filter_map(exiting).collect();
+        for id in exiting {
+            for task in self.unfinishable_runs(&id, now) {
+                if self.step_spec(&task).is_some_and(|s| s.gang) {
+                    self.stop_gang(&task, now);
+                } else {
+                    self.stop_run(&id, task, now);
+                }
+            }
+        }
+    }
+
+    /// Lists the confirmed runs of an executor that probably do not end before it exits.
+    fn unfinishable_runs(&self, id: &ExecutorId, now: Now) -> Vec<TaskId> {
+        let Some(executor) = self.executors.get(id) else {
+            return Vec::new();
+        };
+        let time_left = executor.time_left(now.mono).unwrap_or(Millis::MAX);
+        let unfinishable = |(task, run): (&TaskId, &Run)| {
+            let spec = self.step_spec(task)?;
+            let elapsed_ms = now.mono.saturating_sub(run.started_at);
+            let ends = !spec.persistent
+                && policy::remaining_run_ms(elapsed_ms, run.percent, spec.estimate_ms) <= time_left;
+            (run.stage == RunStage::Confirmed && !ends).then_some(*task)
+        };
+        let mut tasks: Vec<TaskId> = executor.runs.iter().filter_map(unfinishable).collect();
+        tasks.sort_unstable();
+        tasks
+    }
+
     /// Lists the persistent tasks that run on executors which drain, by step.
     fn departing_tasks(&self) -> BTreeMap<StepId, Vec<(ExecutorId, TaskId)>> {
         let mut departing: BTreeMap<StepId, Vec<(ExecutorId, TaskId)>> = BTreeMap::new();
--- a/src/fleet/cell_plan.rs
+++ b/src/fleet/cell_plan.rs
@@ -69,6 +69,7 @@
             }
         }
         unadvised.extend(self.move_departing(&mut snapshot, now));
+        self.stop_exiting(now);
         self.request_advice(&unadvised, &snapshot, now);
         self.request_advice_ahead(&snapshot, now);
     }
--- a/src/fleet/cell_runs.rs
+++ b/src/fleet/cell_runs.rs
@@ -357,7 +357,7 @@
     }
 
     /// Stops the remaining members of a gang that lost one.
-    fn stop_gang(&mut self, task: &TaskId, now: Now) {
+    pub(super) fn stop_gang(&mut self, task: &TaskId, now: Now) {
         let step = task.step;
         let Some(state) = self.step_mut(task) else {
             return;
