Grant no lease with a renewal that follows a lost one

A task on an executor that had gone waited up to a second longer than its lease: the renewal sent after the first lost one, while the executor still counted as open, granted the whole lease again.

A renewal grants a lease only if the last one was answered. The next one after an answer grants again. The new test fails before (Some(7100) instead of no deadline).

--- a/src/fleet/cell_executors.rs
+++ b/src/fleet/cell_executors.rs
@@ -453,7 +453,8 @@
             return;
         };
         let responsive = executor.is_responsive();
-        let deadline_ms = if in_roster && executor.session == Session::Open {
+        // After a lost reply the executor may have gone; a grant would only extend the wait for it.
+        let deadline_ms = if in_roster && responsive {
             executor.estimate_clock(now.mono).map(|c| c + lease_ms)
         } else {
             None
--- a/tests/succession.rs
+++ b/tests/succession.rs
@@ -598,3 +598,24 @@
         "the store names e0 at a:1 only: {repeated:?}"
     );
 }
+
+/// Guards against leases that a renewal sent after a lost one extends on an executor that has gone.
+#[test]
+fn a_renewal_after_one_without_a_reply_extends_no_lease() {
+    let now = Now {
+        mono: 1_000,
+        unix: UNIX,
+    };
+    let mut owner = Bare::new(1, RecoveredState::default(), now);
+    owner.open("e0", "a:1");
+    let (call, ..) = owner.take_renewal("e0").expect("renewal");
+    owner.renewed("e0", call, lists(1, 1_100, vec![], vec![]));
+    let (call, _, renewal) = owner.take_renewal("e0").expect("renewal");
+    assert!(renewal.deadline_ms.is_some(), "{renewal:?}");
+    owner.reply("e0", call, Err(CommandError::Unknown));
+    let (call, _, renewal) = owner.take_renewal("e0").expect("renewal");
+    assert_eq!(renewal.deadline_ms, None);
+    owner.renewed("e0", call, lists(1, 1_500, vec![], vec![]));
+    let (.., renewal) = owner.take_renewal("e0").expect("renewal");
+    assert!(renewal.deadline_ms.is_some(), "{renewal:?}");
+}
