Send no unanswered start again to an executor that drains

A start without a reply was sent up to three times as long as the executor replied to renewals, also when its entry had said since that it drains. After a silence of seconds that is a start on a leaving executor. Such runs are stopped instead, as on evacuated ones; the new test fails before.

--- a/src/fleet/cell_runs.rs
+++ b/src/fleet/cell_runs.rs
@@ -287,8 +287,8 @@
     }
 
     /// Sends unanswered start and stop commands again, to responsive executors; stops runs whose
-    /// start attempts are used up or whose zone is being evacuated or whose
-    /// machine has maintenance.
+    /// start attempts are used up, or whose executor drains, is in a zone that is being evacuated or
+    /// has maintenance.
     pub(super) fn resend_commands(&mut self, now: Now) {
         let mut starts = Vec::new();
         let mut stops = Vec::new();
@@ -297,7 +297,8 @@
                 continue;
             }
             let in_roster = self.in_roster(&executor.info);
-            let withheld = self.is_evacuated(&executor.info) || self.is_in_upkeep(id);
+            let info = &executor.info;
+            let withheld = info.draining || self.is_evacuated(info) || self.is_in_upkeep(id);
             for (task, run) in executor.runs.iter().filter(|(_, r)| r.call.is_none()) {
                 match run.stage {
                     RunStage::StartSent if run.start_attempts >= MAX_START_ATTEMPTS || withheld => {
--- a/tests/succession.rs
+++ b/tests/succession.rs
@@ -619,3 +619,26 @@
     let (.., renewal) = owner.take_renewal("e0").expect("renewal");
     assert!(renewal.deadline_ms.is_some(), "{renewal:?}");
 }
+
+/// Guards against a start on an executor that began to drain while the first try had no reply.
+#[test]
+fn an_unanswered_start_is_not_sent_again_to_an_executor_that_drains() {
+    let now = Now {
+        mono: 1_000,
+        unix: UNIX,
+    };
+    let mut owner = Bare::new(1, RecoveredState::default(), now);
+    owner.open("e0", "a:1");
+    owner.step(CellEvent::Submitted(Box::new(job(
+        1,
+        "urgent",
+        vec![step(1, 1_000, 100)],
+    ))));
+    let (call, ..) = owner.take_start("e0").expect("start");
+    let mut draining = info("e0", "a:1", 1);
+    draining.draining = true;
+    owner.step(CellEvent::Listed(draining));
+    owner.reply("e0", call, Err(CommandError::Unknown));
+    owner.advance(1_000);
+    assert!(owner.take_start("e0").is_none(), "{:#?}", owner.log());
+}
