Let large replies of the store take longer than the timeout while they arrive

A read had to be complete within 0.9 s, however large the value and however slow the link; a node for which it took longer read the same value again and again, and never had it.

A configuration that took long to transfer is confirmed by a short watch at once.

--- a/src/entry/config_watch.rs
+++ b/src/entry/config_watch.rs
@@ -18,6 +18,9 @@
 /// the configuration's age.
 const WATCH_WAIT: Duration = Duration::from_millis(1_200);
 
+/// The same after a slow transfer, so that the configuration is confirmed soon.
+const CONFIRM_WAIT: Duration = Duration::from_millis(100);
+
 /// Timeout of a read, and the margin of a watch beyond its own wait.
 const REPLY_TIMEOUT: Duration = Duration::from_millis(900);
 
@@ -53,7 +56,9 @@
                 Ok(_) | Err(_) => tokio::time::sleep(READ_RETRY_INTERVAL).await,
             },
             Some(after) => {
-                let result = shared.watch(prefix, after, WATCH_WAIT, REPLY_TIMEOUT).await;
+                let late = u128::from(shared.config_age_ms()) > WATCH_WAIT.as_millis();
+                let wait = if late { CONFIRM_WAIT } else { WATCH_WAIT };
+                let result = shared.watch(prefix, after, wait, REPLY_TIMEOUT).await;
                 let Ok((changes, next)) = result else {
                     revision = None;
                     tokio::time::sleep(WATCH_RETRY_DELAY).await;
--- a/src/platform/executor_client.rs
+++ b/src/platform/executor_client.rs
@@ -53,6 +53,7 @@
             body,
             incarnation: Some(id),
             timeout,
+            large_body: false,
             new_connection,
         };
         let reply = self.client.send(request).await;
@@ -105,6 +106,7 @@
             body: serde_json::to_vec(&query).ok()?,
             incarnation: None,
             timeout,
+            large_body: false,
             new_connection: false,
         };
         let (status, body) = self.client.send(request).await.ok()?;
--- a/src/platform/machine_client.rs
+++ b/src/platform/machine_client.rs
@@ -63,6 +63,7 @@
             body: Vec::new(),
             incarnation: None,
             timeout,
+            large_body: false,
             new_connection: false,
         };
         match self.client.send(request).await {
--- a/src/platform/store_client.rs
+++ b/src/platform/store_client.rs
@@ -122,12 +122,14 @@
         body: Vec<u8>,
         timeout: Duration,
     ) -> Result<(StatusCode, Vec<u8>), StoreError> {
+        let reads = method == Method::GET;
         let request = WireRequest {
             method,
             url: format!("http://{}{path}", self.address),
             body,
             incarnation: None,
             timeout,
+            large_body: reads,
             new_connection: false,
         };
         let reply = self.client.send(request).await;
--- a/src/platform/wire_client.rs
+++ b/src/platform/wire_client.rs
@@ -5,6 +5,7 @@
 use {
     crate::net::{HttpClient, Pooling},
     axum::body::Body,
+    bytes::Buf,
     http_body_util::{BodyExt, Limited},
     hyper::{Method, Request, StatusCode, header},
     std::time::Duration,
@@ -14,6 +15,9 @@
 /// before its base64 encoding.
 const MAX_REPLY_BYTES: usize = 4 << 20;
 
+/// Maximum time that a large body may take beyond the timeout of its request.
+const MAX_TRANSFER: Duration = Duration::from_secs(10);
+
 /// No complete reply came within the timeout; the request may have been carried out.
 #[derive(Clone, Copy, Debug)]
 pub struct NoReply;
@@ -36,8 +40,11 @@
     pub body: Vec<u8>,
     /// Id of the executor that must handle the request; another incarnation refuses it.
     pub incarnation: Option<&'a str>,
-    /// From the connection to the end of the reply body.
+    /// From the connection to the end of the reply body, or only to its beginning if the body may
+    /// take longer.
     pub timeout: Duration,
+    /// Whether a large body may take longer, as long as parts of it keep arriving within the timeout.
+    pub large_body: bool,
     /// Whether to open a new connection, as an idle pooled one may be dead unnoticed.
     pub new_connection: bool,
 }
@@ -66,16 +73,46 @@
         } else {
             &self.pooled
         };
+        let max_pause = request.large_body.then_some(request.timeout);
         let reply = async {
-            let resp = client.send(req).await.map_err(|_| NoReply)?;
+            let head = client.send(req);
+            let resp = within(max_pause, head).await?.map_err(|_| NoReply)?;
             let status = resp.status();
             let body = Limited::new(resp.into_body(), MAX_REPLY_BYTES);
-            let body = body.collect().await.map_err(|_| NoReply)?;
-            Ok((status, body.to_bytes().to_vec()))
+            Ok((status, read_body(body, max_pause).await?))
+        };
+        let limit = if request.large_body {
+            request.timeout + MAX_TRANSFER
+        } else {
+            request.timeout
         };
-        tokio::time::timeout(request.timeout, reply)
+        within(Some(limit), reply).await?
+    }
+}
+
+/// Reads a body whose parts arrive within `max_pause` of each other.
+async fn read_body<B>(mut body: B, max_pause: Option<Duration>) -> Result<Vec<u8>, NoReply>
+where
+    B: hyper::body::Body + Unpin,
+    B::Data: Buf,
+{
+    let mut bytes = Vec::new();
+    while let Some(frame) = within(max_pause, body.frame()).await? {
+        if let Ok(mut data) = frame.map_err(|_| NoReply)?.into_data() {
+            let len = data.remaining();
+            bytes.extend_from_slice(&data.copy_to_bytes(len));
+        }
+    }
+    Ok(bytes)
+}
+
+/// Waits for a future, for at most `limit` if there is one.
+async fn within<F: Future>(limit: Option<Duration>, future: F) -> Result<F::Output, NoReply> {
+    match limit {
+        Some(limit) => tokio::time::timeout(limit, future)
             .await
-            .unwrap_or(Err(NoReply))
+            .map_err(|_| NoReply),
+        None => Ok(future.await),
     }
 }
 
