--- a/src/platform/wire_client.rs
+++ b/src/platform/wire_client.rs
@@ -86,7 +86,7 @@
         } else {
             request.timeout
         };
-        within(Some(limit), reply).await?
+        within(Some(limit), Box::pin(reply)).await?
     }
 }
 
