Keep the place of a persistent task that moves until it has been stopped

Found by the review of the moves: the place for which a task was stopped counted as used in that round only. In the next rounds, until the stop had ended, the next task was stopped for the same place, and one of them had none. The new test fails before (one task of two runs).

The place is now kept free until the stop has ended. From the same review: persistent gangs are not taken apart, a gang is stopped once in a round, and an executor that already drains when the owner first sees it has its exit time (that test passed before too).

--- a/src/fleet/cell.rs
+++ b/src/fleet/cell.rs
@@ -11,7 +11,7 @@
             AdviceSlots, CellEffect, CellEvent, CommitQueue, EarlierLeases, Evacuations, Executor,
             ExecutorId, ExecutorInfo, FencingToken, FleetConfig, FleetEvent,
             INCARNATIONS_PER_OWNER, Job, JobEnd, JobId, JobRecord, QueueRule, RecoveredState,
-            StepId, UpkeepPlan,
+            StepId, TaskId, UpkeepPlan,
             job::RUN_NUMBERS_PER_OWNER,
             policy::{self, AdviceYield},
             run_log::{EndedRun, StartedRun},
@@ -146,6 +146,8 @@
     pub advice_slots: AdviceSlots,
     /// Advice calls in flight: step, executors named, and when each times out.
     pub advice_calls: HashMap<CallId, (StepId, Vec<ExecutorId>, Millis)>,
+    /// Tasks that are being stopped on executors which drain, and where they will probably start.
+    pub(super) moves: BTreeMap<TaskId, ExecutorId>,
     /// Share of executors that the advice service advises, by queue.
     pub advice_yields: HashMap<Arc<str>, AdviceYield>,
     /// Whether an event since the last round may let a task start.
@@ -202,6 +204,7 @@
             roster_sent: HashMap::new(),
             advice_slots: AdviceSlots::default(),
             advice_calls: HashMap::new(),
+            moves: BTreeMap::new(),
             advice_yields: HashMap::new(),
             needs_placement: true,
             next_round_at: now.mono,
--- a/src/fleet/cell_departures.rs
+++ b/src/fleet/cell_departures.rs
@@ -22,8 +22,7 @@
             return;
         };
         let begins = info.draining && !executor.info.draining;
-        let exits_at = info.min_remaining_ms.map(|ms| now.mono + ms);
-        executor.exits_at = match (info.draining, executor.exits_at, exits_at) {
+        executor.exits_at = match (info.draining, executor.exits_at, exit_time(info, now)) {
             (false, ..) => None,
             (true, Some(earlier), Some(at)) => Some(earlier.min(at)),
             (true, earlier, at) => earlier.or(at),
@@ -68,6 +67,7 @@
                     continue;
                 }
                 self.stop_run(&from, task, now);
+                self.moves.insert(task, ids[i].clone());
                 snapshot.allocate(&pool, &ids[i], &need);
                 options[i].take(&need, max_per_executor);
             }
@@ -75,8 +75,24 @@
         unplaced
     }
 
+    /// Keeps the capacity free for tasks that are being stopped to start there. Once a stop has ended,
+    /// its task is placed as any other.
+    pub(super) fn reserve_moves(&mut self, snapshot: &mut CapacitySnapshot) {
+        let executors = &self.executors;
+        let is_stopping = |r: &Run| matches!(r.stage, RunStage::StopSent | RunStage::StopAccepted);
+        self.moves.retain(|task, _| {
+            let mut runs = executors.values().filter_map(|e| e.runs.get(task));
+            runs.any(is_stopping)
+        });
+        for (task, to) in &self.moves {
+            if let Some((job, spec, _)) = self.lookup_step(&task.step) {
+                snapshot.allocate(&self.queue_rule(job).pool, to, &spec.allocation());
+            }
+        }
+    }
+
     /// Stops the runs that will not end before their executor exits, shortly before it does. A gang is
-    /// stopped as a whole.
+    /// stopped as a whole, unless it is persistent.
     pub(super) fn stop_exiting(&mut self, now: Now) {
         let exiting = |(id, e): (&ExecutorId, &Executor)| {
             (e.is_departing() && self.must_stop_soon(id, now)).then(|| id.clone())
@@ -84,15 +100,24 @@
         let exiting: Vec<ExecutorId> = self.executors.iter().filter_map(exiting).collect();
         for id in exiting {
             for task in self.unfinishable_runs(&id, now) {
-                if self.step_spec(&task).is_some_and(|s| s.gang) {
-                    self.stop_gang(&task, now);
-                } else {
-                    self.stop_run(&id, task, now);
+                // Stopped with another member before, in this round.
+                if !self.is_confirmed(&id, &task) {
+                    continue;
+                }
+                match self.step_spec(&task).map(|s| (s.gang, s.persistent)) {
+                    Some((true, true)) => {}
+                    Some((true, false)) => self.stop_gang(&task, now),
+                    _ => self.stop_run(&id, task, now),
                 }
             }
         }
     }
 
+    fn is_confirmed(&self, id: &ExecutorId, task: &TaskId) -> bool {
+        let run = self.executors.get(id).and_then(|e| e.runs.get(task));
+        run.is_some_and(|r| r.stage == RunStage::Confirmed)
+    }
+
     /// Lists the confirmed runs of an executor that probably do not end before it exits.
     fn unfinishable_runs(&self, id: &ExecutorId, now: Now) -> Vec<TaskId> {
         let Some(executor) = self.executors.get(id) else {
@@ -111,7 +136,7 @@
         tasks
     }
 
-    /// Lists the persistent tasks that run on executors which drain, by step.
+    /// Lists the persistent tasks without a gang that run on executors which drain, by step.
     fn departing_tasks(&self) -> BTreeMap<StepId, Vec<(ExecutorId, TaskId)>> {
         let mut departing: BTreeMap<StepId, Vec<(ExecutorId, TaskId)>> = BTreeMap::new();
         let draining = self.executors.iter().filter(|(_, e)| e.is_departing());
@@ -120,7 +145,8 @@
                 .runs
                 .iter()
                 .filter(|(_, r)| r.stage == RunStage::Confirmed);
-            for (task, _) in confirmed.filter(|(t, _)| self.is_persistent(t)) {
+            let single = |t: &TaskId| self.step_spec(t).is_some_and(|s| s.persistent && !s.gang);
+            for (task, _) in confirmed.filter(|(t, _)| single(t)) {
                 let of_step = departing.entry(task.step).or_default();
                 of_step.push((id.clone(), *task));
             }
@@ -150,6 +176,13 @@
     }
 }
 
+/// Returns when an executor exits at the earliest, on the owner's monotonic clock; `None` if its entry
+/// does not state it.
+pub(super) fn exit_time(info: &ExecutorInfo, now: Now) -> Option<Millis> {
+    let remaining_ms = info.min_remaining_ms.filter(|_| info.draining);
+    remaining_ms.map(|ms| now.mono + ms)
+}
+
 impl Executor {
     /// Returns whether it drains and replies, so that its runs can be stopped in order.
     fn is_departing(&self) -> bool {
--- a/src/fleet/cell_executors.rs
+++ b/src/fleet/cell_executors.rs
@@ -10,7 +10,8 @@
         fleet::{
             Cell, CellEffect, CommandError, CommandReply, Executor, ExecutorCommand, ExecutorId,
             ExecutorInfo, FleetEvent, JobId, Now, RenewCommand, RenewReply, RosterEntry, Run,
-            RunLoss, RunStage, RunningRow, Session, TaskId, executor::ClockReading, policy,
+            RunLoss, RunStage, RunningRow, Session, TaskId, cell_departures::exit_time,
+            executor::ClockReading, policy,
         },
     },
     std::{collections::HashSet, sync::Arc},
@@ -80,7 +81,9 @@
             known.info = Arc::new(info);
             return;
         }
+        let exits_at = exit_time(&info, now);
         let mut executor = Executor::new(info, true, now.mono);
+        executor.exits_at = exits_at;
         executor.incarnations = self.removed_incarnations.remove(&id).unwrap_or(0);
         self.executors.insert(id, executor);
         self.commit_queue.roster.dirty = true;
--- a/src/fleet/cell_plan.rs
+++ b/src/fleet/cell_plan.rs
@@ -53,6 +53,7 @@
             policy::round_pause_ms(candidates.len(), executor_count, self.bounds.cpu_milli);
         self.next_round_at = now.mono + pause_ms;
         let mut snapshot = self.capacity_snapshot(now);
+        self.reserve_moves(&mut snapshot);
         let mut unadvised = Vec::new();
         for candidate in &candidates {
             let reason = self.place_step(candidate.step, &mut snapshot, now);
--- a/tests/departures.rs
+++ b/tests/departures.rs
@@ -7,7 +7,7 @@
     },
     standins::{
         CellWorld,
-        cell_sample::{capacity, config, job, step, world, world_with_config},
+        cell_sample::{capacity, config, job, need, step, world, world_with_config},
     },
     std::{collections::BTreeMap, sync::Arc},
 };
@@ -121,6 +121,46 @@
     world.log.iter().any(|l| l.contains("end=Stopped"))
 }
 
+fn running(world: &CellWorld) -> usize {
+    world.executors.values().map(|e| e.running.len()).sum()
+}
+
+/// Guards against stopping two persistent tasks in successive rounds for the same free capacity.
+#[test]
+fn a_second_task_is_not_stopped_for_capacity_that_a_move_already_uses() {
+    let mut world = world(1, 2);
+    let wide = || StepSpec {
+        need: need(7_000),
+        ..persistent(1)
+    };
+    world.submit(job(1, "patient", vec![wide()]));
+    world.submit(job(2, "patient", vec![wide()]));
+    world.run(2_000);
+    world.add_executor("f0", "pool", "r9", capacity());
+    world.run(1_000);
+    assert_eq!(running(&world), 2, "{:#?}", tail(&world));
+    world.drain("e0", 10_000);
+    world.drain("e1", 10_000);
+    world.run(3_000);
+    assert_eq!(running(&world), 2, "{:#?}", tail(&world));
+    assert_sound(&world);
+}
+
+/// Guards against ignoring an exit that was announced before the owner first saw the executor.
+#[test]
+fn an_exit_announced_before_a_takeover_without_a_roster_is_used() {
+    let mut world = world(1, 3);
+    world.submit(job(1, "patient", vec![step(1, 7_000, 60_000)]));
+    world.run(2_000);
+    let host = host_of(&world, 1);
+    world.drain(&host, 20_000);
+    world.roster_unreadable = true;
+    world.replace_owner();
+    world.run(19_990);
+    assert!(was_stopped(&world), "{:#?}", tail(&world));
+    assert_sound(&world);
+}
+
 fn host_of(world: &CellWorld, id: u64) -> String {
     let runs_job = |t: &TaskId| t.step.job == JobId(id);
     let host = world
