Count nothing as free on an executor over its capacity

Callers saw starts on executors that were over their capacity: after the memory of an executor had shrunk below what runs there, tasks that need CPU alone still started on it. The free capacity was computed for each resource apart, so one resource over its capacity did not keep out tasks that need none of it. Now nothing is free there until what runs fits again.

--- a/src/fleet/executor.rs
+++ b/src/fleet/executor.rs
@@ -207,8 +207,15 @@
 
     /// Returns the free capacity; none while there is an unknown run, whose need is not known.
     pub fn free(&self) -> Resources {
-        if self.unknown_runs.is_empty() {
-            self.info.capacity.saturating_sub(&self.used)
+        self.free_beside(&self.used)
+    }
+
+    /// Returns what the given runs leave free: nothing of any resource if they exceed the capacity,
+    /// as they may after it has shrunk, or while there is an unknown run.
+    fn free_beside(&self, used: &Resources) -> Resources {
+        let capacity = &self.info.capacity;
+        if self.unknown_runs.is_empty() && capacity.covers(used) {
+            capacity.saturating_sub(used)
         } else {
             Resources::default()
         }
