Withdraw unanswered starts that no longer fit

Callers saw starts that brought an executor over its capacity. A start without a reply is sent again once the executor replies to renewals, up to a lease later; whether it still fits was checked only when it was first sent. An executor that is silent while it shrinks was told to start more than it holds.

Starts are not sent again while the runs of an executor exceed its capacity, counting those being stopped. The latest unanswered starts are stopped until the others fit, so that a start still in transit is refused and the task starts elsewhere.

--- a/src/fleet/cell_runs.rs
+++ b/src/fleet/cell_runs.rs
@@ -282,7 +282,7 @@
     }
 
     /// Sends unanswered start and stop commands again, to responsive executors; stops runs whose
-    /// start attempts are used up or whose zone is being evacuated or whose
+    /// start attempts are used up, that no longer fit, or whose zone is being evacuated or whose
     /// machine has maintenance.
     pub(super) fn resend_commands(&mut self, now: Now) {
         let mut starts = Vec::new();
@@ -293,12 +293,24 @@
             }
             let in_roster = self.in_roster(&executor.info);
             let withheld = self.is_evacuated(&executor.info) || self.is_in_upkeep(id);
+            let over_capacity = executor.is_over_capacity();
+            let excess = if over_capacity {
+                executor.excess_starts()
+            } else {
+                Vec::new()
+            };
             for (task, run) in executor.runs.iter().filter(|(_, r)| r.call.is_none()) {
                 match run.stage {
-                    RunStage::StartSent if run.start_attempts >= MAX_START_ATTEMPTS || withheld => {
+                    RunStage::StartSent
+                        if run.start_attempts >= MAX_START_ATTEMPTS
+                            || withheld
+                            || excess.contains(task) =>
+                    {
                         stops.push((id.clone(), *task));
                     }
-                    RunStage::StartSent if in_roster => starts.push((id.clone(), *task)),
+                    RunStage::StartSent if in_roster && !over_capacity => {
+                        starts.push((id.clone(), *task))
+                    }
                     RunStage::StopSent if run.stage_since + STOP_RETRY_MS <= now.mono => {
                         stops.push((id.clone(), *task));
                     }
--- a/src/fleet/executor.rs
+++ b/src/fleet/executor.rs
@@ -317,6 +317,35 @@
         Some(run)
     }
 
+    /// Returns whether the runs here exceed the capacity, as they may after it has shrunk. A start
+    /// that was not confirmed must not be sent again then.
+    pub fn is_over_capacity(&self) -> bool {
+        !self.info.capacity.covers(&self.used)
+    }
+
+    /// Returns the starts that no command confirms or awaits any more and that must be withdrawn so
+    /// that the other runs fit once those being stopped have ended; the latest first.
+    pub fn excess_starts(&self) -> Vec<TaskId> {
+        let mut left = self.used;
+        let mut starts = Vec::new();
+        for (task, run) in &self.runs {
+            match run.stage {
+                RunStage::StartSent if run.call.is_none() => starts.push((*task, run)),
+                RunStage::StartSent | RunStage::Confirmed => {}
+                RunStage::StopSent | RunStage::StopAccepted => {
+                    left = left.saturating_sub(&run.need);
+                }
+            }
+        }
+        starts.sort_by_key(|(task, run)| std::cmp::Reverse((run.started_at, *task)));
+        let is_excess = |(task, run): (TaskId, &Run)| {
+            let over = !self.info.capacity.covers(&left);
+            left = left.saturating_sub(&run.need);
+            over.then_some(task)
+        };
+        starts.into_iter().map_while(is_excess).collect()
+    }
+
     /// Returns the free capacity once all runs that are being stopped have ended.
     pub fn free_after_stops(&self) -> Resources {
         let is_stopping = |r: &&Run| matches!(r.stage, RunStage::StopSent | RunStage::StopAccepted);
