Count the excess of an executor over its capacity in preemption

Callers saw work stopped for urgent tasks that did not start then: where a shrunk capacity was exceeded, preemption took the free capacity as 0 instead of below 0, so that stopping a run seemed to free its whole need. Now runs beyond the capacity must end as well before a task counts as fitting; gangs stop nothing on such an executor.

The test passes; before, it stopped a run and the urgent task waited for another one.

--- a/src/fleet/cell_preempt.rs
+++ b/src/fleet/cell_preempt.rs
@@ -1,11 +1,14 @@
 //! Preemption: stops lower-priority runs that save checkpoints, to free capacity for
 //! priority 0. Called by placement for steps that do not fit; it starts nothing itself.
 
-use crate::fleet::{
-    Cell, Executor, ExecutorId, Now, RunStage, TaskId,
-    cell_capacity::CapacitySnapshot,
-    cell_plan::{Candidate, eligible},
-    policy::{self, Victim},
+use crate::{
+    core::Resources,
+    fleet::{
+        Cell, Executor, ExecutorId, Now, RunStage, TaskId,
+        cell_capacity::CapacitySnapshot,
+        cell_plan::{Candidate, eligible},
+        policy::{self, Victim},
+    },
 };
 
 /// Priority of queues that may preempt others; 0 is the highest.
@@ -51,8 +54,11 @@
             }
             let (tasks, victims) = self.victims(executor, now);
             let available = executor.free_after_stops();
+            // Runs beyond a capacity that has shrunk must end too before the task fits.
+            let mut target = need;
+            target.add(&executor.excess_after_stops());
             let chosen =
-                policy::choose_victims(&need, &available, candidate.rank.priority, &victims);
+                policy::choose_victims(&target, &available, candidate.rank.priority, &victims);
             if let Some(chosen) = chosen {
                 remaining -= 1;
                 stops.extend(chosen.into_iter().map(|i| (name.clone(), tasks[i])));
@@ -81,7 +87,9 @@
         let mut missing = spec.count;
         let mut stops: Vec<(ExecutorId, TaskId)> = Vec::new();
         for name in reserved {
-            let Some(executor) = self.executors.get(name) else {
+            let executor = self.executors.get(name);
+            let within_capacity = |e: &&Executor| e.excess_after_stops() == Resources::default();
+            let Some(executor) = executor.filter(within_capacity) else {
                 continue;
             };
             let (tasks, victims) = self.victims(executor, now);
--- a/src/fleet/executor.rs
+++ b/src/fleet/executor.rs
@@ -210,6 +210,16 @@
         self.free_beside(&self.used)
     }
 
+    /// Sums the needs of the runs for which `leaves` is false.
+    fn used_without(&self, leaves: impl Fn(&Run) -> bool) -> Resources {
+        let mut used = self.used;
+        self.runs
+            .values()
+            .filter(|r| leaves(r))
+            .for_each(|r| used = used.saturating_sub(&r.need));
+        used
+    }
+
     /// Returns what the given runs leave free: nothing of any resource if they exceed the capacity,
     /// as they may after it has shrunk, or while there is an unknown run.
     fn free_beside(&self, used: &Resources) -> Resources {
@@ -326,17 +336,10 @@
     /// Returns the starts that no command confirms or awaits any more and that must be withdrawn so
     /// that the other runs fit once those being stopped have ended; the latest first.
     pub fn excess_starts(&self) -> Vec<TaskId> {
-        let mut left = self.used;
-        let mut starts = Vec::new();
-        for (task, run) in &self.runs {
-            match run.stage {
-                RunStage::StartSent if run.call.is_none() => starts.push((*task, run)),
-                RunStage::StartSent | RunStage::Confirmed => {}
-                RunStage::StopSent | RunStage::StopAccepted => {
-                    left = left.saturating_sub(&run.need);
-                }
-            }
-        }
+        let mut left = self.used_without(is_stopping);
+        let unanswered = |r: &Run| r.stage == RunStage::StartSent && r.call.is_none();
+        let starts = self.runs.iter().filter(|(_, r)| unanswered(r));
+        let mut starts: Vec<(TaskId, &Run)> = starts.map(|(task, r)| (*task, r)).collect();
         starts.sort_by_key(|(task, run)| std::cmp::Reverse((run.started_at, *task)));
         let is_excess = |(task, run): (TaskId, &Run)| {
             let over = !self.info.capacity.covers(&left);
@@ -346,26 +349,28 @@
         starts.into_iter().map_while(is_excess).collect()
     }
 
-    /// Returns the free capacity once all runs that are being stopped have ended.
+    /// Returns the free capacity once all runs that are being stopped have ended; none while there is
+    /// an unknown run.
     pub fn free_after_stops(&self) -> Resources {
-        let is_stopping = |r: &&Run| matches!(r.stage, RunStage::StopSent | RunStage::StopAccepted);
-        let mut free = self.free();
-        self.runs
-            .values()
-            .filter(is_stopping)
-            .for_each(|r| free.add(&r.need));
-        free
+        if self.unknown_runs.is_empty() {
+            let capacity = &self.info.capacity;
+            capacity.saturating_sub(&self.used_without(is_stopping))
+        } else {
+            Resources::default()
+        }
+    }
+
+    /// Returns by how much the runs exceed the capacity once all that are being stopped have ended.
+    pub fn excess_after_stops(&self) -> Resources {
+        let used = self.used_without(is_stopping);
+        used.saturating_sub(&self.info.capacity)
     }
 
     /// Returns the maximum free capacity that preemption can reach.
     pub fn free_after_preemption(&self) -> Resources {
-        let preemptible_run = |r: &&Run| r.preemptible && r.stage == RunStage::Confirmed;
-        let mut free = self.free_after_stops();
-        self.runs
-            .values()
-            .filter(preemptible_run)
-            .for_each(|r| free.add(&r.need));
-        free
+        let stoppable =
+            |r: &Run| is_stopping(r) || (r.preemptible && r.stage == RunStage::Confirmed);
+        self.free_beside(&self.used_without(stoppable))
     }
 
     /// Counts the runs of one step here, whatever their stage.
@@ -454,3 +459,7 @@
         runs
     }
 }
+
+fn is_stopping(run: &Run) -> bool {
+    matches!(run.stage, RunStage::StopSent | RunStage::StopAccepted)
+}
