Change capacities in the seeded test of the cell

The scenario of random faults never changed the capacity of an executor. It now shrinks and restores them, with a grace period; the seeds of past failures stay as they were, without these changes.

--- a/tests/cell.rs
+++ b/tests/cell.rs
@@ -9,7 +9,7 @@
     rand::{Rng, SeedableRng, rngs::SmallRng},
     standins::{
         CellWorld, Faults,
-        cell_sample::{config, job, need, queue, step, world, world_with_config},
+        cell_sample::{capacity, config, job, need, queue, step, world, world_with_config},
     },
     std::sync::Arc,
 };
@@ -242,14 +242,15 @@
     assert_eq!(world.job_status(JobId(3)), Some(JobStatus::Pending));
 }
 
-/// Seeds of past failures. 54: a run started on a new incarnation of an executor before its
-/// restart was noticed. 166: a command reached an earlier incarnation. 347: the end of a gang's
-/// second task was acknowledged before the record changed by the first one was durable.
+/// Seeds of past failures, without changes of capacities. 54: a run started on a new incarnation of
+/// an executor before its restart was noticed. 166: a command reached an earlier incarnation. 347:
+/// the end of a gang's second task was acknowledged before the record changed by the first one was
+/// durable.
 const FAILED_SEEDS: [u64; 3] = [54, 166, 347];
 
-/// Jobs of all kinds under lost, late and failed commands, lost commits, crashes and changes of
-/// owner: nothing runs twice, beyond capacity, out of order or beyond its attempts, and all jobs
-/// end.
+/// Jobs of all kinds under lost, late and failed commands, lost commits, crashes, changes of owner
+/// and of capacities: nothing runs twice, beyond capacity, out of order or beyond its attempts, and
+/// all jobs end.
 #[test]
 fn invariants_hold_under_faults() {
     let seeds: u64 = std::env::var("CELL_SEEDS")
@@ -260,8 +261,10 @@
         .ok()
         .and_then(|s| s.parse().ok())
         .unwrap_or(0);
-    for seed in FAILED_SEEDS.into_iter().chain(first..first + seeds) {
-        let world = run_random_scenario(seed);
+    let failed = FAILED_SEEDS.into_iter().map(|seed| (seed, false));
+    let changing = (first..first + seeds).map(|seed| (seed, true));
+    for (seed, changes_capacities) in failed.chain(changing) {
+        let world = run_random_scenario(seed, changes_capacities);
         let mentions_violation = |l: &&String| {
             world
                 .violations
@@ -290,7 +293,7 @@
 }
 
 /// Runs 60 random jobs under random faults, then 60 s without faults so that all jobs can end.
-fn run_random_scenario(seed: u64) -> CellWorld {
+fn run_random_scenario(seed: u64, changes_capacities: bool) -> CellWorld {
     let mut rng = SmallRng::seed_from_u64(seed);
     let mut world = world(seed, 6);
     world.faults = Faults {
@@ -332,6 +335,15 @@
                 }
             }
             4 => world.store_up = !world.store_up,
+            5 | 6 if changes_capacities => {
+                let name = format!("e{}", rng.random_range(0..6));
+                let cpu_milli = rng.random_range(0..=8) * 1_000;
+                let changed = Resources {
+                    cpu_milli,
+                    ..capacity()
+                };
+                world.set_capacity(&name, changed, 500, 4_500);
+            }
             _ => {}
         }
     }
@@ -341,6 +353,9 @@
         .executors
         .values_mut()
         .for_each(|e| e.unreachable = false);
+    for index in 0..6 {
+        world.set_capacity(&format!("e{index}"), capacity(), 500, 4_500);
+    }
     world.run(60_000);
     world
 }
