--- a/src/fleet/cell_runs.rs
+++ b/src/fleet/cell_runs.rs
@@ -309,7 +309,7 @@
                         stops.push((id.clone(), *task));
                     }
                     RunStage::StartSent if in_roster && !over_capacity => {
-                        starts.push((id.clone(), *task))
+                        starts.push((id.clone(), *task));
                     }
                     RunStage::StopSent if run.stage_since + STOP_RETRY_MS <= now.mono => {
                         stops.push((id.clone(), *task));
