Test: a task that crashes its executors is started without end

Callers saw a job that never ended while its task crashed one executor after another, each for some seconds, with all that ran there. Nothing counts such crashes: a run that is lost with its executor is no failed attempt.

The simulation gets tasks that crash their executor some time after their start, and checks that none starts after a third crash.

--- a/standins/src/cell_executor.rs
+++ b/standins/src/cell_executor.rs
@@ -17,8 +17,8 @@
     },
 };
 
-/// Time that a crashed executor stays unreachable, in ms: longer than the interval at which the
-/// cell contacts it. Commands in flight to it are lost.
+/// Default time that a crashed executor stays unreachable, in ms: longer than the interval at which
+/// the cell contacts it. Commands in flight to it are lost.
 const RESTART_MS: Millis = 1_000;
 
 /// Time from a stop command to the end of the run, in ms.
@@ -64,6 +64,8 @@
     pub done: HashSet<TaskId>,
     /// Tasks that ever ended as done here, including ends lost in a crash.
     pub ever_done: HashSet<TaskId>,
+    /// Time that it stays unreachable after a crash, in ms.
+    pub restart_ms: Millis,
     /// When it becomes reachable after a crash, in ms.
     down_until: Millis,
     /// Highest fencing token received; commands with a lower one are refused.
@@ -101,6 +103,7 @@
             failed: HashMap::new(),
             done: HashSet::new(),
             ever_done: HashSet::new(),
+            restart_ms: RESTART_MS,
             down_until: 0,
             highest_token: 0,
             lease_deadline: 0,
@@ -117,6 +120,7 @@
         let failed = std::mem::take(&mut self.failed);
         let mut done = std::mem::take(&mut self.done);
         let ever_done = std::mem::take(&mut self.ever_done);
+        let restart_ms = self.restart_ms;
         for row in &self.ended {
             done.remove(&row.task);
         }
@@ -124,7 +128,18 @@
         self.failed = failed;
         self.done = done;
         self.ever_done = ever_done;
-        self.down_until = now + RESTART_MS;
+        self.restart_ms = restart_ms;
+        self.down_until = now + restart_ms;
+    }
+
+    /// Returns whether a task that runs here has run for as long as it takes to crash its executor;
+    /// `crash_after` holds these times, in ms.
+    pub fn must_crash(&self, crash_after: &HashMap<TaskId, Millis>, now: Millis) -> bool {
+        let due = |(task, run): (&TaskId, &ExecutorRun)| {
+            let after = crash_after.get(task);
+            after.is_some_and(|after| now >= run.started_at + after)
+        };
+        self.running.iter().any(due)
     }
 
     /// Returns whether commands reach it.
--- a/standins/src/cell_world.rs
+++ b/standins/src/cell_world.rs
@@ -46,6 +46,9 @@
 /// Time in which the request to evacuate a zone must take effect, in ms.
 const EVACUATION_MS: Millis = 5_000;
 
+/// Crashed executors after which a task must not start any more.
+const MAX_CRASHES: u32 = 3;
+
 /// Unix time at the start of the simulation, in ms.
 const UNIX_START_MS: Millis = 1_700_000_000_000;
 
@@ -149,6 +152,10 @@
     /// Tasks that started once after their job was cancelled. One such start is allowed because its
     /// command was in flight; a second is a violation.
     started_after_cancel: HashSet<TaskId>,
+    /// Tasks that crash their executor, and the time from their start to the crash, in ms.
+    pub crash_after: HashMap<TaskId, Millis>,
+    /// Executors that crashed while a task ran there, for each task.
+    pub crashes: HashMap<TaskId, u32>,
     /// Time of the first start of each job, in ms of simulated time.
     pub first_start: HashMap<JobId, Millis>,
     /// Log lines of the cell and the simulation, each after its time in ms.
@@ -194,6 +201,8 @@
             evacuated_at: HashMap::new(),
             violations: Vec::new(),
             started_after_cancel: HashSet::new(),
+            crash_after: HashMap::new(),
+            crashes: HashMap::new(),
             first_start: HashMap::new(),
             log: Vec::new(),
             check_interval_ms: 1,
@@ -389,6 +398,13 @@
         let now = self.now;
         for executor in self.executors.values_mut() {
             executor.advance(now);
+            if executor.must_crash(&self.crash_after, now) {
+                for task in executor.running.keys() {
+                    *self.crashes.entry(*task).or_default() += 1;
+                }
+                self.log.push(format!("{now} crash {}", executor.info.id));
+                executor.restart(now);
+            }
         }
         if self.now.is_multiple_of(self.check_interval_ms) {
             self.check_invariants();
@@ -716,6 +732,11 @@
             self.violations
                 .push(format!("BUDGET: {task} after {failed} failures"));
         }
+        let crashes = self.crashes.get(&task).copied().unwrap_or(0);
+        if crashes >= MAX_CRASHES {
+            self.violations
+                .push(format!("BUDGET: {task} after {crashes} crashes"));
+        }
         for step in &spec.depends_on {
             let before = StepId {
                 step: *step,
