Give up a task after the second crash of an executor that it caused

Callers saw a job that never ended while its task crashed one executor after another; the jobs that ran beside it lost their work each time. Nothing counted crashes: a run lost with its executor is no failed attempt.

A run that has not been alive for 0.3 s when its executor crashes makes its task suspect. The crash is counted in the job's progress, and the task waits until that is durable. It then starts only on an executor that is held for it: all other runs there are cleared and nothing else starts, until it has run for 0.3 s. After two crashes of which it certainly caused one, or three in all, its job has failed. Crashes that show only after the lease has expired count too.

--- a/src/fleet/cell.rs
+++ b/src/fleet/cell.rs
@@ -8,8 +8,8 @@
     crate::{
         core::{CallId, Millis, Resources},
         fleet::{
-            AdviceSlots, CellEffect, CellEvent, CommitQueue, EarlierLeases, Evacuations, Executor,
-            ExecutorId, ExecutorInfo, FencingToken, FleetConfig, FleetEvent,
+            AdviceSlots, CellEffect, CellEvent, CommitQueue, CrashWatch, EarlierLeases,
+            Evacuations, Executor, ExecutorId, ExecutorInfo, FencingToken, FleetConfig, FleetEvent,
             INCARNATIONS_PER_OWNER, Job, JobEnd, JobId, JobRecord, QueueRule, RecoveredState,
             StepId, UpkeepPlan,
             job::RUN_NUMBERS_PER_OWNER,
@@ -138,6 +138,8 @@
     /// Token bucket of each tenant's job rate: thousandths of a job, and when refilled.
     pub rate_buckets: HashMap<Arc<str>, (u64, Millis)>,
     pub commit_queue: CommitQueue,
+    /// Tasks that may have crashed an executor.
+    pub(super) crash_watch: CrashWatch,
     /// Executors that the roster in the store certainly names, with their address there, whichever
     /// of the writes with an unknown outcome took effect.
     pub roster: HashMap<ExecutorId, Arc<str>>,
@@ -198,6 +200,7 @@
             tenant_usage: HashMap::new(),
             rate_buckets: HashMap::new(),
             commit_queue: CommitQueue::default(),
+            crash_watch: CrashWatch::default(),
             roster: HashMap::new(),
             roster_sent: HashMap::new(),
             advice_slots: AdviceSlots::default(),
@@ -364,6 +367,7 @@
     fn tick(&mut self, now: Now) {
         self.give_up_unreachable(now);
         self.drop_finished_jobs();
+        self.drop_closed_suspects();
         self.unlist_missing(now);
         self.expire_leases(now);
         self.add_due_occurrences(now);
--- a/src/fleet/cell_capacity.rs
+++ b/src/fleet/cell_capacity.rs
@@ -87,6 +87,13 @@
         }
     }
 
+    /// Leaves no free capacity on an executor for the rest of the round.
+    pub fn close(&mut self, pool: &str, executor: &ExecutorId) {
+        if let Some(entry) = self.get_mut(pool, executor) {
+            entry.free = Resources::default();
+        }
+    }
+
     /// Keeps an executor free for a step for the rest of the round.
     pub fn reserve(&mut self, pool: &str, executor: &ExecutorId, step: StepId) {
         let newly = self
@@ -122,7 +129,11 @@
             {
                 continue;
             }
-            let free = executor.free();
+            let free = if self.crash_watch.holds.contains_key(&info.id) {
+                Resources::default()
+            } else {
+                executor.free()
+            };
             let pool = snapshot
                 .pools
                 .entry(executor.info.pool.clone())
--- a/src/fleet/cell_executors.rs
+++ b/src/fleet/cell_executors.rs
@@ -78,6 +78,7 @@
             known.info = Arc::new(info);
             return;
         }
+        self.on_address_reused(&info, now);
         let mut executor = Executor::new(info, true, now.mono);
         executor.incarnations = self.removed_incarnations.remove(&id).unwrap_or(0);
         self.executors.insert(id, executor);
@@ -121,10 +122,14 @@
     /// Drops the state of an incarnation that has certainly ended. Runs for which `has_ended` is
     /// true are lost, and their tasks may start elsewhere.
     fn on_restart(&mut self, id: &ExecutorId, has_ended: impl Fn(&TaskId, &Run) -> bool, now: Now) {
+        let mut watched = self.watched_runs(id);
         let Some(executor) = self.executors.get_mut(id) else {
             return;
         };
         let runs = executor.start_incarnation(has_ended);
+        for w in &mut watched {
+            w.confirmed &= runs.iter().any(|(task, _)| *task == w.task);
+        }
         self.log(
             FleetEvent::ExecutorRestarted,
             format!("executor={id} lost_runs={}", runs.len()),
@@ -139,6 +144,8 @@
             }
         }
         self.unreconciled.remove(id);
+        self.withdraw_unconfirmed(id);
+        self.on_executor_crashed(id, watched, now);
     }
 
     /// Handles the result of any command; requests a round if it may let a task start.
@@ -262,6 +269,7 @@
                 now,
             );
         }
+        self.settle_lapsed(id, reply.started_unix_ms, now);
         let Some(executor) = self.executors.get_mut(id) else {
             return;
         };
@@ -272,6 +280,7 @@
         if executor.pending_wait_ms == 0 {
             executor.reply_ms = now.mono.saturating_sub(sent);
         }
+        executor.alive_at = sent.max(now.mono.saturating_sub(2 * executor.reply_ms));
         executor.clock = Some(ClockReading {
             clock_ms: reply.clock_ms,
             at: now.mono,
@@ -314,6 +323,7 @@
             };
         }
         self.adjust_throttle(id);
+        self.clear_survivors(id);
     }
 
     fn process_running_row(&mut self, id: &ExecutorId, row: &RunningRow, sent: Millis, now: Now) {
@@ -562,6 +572,7 @@
 
     /// Drops all runs of an executor whose leases have expired.
     fn drop_expired_runs(&mut self, id: &ExecutorId, now: Now) {
+        self.watch_lapsed(id, now);
         let Some(executor) = self.executors.get_mut(id) else {
             return;
         };
--- a/src/fleet/cell_explain.rs
+++ b/src/fleet/cell_explain.rs
@@ -30,6 +30,8 @@
     Takeover,
     /// Advised executors have room, but the tickets for them have expired.
     Ticket,
+    /// It may have crashed an executor, and waits for one where nothing else starts.
+    CrashSuspect,
 }
 
 impl BlockReason {
@@ -42,7 +44,7 @@
             | Self::Members
             | Self::Room
             | Self::Ticket => true,
-            Self::Cap | Self::Pause | Self::Takeover => false,
+            Self::Cap | Self::CrashSuspect | Self::Pause | Self::Takeover => false,
         }
     }
 }
@@ -54,6 +56,9 @@
             Self::AdvicePending => "the advice service has not replied yet",
             Self::AdviceSlots => "all slots for calls to the advice service are in use",
             Self::Cap => "the organisation is at its cap",
+            Self::CrashSuspect => {
+                "it may have crashed an executor, and waits for one where nothing else starts"
+            }
             Self::Members => "other members of the gang still run or are paused",
             Self::Pause => "paused after a failure",
             Self::Room => "no executor has room",
--- a/src/fleet/cell_jobs.rs
+++ b/src/fleet/cell_jobs.rs
@@ -49,6 +49,9 @@
             ),
         );
         self.jobs.insert(id, job);
+        if let Some(progress) = progress {
+            self.restore_crashes(id, progress, now);
+        }
         if unknown {
             self.apply_unknown_ends(id, now);
             self.adopt_unknown_runs(id, now);
@@ -202,6 +205,7 @@
             let waits = self.earlier_leases.write(self.token, now.mono);
             writes.push(StoreWrite::LeaseWaits(waits));
         }
+        batch.iter().for_each(|id| self.crash_watch.on_sent(*id));
         let call = self.next_call();
         self.commit_queue.on_sent(call);
         self.effects.push(CellEffect::Commit { call, writes });
@@ -212,7 +216,8 @@
             return (!self.ended_jobs.contains_key(&id)).then_some(StoreWrite::Delete { job: id });
         };
         let Some(end) = job.end else {
-            let progress = job.progress();
+            let mut progress = job.progress();
+            progress.crashed_tasks = self.crash_watch.of_job(id);
             return Some(StoreWrite::Progress { job: id, progress });
         };
         let record = Box::new(JobRecord::Ended {
@@ -263,6 +268,7 @@
             self.roster = std::mem::take(&mut self.roster_sent);
         }
         for id in batch.jobs {
+            self.needs_placement |= self.crash_watch.on_durable(id);
             let Some(job) = self.jobs.get_mut(&id) else {
                 continue;
             };
--- a/src/fleet/cell_plan.rs
+++ b/src/fleet/cell_plan.rs
@@ -34,6 +34,7 @@
         if self.next_round_due().is_some_and(|due| due <= now.mono) {
             self.needs_placement = false;
             self.resend_commands(now);
+            self.release_holds(now);
             self.place_waiting(now);
         }
         self.send_commit(now);
@@ -122,16 +123,28 @@
         if waiting.is_empty() {
             return Some(BlockReason::Pause);
         }
+        let members = step.tasks.len();
+        let waiting_count = waiting.len();
+        let (waiting, suspects) = self.split_suspects(id, waiting);
         match () {
-            () if !spec.gang => self.place_each(id, &spec, &waiting, snapshot, now),
-            () if waiting.len() < step.tasks.len() => Some(BlockReason::Members),
-            () => self.place_gang(id, &spec, snapshot, now),
+            () if !spec.gang => {
+                let blocked = self.place_each(id, &spec, &waiting, snapshot, now);
+                let suspects_blocked = self.place_suspects(id, &spec, &suspects, snapshot, now);
+                blocked.or(suspects_blocked)
+            }
+            () if waiting_count < members => Some(BlockReason::Members),
+            () if !self.may_place_gang(&id, &suspects, snapshot) => Some(BlockReason::CrashSuspect),
+            () => self.place_gang(id, &spec, !suspects.is_empty(), snapshot, now),
         }
     }
 
     /// Returns the reason for a step that found no executor; if its queue needs advice, what keeps
     /// the advice.
-    fn no_capacity_reason(&self, id: &StepId, snapshot: &CapacitySnapshot) -> BlockReason {
+    pub(super) fn no_capacity_reason(
+        &self,
+        id: &StepId,
+        snapshot: &CapacitySnapshot,
+    ) -> BlockReason {
         let Some((job, spec, step)) = self.lookup_step(id) else {
             return BlockReason::Room;
         };
@@ -156,7 +169,7 @@
     }
 
     /// Returns the pool of a step's queue.
-    fn pool_of(&self, id: &StepId) -> Arc<str> {
+    pub(super) fn pool_of(&self, id: &StepId) -> Arc<str> {
         let job = self.jobs.get(&id.job);
         job.map_or_else(|| Arc::from(""), |j| self.queue_rule(j).pool.clone())
     }
@@ -182,7 +195,7 @@
     }
 
     /// Lists the executors that may run a task of a step now: ids and options, index by index.
-    fn placement_options(
+    pub(super) fn placement_options(
         &self,
         id: &StepId,
         snapshot: &CapacitySnapshot,
@@ -278,11 +291,13 @@
         None
     }
 
-    /// Places all members of a gang or none; returns what blocked them.
+    /// Places all members of a gang or none; returns what blocked them. With a suspect member, the
+    /// executors are held for the gang.
     fn place_gang(
         &mut self,
         id: StepId,
         spec: &StepSpec,
+        suspect: bool,
         snapshot: &mut CapacitySnapshot,
         now: Now,
     ) -> Option<BlockReason> {
@@ -293,7 +308,11 @@
             return Some(BlockReason::Cap);
         }
         let pool = self.pool_of(&id);
-        let (ids, options) = self.placement_options(&id, snapshot, now);
+        let mut found = self.placement_options(&id, snapshot, now);
+        if suspect {
+            found = self.keep_quiet_options(found);
+        }
+        let (ids, options) = found;
         let rack_of = |e: &ExecutorId| self.executors.get(e)?.info.rack().cloned();
         let racks: HashSet<_> = ids.iter().map(rack_of).collect();
         let mut places = None;
@@ -312,11 +331,25 @@
         for (index, chosen) in members.iter().zip(places) {
             self.start(&ids[chosen], id, *index, number, now);
             snapshot.allocate(&pool, &ids[chosen], &need);
+            if suspect {
+                let task = TaskId {
+                    step: id,
+                    index: *index,
+                };
+                self.hold(&ids[chosen], &task, &pool, snapshot, now);
+            }
         }
         None
     }
 
-    fn start(&mut self, executor: &ExecutorId, step: StepId, index: u32, run: RunNumber, now: Now) {
+    pub(super) fn start(
+        &mut self,
+        executor: &ExecutorId,
+        step: StepId,
+        index: u32,
+        run: RunNumber,
+        now: Now,
+    ) {
         let ticket = self.lookup_step(&step).and_then(|(_, _, s)| {
             let ticket = s.advice.advised.get(executor)?;
             Some(ticket.value.clone())
@@ -325,7 +358,7 @@
     }
 
     /// Returns a run number above all that these tasks have used.
-    fn next_run_number(&self, id: &StepId, tasks: &[u32]) -> RunNumber {
+    pub(super) fn next_run_number(&self, id: &StepId, tasks: &[u32]) -> RunNumber {
         let base = self.base_run_number();
         let Some((_, _, step)) = self.lookup_step(id) else {
             return base + 1;
@@ -344,7 +377,12 @@
 
     /// Returns whether the tenant's cap allows `need` in addition to what runs. Unreconciled
     /// executors count as fully used by each tenant.
-    fn within_cap(&self, id: &StepId, need: &Resources, snapshot: &CapacitySnapshot) -> bool {
+    pub(super) fn within_cap(
+        &self,
+        id: &StepId,
+        need: &Resources,
+        snapshot: &CapacitySnapshot,
+    ) -> bool {
         let Some(job) = self.jobs.get(&id.job) else {
             return false;
         };
--- a/src/fleet/cell_runs.rs
+++ b/src/fleet/cell_runs.rs
@@ -16,7 +16,7 @@
 };
 
 /// Bounds the start commands sent for one run; then the run is stopped and starts elsewhere.
-const MAX_START_ATTEMPTS: u32 = 3;
+pub(super) const MAX_START_ATTEMPTS: u32 = 3;
 
 /// Timeout of a start, stop or throttle command, in ms; executors reply at once.
 const COMMAND_TIMEOUT_MS: Millis = 300;
@@ -430,7 +430,7 @@
         self.step_state_mut(&task.step)
     }
 
-    fn task(&self, task: &TaskId) -> Option<&crate::fleet::Task> {
+    pub(super) fn task(&self, task: &TaskId) -> Option<&crate::fleet::Task> {
         let step = self.lookup_step(&task.step)?.2;
         step.tasks.get(task_index(task))
     }
--- a/src/fleet/event.rs
+++ b/src/fleet/event.rs
@@ -375,11 +375,13 @@
     WaveCompleted,
     WaveWithdrawn,
     MachinesUnread,
+    ExecutorCrashed,
+    TaskGivenUp,
 }
 
 impl FleetEvent {
     /// All events, in the order of their numbers.
-    pub const ALL: [Self; 42] = [
+    pub const ALL: [Self; 44] = [
         Self::NodeStarted,
         Self::NodeStopping,
         Self::SettingsReloaded,
@@ -422,6 +424,8 @@
         Self::WaveCompleted,
         Self::WaveWithdrawn,
         Self::MachinesUnread,
+        Self::ExecutorCrashed,
+        Self::TaskGivenUp,
     ];
 
     /// Returns the event with this catalogue number; `None` if there is none.
--- a/src/fleet/executor.rs
+++ b/src/fleet/executor.rs
@@ -9,7 +9,7 @@
         core::{CallId, Millis, Resources},
         fleet::{
             EndedRow, ExecutorInfo, JobId, RunNumber, TaskId,
-            policy::{MAX_CLOCK_LAG_MILLI, RunTimeFactor},
+            policy::{MAX_CLOCK_LAG_MILLI, RunTimeFactor, START_WATCH_MS},
         },
     },
     std::{
@@ -150,6 +150,8 @@
     pub pending_wait_ms: Millis,
     /// How long the last renewal that waited for no end took, in ms.
     pub reply_ms: Millis,
+    /// Up to when it is known to have lived, by its last successful renewal.
+    pub alive_at: Millis,
     /// Highest sequence number of an end that was read.
     pub last_end_seq: u64,
     /// Whether the last list of ends was cut, so that more may follow.
@@ -193,6 +195,7 @@
             next_renewal_at: now,
             pending_wait_ms: 0,
             reply_ms: 0,
+            alive_at: 0,
             last_end_seq: 0,
             has_unread_ends: false,
             unacked: BTreeMap::new(),
@@ -219,6 +222,21 @@
         !self.runs.is_empty() || !self.unknown_runs.is_empty()
     }
 
+    /// Returns whether a run has been alive for long enough not to be the cause of a later crash.
+    pub fn is_cleared(&self, run: &Run) -> bool {
+        let since = match run.stage {
+            RunStage::StartSent => return false,
+            RunStage::Confirmed => run.stage_since,
+            RunStage::StopSent | RunStage::StopAccepted => run.started_at,
+        };
+        self.alive_at >= since + START_WATCH_MS
+    }
+
+    /// Returns whether no run here could be the cause of a later crash.
+    pub fn is_quiet(&self) -> bool {
+        self.unknown_runs.is_empty() && self.runs.values().all(|r| self.is_cleared(r))
+    }
+
     /// Returns how long beyond its wait the next renewal may take, in ms: twice the time that replies
     /// took, within bounds.
     pub fn renew_margin_ms(&self) -> Millis {
--- a/src/fleet/job.rs
+++ b/src/fleet/job.rs
@@ -267,7 +267,8 @@
         }
     }
 
-    /// Returns the progress to store; steps without any are left out.
+    /// Returns the progress to store; steps without any are left out, and so are crashes, which
+    /// the job does not know.
     pub fn progress(&self) -> JobProgress {
         let has_progress =
             |t: &Task| t.done || !t.failed_runs.is_empty() || !t.checkpoint.is_empty();
@@ -282,6 +283,7 @@
         });
         JobProgress {
             steps: steps.collect(),
+            crashed_tasks: Vec::new(),
         }
     }
 
--- a/src/fleet/mod.rs
+++ b/src/fleet/mod.rs
@@ -21,6 +21,7 @@
 mod cell;
 mod cell_advice;
 mod cell_capacity;
+mod cell_crashes;
 mod cell_evacuation;
 mod cell_executors;
 mod cell_explain;
@@ -34,6 +35,7 @@
 mod cell_summary;
 mod cell_upkeep;
 mod commit_queue;
+mod crash_watch;
 mod earlier_leases;
 mod evacuations;
 mod event;
@@ -55,6 +57,7 @@
     cell_summary::{FleetSummary, QueueSummary, TenantSummary},
     cell_upkeep::UpkeepPlan,
     commit_queue::{CommitQueue, RecordChange},
+    crash_watch::{CrashWatch, Hold, WatchedRun},
     earlier_leases::EarlierLeases,
     evacuations::Evacuations,
     event::{
@@ -71,8 +74,8 @@
     job::{Job, Step, Task},
     job_spec::{JobSpec, Schedule, StepSpec},
     records::{
-        EpochRecord, JobEnd, JobProgress, JobRecord, LeaseWaits, NodeRecord, OwnerRecord, Roster,
-        RosterEntry, StepProgress, Submission, TaskProgress,
+        CrashedTask, EpochRecord, JobEnd, JobProgress, JobRecord, LeaseWaits, NodeRecord,
+        OwnerRecord, Roster, RosterEntry, StepProgress, Submission, TaskProgress,
     },
     wave::{
         MachineId, MachineInfo, MachinePhase, MachineRefusal, MachineReply, MachineState,
--- a/src/fleet/policy/mod.rs
+++ b/src/fleet/policy/mod.rs
@@ -1,11 +1,12 @@
-//! Scheduling policy: order of waiting steps, choice of executors, advice, preemption, throttling,
-//! admission, maintenance, and how long ownership holds.
+//! Scheduling policy: order of waiting steps, choice of executors, advice, crashes, preemption,
+//! throttling, admission, maintenance, and how long ownership holds.
 //!
 //! Pure functions on plain data, called by the cell in every round and by the nodes. Nothing here
 //! keeps state, reads a clock or sends a command.
 
 mod admission;
 mod advice;
+mod crash;
 mod dispatch;
 mod order;
 mod ownership;
@@ -23,6 +24,10 @@
         decide as decide_admission,
     },
     advice::{AdviceChoice, AdviceNeed, AdviceOption, AdviceYield, choose_named, ends_soon},
+    crash::{
+        CrashVerdict, MAX_HOLD_MS, START_WATCH_MS, SuspectPlace, choose_suspect_place,
+        judge_crashes, max_held,
+    },
     dispatch::{Dispatcher, choose_dispatcher},
     order::{
         EXPIRED_TIMES, Rank, Timeliness, WaitingJob, assumed_remaining_ms, effective_priority,
--- a/src/fleet/records.rs
+++ b/src/fleet/records.rs
@@ -8,7 +8,7 @@
         core::Millis,
         fleet::{JobId, JobSpec, QueueRule},
     },
-    serde::{Deserialize, Serialize},
+    serde::{Deserialize, Deserializer, Serialize},
     std::sync::Arc,
 };
 
@@ -70,10 +70,23 @@
     pub tasks: Vec<TaskProgress>,
 }
 
+/// Executors that crashed soon after a task had started there.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct CrashedTask {
+    pub occurrence: u32,
+    pub step: u16,
+    pub index: u32,
+    /// Runs under which an executor crashed, and whether no other task could have caused it.
+    pub runs: Vec<(u64, bool)>,
+}
+
 /// Durable progress of a job, written by the owner.
 #[derive(Clone, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
 pub struct JobProgress {
     pub steps: Vec<StepProgress>,
+    /// Records of earlier versions end before it.
+    #[serde(deserialize_with = "missing_as_empty")]
+    pub crashed_tasks: Vec<CrashedTask>,
 }
 
 /// The latest owner and its fencing token. Every commit of the owner rewrites it under its last
@@ -127,3 +140,12 @@
     /// ms when it was written.
     pub waited: Vec<(Arc<str>, Millis)>,
 }
+
+/// Reads the last field of a record, empty if the record ends before it.
+fn missing_as_empty<'de, D, T>(deserializer: D) -> Result<T, D::Error>
+where
+    D: Deserializer<'de>,
+    T: Default + Deserialize<'de>,
+{
+    Ok(T::deserialize(deserializer).unwrap_or_default())
+}
