Start the suspect tasks of one job together on the executor held for them

The cause of a crash need only be known by its job, which fails as a whole. The suspect tasks of a job share the executor that is held for them.

--- a/src/fleet/cell_crashes.rs
+++ b/src/fleet/cell_crashes.rs
@@ -2,8 +2,9 @@
 //! starts, and when it is given up.
 //!
 //! A task is suspect if an executor crashed soon after the task had started there. It starts only
-//! on an executor that is held for it: every other run there is cleared and nothing else starts,
-//! until it has run on for a while, which clears it, or the executor crashes again.
+//! on an executor that is held for the suspect tasks of its job: every other run there is cleared
+//! and nothing else starts, until they have run on for a while, which clears them, or the
+//! executor crashes again.
 
 use {
     crate::fleet::{
@@ -17,14 +18,6 @@
 };
 
 impl Cell {
-    /// Returns the task that stands for all that start together with this one: the first member
-    /// of its gang, else itself.
-    fn crash_unit(&self, task: &TaskId) -> TaskId {
-        let gang = self.step_spec(task).is_some_and(|s| s.gang);
-        let index = if gang { 0 } else { task.index };
-        TaskId { index, ..*task }
-    }
-
     /// Lists the runs on an executor that could be the cause of a crash now; none if the executor
     /// is about to end by plan.
     pub(super) fn watched_runs(&self, id: &ExecutorId) -> Vec<WatchedRun> {
@@ -36,8 +29,8 @@
         }
         let runs = executor.runs.iter();
         let watched: Vec<_> = runs.filter(|(_, r)| !executor.is_cleared(r)).collect();
-        let units: HashSet<TaskId> = watched.iter().map(|(t, _)| self.crash_unit(t)).collect();
-        let sole_cause = units.len() == 1 && executor.unknown_runs.is_empty();
+        let jobs: HashSet<JobId> = watched.iter().map(|(t, _)| t.step.job).collect();
+        let sole_cause = jobs.len() == 1 && executor.unknown_runs.is_empty();
         let mut list: Vec<WatchedRun> = watched
             .into_iter()
             .map(|(task, run)| WatchedRun {
@@ -194,7 +187,7 @@
         state.is_some_and(|t| !t.done)
     }
 
-    /// Releases the executors whose suspect task is cleared, runs elsewhere, or did not start in time.
+    /// Releases the executors whose suspect tasks are cleared, run elsewhere, or did not start in time.
     pub(super) fn release_holds(&mut self, now: Now) {
         let mut watch = std::mem::take(&mut self.crash_watch);
         let mut holds = std::mem::take(&mut watch.holds);
@@ -202,16 +195,14 @@
             let Some(executor) = self.executors.get(id) else {
                 return false;
             };
-            let of_unit = |t: &TaskId| self.crash_unit(t) == hold.task;
-            let mut runs = executor.runs.iter().filter(|(t, _)| of_unit(t)).peekable();
-            if runs.peek().is_some() {
-                return runs.any(|(_, r)| !executor.is_cleared(r));
+            let mut runs = executor.runs.iter();
+            if runs.any(|(t, r)| t.step.job == hold.job && !executor.is_cleared(r)) {
+                return true;
             }
-            let waits = self
-                .task(&hold.task)
-                .is_some_and(|t| t.is_waiting(now.mono));
-            let in_time = now.mono < hold.since + MAX_HOLD_MS;
-            waits && in_time && self.is_open_task(&hold.task) && watch.is_suspect(&hold.task)
+            let is_waiting = |t: &TaskId| self.task(t).is_some_and(|t| t.is_waiting(now.mono));
+            let mut suspects = watch.suspects_of(hold.job);
+            let waits = suspects.any(|t| is_waiting(t) && self.is_open_task(t));
+            waits && now.mono < hold.since + MAX_HOLD_MS
         });
         watch.holds = holds;
         self.crash_watch = watch;
@@ -276,13 +267,12 @@
         now: Now,
     ) -> Result<ExecutorId, BlockReason> {
         let pool = self.pool_of(&task.step);
-        let mut holds = self.crash_watch.holds.iter();
-        let held = holds.find(|(_, h)| h.task == *task);
-        if let Some(name) = held.map(|(name, _)| name.clone()) {
-            if self.can_start_on(task, spec, &name, snapshot, now) {
-                return self.once_quiet(name);
-            }
-            self.crash_watch.holds.remove(&name);
+        let holds = self.crash_watch.holds.iter();
+        let mut held = holds.filter(|(_, h)| h.job == task.step.job);
+        if let Some((name, _)) =
+            held.find(|(name, _)| self.can_start_on(task, spec, name, snapshot, now))
+        {
+            return self.once_quiet(name.clone(), task.step.job);
         }
         if !self.may_hold(&pool, snapshot) {
             return Err(BlockReason::CrashSuspect);
@@ -294,7 +284,7 @@
             .map(|(name, option)| {
                 let executor = self.executors.get(name);
                 SuspectPlace {
-                    is_quiet: executor.is_some_and(crate::fleet::Executor::is_quiet),
+                    is_quiet: self.is_quiet_for(name, task.step.job),
                     runs: executor.map_or(0, |e| e.runs.len()),
                     recently_failed: option.recently_failed,
                 }
@@ -304,19 +294,26 @@
             return Err(self.no_capacity_reason(&task.step, snapshot));
         };
         let name = ids[chosen].clone();
-        self.hold(&name, task, &pool, snapshot, now);
-        self.once_quiet(name)
+        self.hold(&name, task.step.job, &pool, snapshot, now);
+        self.once_quiet(name, task.step.job)
     }
 
-    fn once_quiet(&self, name: ExecutorId) -> Result<ExecutorId, BlockReason> {
-        let executor = self.executors.get(&name);
-        if executor.is_some_and(crate::fleet::Executor::is_quiet) {
+    fn once_quiet(&self, name: ExecutorId, job: JobId) -> Result<ExecutorId, BlockReason> {
+        if self.is_quiet_for(&name, job) {
             Ok(name)
         } else {
             Err(BlockReason::CrashSuspect)
         }
     }
 
+    /// Returns whether no run on an executor could be the cause of a later crash but those of a job.
+    fn is_quiet_for(&self, name: &ExecutorId, job: JobId) -> bool {
+        self.executors.get(name).is_some_and(|e| {
+            let mut others = e.runs.iter().filter(|(t, _)| t.step.job != job);
+            e.unknown_runs.is_empty() && others.all(|(_, r)| e.is_cleared(r))
+        })
+    }
+
     /// Returns whether a suspect task can start on the executor that is held for it.
     fn can_start_on(
         &self,
@@ -350,17 +347,17 @@
         held < policy::max_held(snapshot.in_pool(pool).len())
     }
 
-    /// Holds an executor for a suspect task or for the gang of one.
+    /// Holds an executor for the suspect tasks of a job, or for the gang of one.
     pub(super) fn hold(
         &mut self,
         name: &ExecutorId,
-        task: &TaskId,
+        job: JobId,
         pool: &str,
         snapshot: &mut CapacitySnapshot,
         now: Now,
     ) {
         let hold = Hold {
-            task: self.crash_unit(task),
+            job,
             since: now.mono,
         };
         self.crash_watch.holds.insert(name.clone(), hold);
@@ -389,13 +386,10 @@
     /// Removes the options on executors where another run could be the cause of a crash.
     pub(super) fn keep_quiet_options(
         &self,
+        job: JobId,
         (ids, options): (Vec<ExecutorId>, Vec<PlacementOption>),
     ) -> (Vec<ExecutorId>, Vec<PlacementOption>) {
-        let is_quiet = |id: &ExecutorId| {
-            let executor = self.executors.get(id);
-            executor.is_some_and(crate::fleet::Executor::is_quiet)
-        };
         let pairs = ids.into_iter().zip(options);
-        pairs.filter(|(id, _)| is_quiet(id)).unzip()
+        pairs.filter(|(id, _)| self.is_quiet_for(id, job)).unzip()
     }
 }
--- a/src/fleet/cell_plan.rs
+++ b/src/fleet/cell_plan.rs
@@ -310,7 +310,7 @@
         let pool = self.pool_of(&id);
         let mut found = self.placement_options(&id, snapshot, now);
         if suspect {
-            found = self.keep_quiet_options(found);
+            found = self.keep_quiet_options(id.job, found);
         }
         let (ids, options) = found;
         let rack_of = |e: &ExecutorId| self.executors.get(e)?.info.rack().cloned();
@@ -332,11 +332,7 @@
             self.start(&ids[chosen], id, *index, number, now);
             snapshot.allocate(&pool, &ids[chosen], &need);
             if suspect {
-                let task = TaskId {
-                    step: id,
-                    index: *index,
-                };
-                self.hold(&ids[chosen], &task, &pool, snapshot, now);
+                self.hold(&ids[chosen], id.job, &pool, snapshot, now);
             }
         }
         None
--- a/src/fleet/crash_watch.rs
+++ b/src/fleet/crash_watch.rs
@@ -27,7 +27,7 @@
     pub run: RunNumber,
     /// The executor had confirmed it.
     pub confirmed: bool,
-    /// No other task could cause a crash of the executor at the time.
+    /// No task of another job could cause a crash of the executor at the time.
     pub sole_cause: bool,
 }
 
@@ -42,11 +42,10 @@
     durable: usize,
 }
 
-/// An executor held for a suspect task: nothing else starts there.
+/// An executor held for the suspect tasks of one job: nothing else starts there.
 #[derive(Clone, Copy, Debug)]
 pub struct Hold {
-    /// The task, or the first member of its gang.
-    pub task: TaskId,
+    pub job: JobId,
     pub since: Millis,
 }
 
@@ -73,6 +72,11 @@
         self.suspects.contains_key(task)
     }
 
+    /// Lists the suspect tasks of a job.
+    pub fn suspects_of(&self, job: JobId) -> impl Iterator<Item = &TaskId> {
+        self.suspects.keys().filter(move |t| t.step.job == job)
+    }
+
     pub fn has_suspects(&self) -> bool {
         !self.suspects.is_empty()
     }
--- a/src/fleet/executor.rs
+++ b/src/fleet/executor.rs
@@ -232,11 +232,6 @@
         self.alive_at >= since + START_WATCH_MS
     }
 
-    /// Returns whether no run here could be the cause of a later crash.
-    pub fn is_quiet(&self) -> bool {
-        self.unknown_runs.is_empty() && self.runs.values().all(|r| self.is_cleared(r))
-    }
-
     /// Returns how long beyond its wait the next renewal may take, in ms: twice the time that replies
     /// took, within bounds.
     pub fn renew_margin_ms(&self) -> Millis {
--- a/src/fleet/policy/crash.rs
+++ b/src/fleet/policy/crash.rs
@@ -14,7 +14,7 @@
 /// Crashes after which a task starts no more, whoever caused them.
 const MAX_CRASHES: usize = 3;
 
-/// Crashes after which a task is given up if it certainly caused one of them.
+/// Crashes after which a task is given up if its job certainly caused one of them.
 const MAX_CERTAIN_CRASHES: usize = 2;
 
 /// Bounds the executors of a pool that are held for suspect tasks at a time: a quarter.
@@ -30,7 +30,7 @@
 }
 
 /// Judges a task by the crashes of executors soon after it had started there; for each, whether
-/// no other task could have caused it.
+/// no task of another job could have caused it.
 pub fn judge_crashes(certain: &[bool]) -> CrashVerdict {
     let caused_one = certain.contains(&true);
     match certain.len() {
--- a/src/fleet/records.rs
+++ b/src/fleet/records.rs
@@ -76,7 +76,8 @@
     pub occurrence: u32,
     pub step: u16,
     pub index: u32,
-    /// Runs under which an executor crashed, and whether no other task could have caused it.
+    /// Runs under which an executor crashed, and whether no task of another job could have
+    /// caused it.
     pub runs: Vec<(u64, bool)>,
 }
 
