--- a/src/fleet/event.rs
+++ b/src/fleet/event.rs
@@ -378,11 +378,13 @@
     WaveWithdrawn,
     MachinesUnread,
     ExecutorDraining,
+    ExecutorCrashed,
+    TaskGivenUp,
 }
 
 impl FleetEvent {
     /// All events, in the order of their numbers.
-    pub const ALL: [Self; 43] = [
+    pub const ALL: [Self; 45] = [
         Self::NodeStarted,
         Self::NodeStopping,
         Self::SettingsReloaded,
@@ -426,6 +428,8 @@
         Self::WaveWithdrawn,
         Self::MachinesUnread,
         Self::ExecutorDraining,
+        Self::ExecutorCrashed,
+        Self::TaskGivenUp,
     ];
 
     /// Returns the event with this catalogue number; `None` if there is none.
--- a/src/fleet/mod.rs
+++ b/src/fleet/mod.rs
@@ -21,6 +21,7 @@
 mod cell;
 mod cell_advice;
 mod cell_capacity;
+mod cell_crashes;
 mod cell_departures;
 mod cell_evacuation;
 mod cell_executors;
@@ -35,6 +36,7 @@
 mod cell_summary;
 mod cell_upkeep;
 mod commit_queue;
+mod crash_watch;
 mod earlier_leases;
 mod evacuations;
 mod event;
@@ -56,6 +58,7 @@
     cell_summary::{FleetSummary, QueueSummary, TenantSummary},
     cell_upkeep::UpkeepPlan,
     commit_queue::{CommitQueue, RecordChange},
+    crash_watch::{CrashWatch, Hold, WatchedRun},
     earlier_leases::EarlierLeases,
     evacuations::Evacuations,
     event::{
@@ -72,8 +75,8 @@
     job::{Job, Step, Task},
     job_spec::{JobSpec, Schedule, StepSpec},
     records::{
-        EpochRecord, JobEnd, JobProgress, JobRecord, LeaseWaits, NodeRecord, OwnerRecord, Roster,
-        RosterEntry, StepProgress, Submission, TaskProgress,
+        CrashedTask, EpochRecord, JobEnd, JobProgress, JobRecord, LeaseWaits, NodeRecord,
+        OwnerRecord, Roster, RosterEntry, StepProgress, Submission, TaskProgress,
     },
     wave::{
         MachineId, MachineInfo, MachinePhase, MachineRefusal, MachineReply, MachineState,
--- a/standins/src/cell_world.rs
+++ b/standins/src/cell_world.rs
@@ -48,6 +48,8 @@
 
 /// Max delay of a late command, in ms.
 const MAX_LATE_MS: Millis = 12_000;
+/// Crashed executors after which a task must not start any more.
+const MAX_CRASHES: u32 = 3;
 
 /// Unix time at the start of the simulation, in ms.
 const UNIX_START_MS: Millis = 1_700_000_000_000;
@@ -154,6 +156,10 @@
     /// Tasks that started once after their job was cancelled. One such start is allowed because its
     /// command was in flight; a second is a violation.
     started_after_cancel: HashSet<TaskId>,
+    /// Tasks that crash their executor, and the time from their start to the crash, in ms.
+    pub crash_after: HashMap<TaskId, Millis>,
+    /// Executors that crashed while a task ran there, for each task.
+    pub crashes: HashMap<TaskId, u32>,
     /// Time of the first start of each job, in ms of simulated time.
     pub first_start: HashMap<JobId, Millis>,
     /// Log lines of the cell and the simulation, each after its time in ms.
@@ -199,6 +205,8 @@
             evacuated_at: HashMap::new(),
             violations: Vec::new(),
             started_after_cancel: HashSet::new(),
+            crash_after: HashMap::new(),
+            crashes: HashMap::new(),
             first_start: HashMap::new(),
             log: Vec::new(),
             check_interval_ms: 1,
@@ -424,6 +432,13 @@
         let now = self.now;
         for executor in self.executors.values_mut() {
             executor.advance(now);
+            if executor.must_crash(&self.crash_after, now) {
+                for task in executor.running.keys() {
+                    *self.crashes.entry(*task).or_default() += 1;
+                }
+                self.log.push(format!("{now} crash {}", executor.info.id));
+                executor.restart(now);
+            }
         }
         let executors = self.executors.values_mut();
         let exited = executors.filter_map(|e| e.exit_if_due(now).then(|| e.info.id.clone()));
@@ -764,6 +779,11 @@
             self.violations
                 .push(format!("BUDGET: {task} after {failed} failures"));
         }
+        let crashes = self.crashes.get(&task).copied().unwrap_or(0);
+        if crashes >= MAX_CRASHES {
+            self.violations
+                .push(format!("BUDGET: {task} after {crashes} crashes"));
+        }
         for step in &spec.depends_on {
             let before = StepId {
                 step: *step,
