--- a/src/fleet/cell_crashes.rs
+++ b/src/fleet/cell_crashes.rs
@@ -11,6 +11,7 @@
         BlockReason, Cell, ExecutorId, ExecutorInfo, FleetEvent, Hold, JobEnd, JobId, JobProgress,
         Now, RecordChange, RunStage, StepId, StepSpec, TaskId, WatchedRun,
         cell_capacity::CapacitySnapshot,
+        cell_plan::eligible,
         cell_runs::{MAX_START_ATTEMPTS, task_index},
         policy::{self, CrashVerdict, MAX_HOLD_MS, PlacementOption, SuspectPlace},
     },
@@ -332,6 +333,7 @@
         let executor = self.executors.get(name);
         let fits = executor.is_some_and(|e| {
             e.free().covers(&spec.allocation())
+                && eligible(&e.info, &rule.pool, spec)
                 && (limit == 0 || e.count_step_tasks(&task.step) < limit)
         });
         fits && snapshot.get(&rule.pool, name).is_some()
--- a/src/fleet/policy/crash.rs
+++ b/src/fleet/policy/crash.rs
@@ -3,8 +3,7 @@
 
 use crate::core::Millis;
 
-/// Time for which a run must have been alive to be cleared of a later crash of its executor, in
-/// ms. A task that crashes its executor does so within some 10 ms of its start.
+/// Time for which a run must have been alive to be cleared of a later crash of its executor, in ms.
 pub const START_WATCH_MS: Millis = 300;
 
 /// Time for which an executor is held for a suspect task that does not start, in ms; then
--- a/tests/crash_loop.rs
+++ b/tests/crash_loop.rs
@@ -2,13 +2,14 @@
 
 use {
     dragonflyferry::fleet::{
-        JobId, JobProgress, JobStatus, StepId, StepProgress, TaskId, TaskProgress,
+        JobId, JobProgress, JobStatus, StepId, StepProgress, StepSpec, TaskId, TaskProgress,
         policy::{CrashVerdict, judge_crashes},
     },
     standins::{
         CellWorld,
         cell_sample::{job, step, world},
     },
+    std::sync::Arc,
 };
 
 /// Time from the start of a task to the crash that it causes, in ms.
@@ -101,6 +102,30 @@
     }
 }
 
+#[test]
+fn a_suspect_task_starts_only_on_executors_with_the_label_that_it_requires() {
+    for seed in 0..10 {
+        let mut world = world(seed, 6);
+        let labelled = StepSpec {
+            required_label: Some(Arc::from("r1")),
+            ..step(1, 1_000, 2_000)
+        };
+        world.submit(job(1, "urgent", vec![step(1, 1_000, 2_000), labelled]));
+        world.run(100);
+        // Both tasks turn suspect at the same time, each on its own executor.
+        let hosts = world.executors.values_mut();
+        let hosts = hosts.filter(|e| !e.running.is_empty());
+        hosts.for_each(|e| e.restart(300));
+        world.run(10_000);
+        let elsewhere = |line: &&String| {
+            let (began, host) = line.split_once(" on e").unwrap_or_default();
+            began.contains("began 0000000000000001.0.1.0") && host < "3"
+        };
+        let wrong: Vec<&String> = world.log.iter().filter(elsewhere).collect();
+        assert!(wrong.is_empty(), "seed {seed}: {wrong:?}");
+    }
+}
+
 /// Lets six executors crash by themselves in turn, and returns the jobs that were not completed.
 fn uncompleted_after_random_crashes(seed: u64, interval_ms: u64) -> Vec<u64> {
     let mut world = world(seed, 6);
