Report a damaged count of crashes instead of reading it as none

A progress record whose tail could not be decoded was read as if no executor had crashed under any task, without a log line: the default that stands for records of earlier versions also took the place of any error. The task would have started again as if it were new.

Only a record that ends before the field counts as one of an earlier version; anything else is an error, which a takeover logs. Reading such a record gave Ok before, so the new test's last line failed.

--- a/src/entry/store_keys.rs
+++ b/src/entry/store_keys.rs
@@ -2,7 +2,10 @@
 //! by all modules that read or write the store. Keys are stored data and must not change.
 
 use {
-    crate::{entry::EntryError, fleet::JobId},
+    crate::{
+        entry::EntryError,
+        fleet::{JobId, JobProgress},
+    },
     serde::{Serialize, de::DeserializeOwned},
 };
 
@@ -69,7 +72,16 @@
 
 /// Decodes a postcard record; the error names the key.
 pub fn decode<T: DeserializeOwned>(key: &str, value: &[u8]) -> Result<T, EntryError> {
-    postcard::from_bytes(value).map_err(|e| EntryError::RecordCodec {
+    name_key(key, postcard::from_bytes(value))
+}
+
+/// Decodes a progress record; the error names the key.
+pub fn decode_progress(key: &str, value: &[u8]) -> Result<JobProgress, EntryError> {
+    name_key(key, JobProgress::decode(value))
+}
+
+fn name_key<T>(key: &str, decoded: postcard::Result<T>) -> Result<T, EntryError> {
+    decoded.map_err(|e| EntryError::RecordCodec {
         message: format!("{key}: {e}"),
     })
 }
--- a/src/entry/takeover.rs
+++ b/src/entry/takeover.rs
@@ -44,9 +44,10 @@
     let mut done: HashMap<JobId, JobProgress> = HashMap::new();
     for item in &progress {
         let id = item.key.trim_start_matches(keys::PROGRESS_PREFIX).parse();
-        if let (Ok(id), Some(record)) =
-            (id, ok_or_log(shared, keys::decode(&item.key, &item.value)))
-        {
+        if let (Ok(id), Some(record)) = (
+            id,
+            ok_or_log(shared, keys::decode_progress(&item.key, &item.value)),
+        ) {
             done.insert(id, record);
         }
     }
--- a/src/fleet/records.rs
+++ b/src/fleet/records.rs
@@ -8,7 +8,7 @@
         core::Millis,
         fleet::{JobId, JobSpec, QueueRule},
     },
-    serde::{Deserialize, Deserializer, Serialize},
+    serde::{Deserialize, Serialize},
     std::sync::Arc,
 };
 
@@ -82,14 +82,29 @@
 }
 
 /// Durable progress of a job, written by the owner.
-#[derive(Clone, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
+#[derive(Clone, Debug, Default, Eq, PartialEq, Serialize)]
 pub struct JobProgress {
     pub steps: Vec<StepProgress>,
     /// Records of earlier versions end before it.
-    #[serde(deserialize_with = "missing_as_empty")]
     pub crashed_tasks: Vec<CrashedTask>,
 }
 
+impl JobProgress {
+    /// Decodes a record, also one of an earlier version.
+    pub fn decode(record: &[u8]) -> postcard::Result<Self> {
+        let (steps, rest) = postcard::take_from_bytes(record)?;
+        let crashed_tasks = if rest.is_empty() {
+            Vec::new()
+        } else {
+            postcard::from_bytes(rest)?
+        };
+        Ok(Self {
+            steps,
+            crashed_tasks,
+        })
+    }
+}
+
 /// The latest owner and its fencing token. Every commit of the owner rewrites it under its last
 /// known revision, so that a commit with an older revision fails.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
@@ -141,16 +156,3 @@
     /// ms when it was written.
     pub waited: Vec<(Arc<str>, Millis)>,
 }
-
-/// Reads the last field of a record, empty if the record ends before it.
-#[expect(
-    clippy::unnecessary_wraps,
-    reason = "serde expects a function that returns a result"
-)]
-fn missing_as_empty<'de, D, T>(deserializer: D) -> Result<T, D::Error>
-where
-    D: Deserializer<'de>,
-    T: Default + Deserialize<'de>,
-{
-    Ok(T::deserialize(deserializer).unwrap_or_default())
-}
--- a/tests/crash_loop.rs
+++ b/tests/crash_loop.rs
@@ -2,7 +2,8 @@
 
 use {
     dragonflyferry::fleet::{
-        JobId, JobProgress, JobStatus, StepId, StepProgress, StepSpec, TaskId, TaskProgress,
+        CrashedTask, JobId, JobProgress, JobStatus, StepId, StepProgress, StepSpec, TaskId,
+        TaskProgress,
         policy::{CrashVerdict, judge_crashes},
     },
     standins::{
@@ -173,13 +174,30 @@
         crashed_tasks: Vec::new(),
     };
     let earlier = postcard::to_stdvec(&progress.steps).expect("encoded");
-    let read: JobProgress = postcard::from_bytes(&earlier).expect("decoded");
+    let read = JobProgress::decode(&earlier).expect("decoded");
     assert_eq!(read, progress);
     let now = postcard::to_stdvec(&progress).expect("encoded");
-    let read: JobProgress = postcard::from_bytes(&now).expect("decoded");
+    let read = JobProgress::decode(&now).expect("decoded");
     assert_eq!(read, progress);
 }
 
+#[test]
+fn a_damaged_count_of_crashes_is_an_error_and_not_zero() {
+    let progress = JobProgress {
+        steps: Vec::new(),
+        crashed_tasks: vec![CrashedTask {
+            occurrence: 0,
+            step: 0,
+            index: 3,
+            runs: vec![(1, true), (2, false)],
+        }],
+    };
+    let record = postcard::to_stdvec(&progress).expect("encoded");
+    assert_eq!(JobProgress::decode(&record), Ok(progress));
+    let damaged = &record[..record.len() - 1];
+    assert!(JobProgress::decode(damaged).is_err());
+}
+
 #[test]
 fn a_task_is_given_up_after_two_crashes_only_if_it_surely_caused_one() {
     assert_eq!(judge_crashes(&[true]), CrashVerdict::Suspect);
