Share the estimate of a run's remaining time and the check of stopping runs

The rule for the time that a run still takes stood in two places, and that for runs being stopped in two more.

--- a/src/fleet/cell_advice.rs
+++ b/src/fleet/cell_advice.rs
@@ -8,7 +8,7 @@
         core::{CallId, Millis, Resources},
         fleet::{
             AdviceRule, AdvisedExecutor, Cell, CellEffect, Executor, ExecutorId, FleetEvent, Now,
-            QueueRule, Run, Step, StepId, StepSpec, TaskId,
+            QueueRule, Step, StepId, StepSpec,
             cell_capacity::{CapacitySnapshot, ExecutorCapacity},
             cell_plan::eligible,
             job::Ticket,
@@ -103,19 +103,8 @@
         let Some(executor) = self.executors.get(id) else {
             return Millis::MAX;
         };
-        let remaining = |(task, run): (&TaskId, &Run)| {
-            let spec = self.step_spec(task)?;
-            if spec.persistent {
-                return Some(Millis::MAX);
-            }
-            let elapsed_ms = now.mono.saturating_sub(run.started_at);
-            Some(policy::remaining_run_ms(
-                elapsed_ms,
-                run.percent,
-                spec.estimate_ms,
-            ))
-        };
-        let remaining = executor.runs.iter().filter_map(remaining);
+        let runs = executor.runs.iter();
+        let remaining = runs.filter_map(|(task, run)| self.remaining_run_ms(task, run, now));
         remaining.max().unwrap_or(0)
     }
 
--- a/src/fleet/cell_departures.rs
+++ b/src/fleet/cell_departures.rs
@@ -79,10 +79,9 @@
     /// its task is placed as any other.
     pub(super) fn reserve_moves(&mut self, snapshot: &mut CapacitySnapshot) {
         let executors = &self.executors;
-        let is_stopping = |r: &Run| matches!(r.stage, RunStage::StopSent | RunStage::StopAccepted);
         self.moves.retain(|task, _| {
             let mut runs = executors.values().filter_map(|e| e.runs.get(task));
-            runs.any(is_stopping)
+            runs.any(Run::is_stopping)
         });
         for (task, to) in &self.moves {
             if let Some((job, spec, _)) = self.lookup_step(&task.step) {
@@ -125,10 +124,7 @@
         };
         let time_left = executor.time_left(now.mono).unwrap_or(Millis::MAX);
         let unfinishable = |(task, run): (&TaskId, &Run)| {
-            let spec = self.step_spec(task)?;
-            let elapsed_ms = now.mono.saturating_sub(run.started_at);
-            let ends = !spec.persistent
-                && policy::remaining_run_ms(elapsed_ms, run.percent, spec.estimate_ms) <= time_left;
+            let ends = self.remaining_run_ms(task, run, now)? <= time_left;
             (run.stage == RunStage::Confirmed && !ends).then_some(*task)
         };
         let mut tasks: Vec<TaskId> = executor.runs.iter().filter_map(unfinishable).collect();
--- a/src/fleet/cell_runs.rs
+++ b/src/fleet/cell_runs.rs
@@ -8,7 +8,7 @@
         core::{CallId, Millis},
         fleet::{
             Cell, CellEffect, CommandError, ExecutorCommand, ExecutorId, FleetEvent, JobId, Now,
-            Run, RunLoss, RunNumber, RunStage, StartCommand, StepId, StepSpec, TaskId,
+            Run, RunLoss, RunNumber, RunStage, StartCommand, StepId, StepSpec, TaskId, policy,
             run_log::{StartedRun, format_started},
         },
     },
@@ -111,6 +111,18 @@
         self.jobs.get(&task.step.job)?.spec(task.step.step)
     }
 
+    /// Estimates how long a run still takes, in ms; persistent ones do not end. `None` if its job is
+    /// not known.
+    pub(super) fn remaining_run_ms(&self, task: &TaskId, run: &Run, now: Now) -> Option<Millis> {
+        let spec = self.step_spec(task)?;
+        if spec.persistent {
+            return Some(Millis::MAX);
+        }
+        let elapsed_ms = now.mono.saturating_sub(run.started_at);
+        let remaining_ms = policy::remaining_run_ms(elapsed_ms, run.percent, spec.estimate_ms);
+        Some(remaining_ms)
+    }
+
     /// Returns whether a task belongs to a persistent step.
     pub(super) fn is_persistent(&self, task: &TaskId) -> bool {
         self.step_spec(task).is_some_and(|s| s.persistent)
--- a/src/fleet/executor.rs
+++ b/src/fleet/executor.rs
@@ -105,6 +105,13 @@
     pub load: u64,
 }
 
+impl Run {
+    /// Returns whether a stop was sent; it uses capacity until its end is read.
+    pub fn is_stopping(&self) -> bool {
+        matches!(self.stage, RunStage::StopSent | RunStage::StopAccepted)
+    }
+}
+
 /// A reading of an executor's clock, from a reply.
 #[derive(Clone, Copy, Debug)]
 pub struct ClockReading {
@@ -352,7 +359,7 @@
     /// Returns the starts that no command confirms or awaits any more and that must be withdrawn so
     /// that the other runs fit once those being stopped have ended; the latest first.
     pub fn excess_starts(&self) -> Vec<TaskId> {
-        let mut left = self.used_without(is_stopping);
+        let mut left = self.used_without(Run::is_stopping);
         let unanswered = |r: &Run| r.stage == RunStage::StartSent && r.call.is_none();
         let starts = self.runs.iter().filter(|(_, r)| unanswered(r));
         let mut starts: Vec<(TaskId, &Run)> = starts.map(|(task, r)| (*task, r)).collect();
@@ -370,7 +377,7 @@
     pub fn free_after_stops(&self) -> Resources {
         if self.unknown_runs.is_empty() {
             let capacity = &self.info.capacity;
-            capacity.saturating_sub(&self.used_without(is_stopping))
+            capacity.saturating_sub(&self.used_without(Run::is_stopping))
         } else {
             Resources::default()
         }
@@ -378,14 +385,14 @@
 
     /// Returns by how much the runs exceed the capacity once all that are being stopped have ended.
     pub fn excess_after_stops(&self) -> Resources {
-        let used = self.used_without(is_stopping);
+        let used = self.used_without(Run::is_stopping);
         used.saturating_sub(&self.info.capacity)
     }
 
     /// Returns the maximum free capacity that preemption can reach.
     pub fn free_after_preemption(&self) -> Resources {
         let stoppable =
-            |r: &Run| is_stopping(r) || (r.preemptible && r.stage == RunStage::Confirmed);
+            |r: &Run| r.is_stopping() || (r.preemptible && r.stage == RunStage::Confirmed);
         self.free_beside(&self.used_without(stoppable))
     }
 
@@ -475,7 +482,3 @@
         runs
     }
 }
-
-fn is_stopping(run: &Run) -> bool {
-    matches!(run.stage, RunStage::StopSent | RunStage::StopAccepted)
-}
