Hold watches of the configuration open for their usual time again

Since every second watch was cut to 100 ms: the age of a configuration is that of the call that confirmed it, so the reply of a watch that was held open leaves it above the 1.2 s that counted as late. Nodes made 1.8 times as many calls, and a node whose store went down took jobs for up to 3.4 s that it could not store, in place of 2.3 s: their callers were held to their deadline.

A watch is cut short only if the configuration is older than a watch and its timeout, 2.1 s.

--- a/src/entry/config_watch.rs
+++ b/src/entry/config_watch.rs
@@ -18,7 +18,8 @@
 /// the configuration's age.
 const WATCH_WAIT: Duration = Duration::from_millis(1_200);
 
-/// The same after a slow transfer, so that the configuration is confirmed soon.
+/// The same once the configuration has not been confirmed for longer than a watch may take, as after
+/// a slow transfer.
 const CONFIRM_WAIT: Duration = Duration::from_millis(100);
 
 /// Timeout of a read, and the margin of a watch beyond its own wait.
@@ -56,8 +57,7 @@
                 Ok(_) | Err(_) => tokio::time::sleep(READ_RETRY_INTERVAL).await,
             },
             Some(after) => {
-                let late = u128::from(shared.config_age_ms()) > WATCH_WAIT.as_millis();
-                let wait = if late { CONFIRM_WAIT } else { WATCH_WAIT };
+                let wait = watch_wait(Duration::from_millis(shared.config_age_ms()));
                 let result = shared.watch(prefix, after, wait, REPLY_TIMEOUT).await;
                 let Ok((changes, next)) = result else {
                     revision = None;
@@ -77,6 +77,16 @@
     }
 }
 
+/// Returns how long the next watch may be held open, given the configuration's age. The age is that of
+/// the call that confirmed it, so a watch that was held open leaves it at [`WATCH_WAIT`] and more.
+pub fn watch_wait(config_age: Duration) -> Duration {
+    if config_age > WATCH_WAIT + REPLY_TIMEOUT {
+        CONFIRM_WAIT
+    } else {
+        WATCH_WAIT
+    }
+}
+
 /// Returns the zone that an item requests to evacuate; logs an item that is malformed or names a
 /// zone that the deployment does not have.
 pub(super) fn zone_or_log(shared: &Shared, item: &StoreItem) -> Option<Arc<str>> {
--- a/src/entry/mod.rs
+++ b/src/entry/mod.rs
@@ -38,6 +38,7 @@
     caller_api::router as caller_router,
     cell_query::{CellQuery, QueryError},
     committer::Commit,
+    config_watch::watch_wait,
     daemon::{check_settings, run},
     dispatch::{Dispatch, RemoteCall, RemoteCommand},
     election::{claim_rank, should_step_down},
--- a/tests/slow_replies.rs
+++ b/tests/slow_replies.rs
@@ -2,7 +2,7 @@
 
 use {
     base64::{Engine, engine::general_purpose::STANDARD},
-    dragonflyferry::platform::StoreClient,
+    dragonflyferry::{entry::watch_wait, platform::StoreClient},
     std::{
         net::SocketAddr,
         time::{Duration, Instant},
@@ -65,3 +65,33 @@
     assert!(item.is_err());
     assert!(started_at.elapsed() < Duration::from_secs(3));
 }
+
+/// Returns how often a node watches the configuration in a minute while the store holds each watch open
+/// and takes `reply_ms` for its reply.
+fn watches_per_minute(reply_ms: u64) -> u32 {
+    let mut age = Duration::ZERO;
+    let mut elapsed = Duration::ZERO;
+    let mut watches = 0;
+    while elapsed < Duration::from_mins(1) {
+        // A reply confirms the configuration as of its request.
+        age = watch_wait(age) + Duration::from_millis(reply_ms);
+        elapsed += age;
+        watches += 1;
+    }
+    watches
+}
+
+/// Guards against watches that are cut short although each reply confirms the configuration.
+#[test]
+fn a_watch_that_was_held_open_is_followed_by_another() {
+    assert_eq!(watches_per_minute(4), 50);
+    assert_eq!(watches_per_minute(240), 42);
+}
+
+/// Guards against a configuration that becomes too old while the watch after a slow transfer is held
+/// open.
+#[test]
+fn a_configuration_that_took_long_to_transfer_is_confirmed_soon() {
+    let wait = watch_wait(Duration::from_millis(2_500));
+    assert!(wait <= Duration::from_millis(100));
+}
