Count what an executor may run by the largest capacity that the roster names

After a change of owner an executor that has not been read was counted by its present capacity. The roster now holds the largest capacity that each executor has had; an executor that grows gets no start until a roster that says so is durable. Records of earlier versions are read.

--- a/src/entry/store_keys.rs
+++ b/src/entry/store_keys.rs
@@ -4,7 +4,7 @@
 use {
     crate::{
         entry::EntryError,
-        fleet::{JobId, JobProgress},
+        fleet::{JobId, JobProgress, Roster},
     },
     serde::{Serialize, de::DeserializeOwned},
 };
@@ -80,6 +80,11 @@
     name_key(key, JobProgress::decode(value))
 }
 
+/// Decodes a roster; the error names the key.
+pub fn decode_roster(key: &str, value: &[u8]) -> Result<Roster, EntryError> {
+    name_key(key, Roster::decode(value))
+}
+
 fn name_key<T>(key: &str, decoded: postcard::Result<T>) -> Result<T, EntryError> {
     decoded.map_err(|e| EntryError::RecordCodec {
         message: format!("{key}: {e}"),
--- a/src/entry/takeover.rs
+++ b/src/entry/takeover.rs
@@ -7,7 +7,6 @@
         entry::{EntryError, Shared, config_watch, store_keys as keys},
         fleet::{
             Evacuations, ExecutorInfo, FleetEvent, JobId, JobProgress, JobRecord, RecoveredState,
-            Roster,
         },
         platform::{
             EVACUATIONS_PREFIX, EXECUTORS_PREFIX, StoreError, StoreItem, executor_from_entry,
@@ -67,7 +66,7 @@
         }
     }
     if let Some(item) = roster {
-        match ok_or_log(shared, keys::decode::<Roster>(&item.key, &item.value)) {
+        match ok_or_log(shared, keys::decode_roster(&item.key, &item.value)) {
             Some(roster) => recovered.roster = roster.executors,
             None => recovered.roster_unreadable = true,
         }
--- a/src/fleet/cell.rs
+++ b/src/fleet/cell.rs
@@ -11,7 +11,7 @@
             AdviceSlots, CellEffect, CellEvent, CommitQueue, CrashWatch, EarlierLeases,
             Evacuations, Executor, ExecutorId, ExecutorInfo, FencingToken, FleetConfig, FleetEvent,
             INCARNATIONS_PER_OWNER, Job, JobEnd, JobId, JobRecord, QueueRule, RecoveredState,
-            StepId, TaskId, UpkeepPlan,
+            RosterEntry, StepId, TaskId, UpkeepPlan,
             job::RUN_NUMBERS_PER_OWNER,
             policy::{self, AdviceYield},
             run_log::{EndedRun, StartedRun},
@@ -140,11 +140,11 @@
     pub commit_queue: CommitQueue,
     /// Tasks that may have crashed an executor.
     pub(super) crash_watch: CrashWatch,
-    /// Executors that the roster in the store certainly names, with their address there, whichever
-    /// of the writes with an unknown outcome took effect.
-    pub roster: HashMap<ExecutorId, Arc<str>>,
+    /// Executors that the roster in the store certainly names, whichever of the writes with an unknown
+    /// outcome took effect: their address there, and the least of the maximum capacities.
+    pub roster: HashMap<ExecutorId, RosterEntry>,
     /// The same of the roster write that is in flight; `roster` once it is durable.
-    pub roster_sent: HashMap<ExecutorId, Arc<str>>,
+    pub roster_sent: HashMap<ExecutorId, RosterEntry>,
     pub advice_slots: AdviceSlots,
     /// Advice calls in flight: step, executors named, and when each times out.
     pub advice_calls: HashMap<CallId, (StepId, Vec<ExecutorId>, Millis)>,
@@ -218,7 +218,7 @@
             last_call: 0,
         };
         for entry in recovered.roster {
-            cell.roster.insert(entry.id.clone(), entry.address.clone());
+            cell.roster.insert(entry.id.clone(), entry.clone());
             cell.unreconciled.insert(entry.id.clone());
             cell.add_from_roster(&entry, now);
         }
@@ -321,10 +321,18 @@
     /// Returns whether leases may be granted on an executor: the roster in the store names it at
     /// its present address, so that the next owner will read it and wait for them.
     pub(super) fn in_roster(&self, executor: &ExecutorInfo) -> bool {
-        self.roster.get(&executor.id) == Some(&executor.address)
+        let entry = self.roster.get(&executor.id);
+        entry.is_some_and(|e| e.address == executor.address)
             && self.earlier_leases.may_grant(&executor.id)
     }
 
+    /// Returns whether the roster in the store covers an executor's present capacity, so that the next
+    /// owner will count all that may be started there.
+    pub(super) fn roster_covers(&self, executor: &ExecutorInfo) -> bool {
+        let entry = self.roster.get(&executor.id);
+        entry.is_some_and(|e| e.max_capacity.covers(&executor.capacity))
+    }
+
     pub(super) fn next_call(&mut self) -> CallId {
         self.last_call += 1;
         self.last_call
--- a/src/fleet/cell_capacity.rs
+++ b/src/fleet/cell_capacity.rs
@@ -57,8 +57,8 @@
     pools: HashMap<Arc<str>, PoolCapacity>,
     /// Whether runs of an earlier owner that this owner has not read may exist.
     pub has_unreconciled: bool,
-    /// Sum of the capacities of unreconciled executors: upper bound of what runs there. One that is
-    /// not listed counts as the largest executor.
+    /// Sum of the maximum capacities of unreconciled executors: upper bound of what runs there. One
+    /// whose capacity is unknown counts as the largest executor.
     pub unreconciled_capacity: Resources,
 }
 
@@ -124,6 +124,7 @@
             let info = &executor.info;
             if !executor.is_schedulable(now.mono)
                 || !self.in_roster(info)
+                || !self.roster_covers(info)
                 || self.is_evacuated(info)
                 || self.is_in_upkeep(&info.id)
             {
@@ -150,12 +151,12 @@
         snapshot.has_unreconciled = !self.unreconciled.is_empty();
         let mut largest = Resources::default();
         let executors = self.executors.values();
-        executors.for_each(|e| largest.max_assign(&e.info.capacity));
+        executors.for_each(|e| largest.max_assign(&e.max_capacity));
         for id in &self.unreconciled {
             if let Some(executor) = self.executors.get(id) {
-                let known = executor.info.capacity != Resources::default();
+                let known = executor.max_capacity != Resources::default();
                 let capacity = if known {
-                    &executor.info.capacity
+                    &executor.max_capacity
                 } else {
                     &largest
                 };
--- a/src/fleet/cell_executors.rs
+++ b/src/fleet/cell_executors.rs
@@ -58,7 +58,8 @@
             min_remaining_ms: None,
             started_unix_ms: None,
         };
-        let executor = Executor::new(info, false, now.mono);
+        let mut executor = Executor::new(info, false, now.mono);
+        executor.max_capacity = entry.max_capacity;
         self.executors.insert(entry.id.clone(), executor);
     }
 
@@ -76,6 +77,10 @@
                 known.address_since = now.mono;
                 self.commit_queue.roster.dirty = true;
             }
+            if !known.max_capacity.covers(&info.capacity) {
+                known.max_capacity.max_assign(&info.capacity);
+                self.commit_queue.roster.dirty = true;
+            }
             known.listed = true;
             known.missing_since = None;
             known.info = Arc::new(info);
--- a/src/fleet/cell_jobs.rs
+++ b/src/fleet/cell_jobs.rs
@@ -232,20 +232,20 @@
     }
 
     fn roster_write(&mut self) -> StoreWrite {
-        let entry = |e: &Executor| (e.info.id.clone(), e.info.address.clone());
-        self.roster_sent = self.executors.values().map(entry).collect();
-        // The write may take effect although no reply comes.
-        let sent = &self.roster_sent;
-        self.roster
-            .retain(|id, address| sent.get(id) == Some(address));
         let entry = |e: &Executor| RosterEntry {
             id: e.info.id.clone(),
             address: e.info.address.clone(),
             pool: e.info.pool.clone(),
+            max_capacity: e.max_capacity,
         };
-        StoreWrite::Roster(Roster {
-            executors: self.executors.values().map(entry).collect(),
-        })
+        let entries: Vec<RosterEntry> = self.executors.values().map(entry).collect();
+        self.roster_sent = entries.iter().map(|e| (e.id.clone(), e.clone())).collect();
+        // The write may take effect although no reply comes. Maximum capacities only rise, so that
+        // of the present record is the least.
+        let sent = &self.roster_sent;
+        self.roster
+            .retain(|id, entry| sent.get(id).is_some_and(|s| s.address == entry.address));
+        StoreWrite::Roster(Roster::new(entries))
     }
 
     /// Handles the result of a commit. Ends in it become visible to callers unless the job is dirty
--- a/src/fleet/executor.rs
+++ b/src/fleet/executor.rs
@@ -125,6 +125,8 @@
 #[derive(Debug)]
 pub struct Executor {
     pub info: Arc<ExecutorInfo>,
+    /// Most of each resource that it has had, as far as this owner and the roster know.
+    pub max_capacity: Resources,
     /// When its address was last set; replies to earlier commands are of the previous address.
     pub address_since: Millis,
     /// Whether the platform's list names it.
@@ -186,6 +188,7 @@
     /// Creates an executor without a session; its first renewal is due at `now`.
     pub fn new(info: ExecutorInfo, listed: bool, now: Millis) -> Self {
         Self {
+            max_capacity: info.capacity,
             info: Arc::new(info),
             address_since: now,
             listed,
--- a/src/fleet/records.rs
+++ b/src/fleet/records.rs
@@ -5,7 +5,7 @@
 
 use {
     crate::{
-        core::Millis,
+        core::{Millis, Resources},
         fleet::{JobId, JobSpec, QueueRule},
     },
     serde::{Deserialize, Serialize},
@@ -133,17 +133,51 @@
 }
 
 /// Executors that an owner may have used; the next owner must reconcile each of them.
-#[derive(Clone, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
+#[derive(Clone, Debug, Default, Eq, PartialEq, Serialize)]
 pub struct Roster {
     pub executors: Vec<RosterEntry>,
+    /// [`RosterEntry::max_capacity`] of each, in the same order. Records of earlier versions end
+    /// before it.
+    max_capacities: Vec<Resources>,
+}
+
+impl Roster {
+    pub fn new(executors: Vec<RosterEntry>) -> Self {
+        let max_capacities = executors.iter().map(|e| e.max_capacity).collect();
+        Self {
+            executors,
+            max_capacities,
+        }
+    }
+
+    /// Decodes a record, also one of an earlier version.
+    pub fn decode(record: &[u8]) -> postcard::Result<Self> {
+        let (mut executors, rest): (Vec<RosterEntry>, _) = postcard::take_from_bytes(record)?;
+        let max_capacities: Vec<Resources> = if rest.is_empty() {
+            Vec::new()
+        } else {
+            postcard::from_bytes(rest)?
+        };
+        for (entry, max_capacity) in executors.iter_mut().zip(&max_capacities) {
+            entry.max_capacity = *max_capacity;
+        }
+        Ok(Self {
+            executors,
+            max_capacities,
+        })
+    }
 }
 
-/// What is needed to reach one executor of the roster again.
+/// What is needed to reach one executor of the roster again, and what may run there until then.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub struct RosterEntry {
     pub id: Arc<str>,
     pub address: Arc<str>,
     pub pool: Arc<str>,
+    /// Most of each resource that the executor has had since it was listed: the runs there never
+    /// exceed it, also after the capacity has shrunk. 0 if unknown.
+    #[serde(skip)]
+    pub max_capacity: Resources,
 }
 
 /// How long owners have waited for the leases of earlier ones, for executors on which the writer has
--- a/tests/capacity_changes.rs
+++ b/tests/capacity_changes.rs
@@ -4,7 +4,7 @@
 use {
     dragonflyferry::{
         core::{Millis, Resources},
-        fleet::{JobId, JobStatus, StepSpec, Submission, TenantRule},
+        fleet::{JobId, JobStatus, Roster, RosterEntry, StepSpec, Submission, TenantRule},
     },
     rand::{Rng, SeedableRng, rngs::SmallRng},
     standins::{
@@ -71,6 +71,62 @@
     assert_sound(&world, 1..=2);
 }
 
+/// The roster with the larger capacity is not durable when the owner is lost.
+#[test]
+fn a_grown_executor_gets_no_more_work_before_the_next_owner_would_count_it() {
+    let mut config = config();
+    let cap = Resources {
+        memory_mib: 0,
+        ..need(8_000)
+    };
+    let rule = TenantRule { weight: 100, cap };
+    config.tenants.insert(Arc::from("t"), rule);
+    let mut world = world_with_config(1, 1, config);
+    let tenant_job = |id, estimate_ms| Submission {
+        tenant: Some(Arc::from("t")),
+        ..job(id, "urgent", vec![step(8, 1_000, estimate_ms)])
+    };
+    set_capacity(&mut world, "e0", with_cpu(1_000));
+    world.run(10_000);
+    world.replace_owner();
+    world.run(10_000);
+    world.store_up = false;
+    set_capacity(&mut world, "e0", capacity());
+    world.run(1_000);
+    world.submit(tenant_job(1, 20_000));
+    world.run(1_000);
+    set_capacity(&mut world, "e0", with_cpu(1_000));
+    world.run(LISTED_AFTER_MS + 100);
+    set_unreachable(&mut world, "e0", true);
+    world.store_up = true;
+    world.replace_owner();
+    world.add_executor("e1", "pool", "r0", capacity());
+    world.submit(tenant_job(2, 1_000));
+    world.run(60_000);
+    assert_sound(&world, 1..=2);
+}
+
+/// Records of earlier versions hold no capacities.
+#[test]
+fn a_roster_of_an_earlier_version_is_decoded() {
+    let record = postcard::to_stdvec(&vec![("e0", "10.0.0.1:80", "pool")]).expect("record");
+    let roster = Roster::decode(&record).expect("roster");
+    let entry = RosterEntry {
+        id: Arc::from("e0"),
+        address: Arc::from("10.0.0.1:80"),
+        pool: Arc::from("pool"),
+        max_capacity: Resources::default(),
+    };
+    assert_eq!(roster.executors, vec![entry.clone()]);
+    let entry = RosterEntry {
+        max_capacity: capacity(),
+        ..entry
+    };
+    let roster = Roster::new(vec![entry]);
+    let record = postcard::to_stdvec(&roster).expect("record");
+    assert_eq!(Roster::decode(&record), Ok(roster));
+}
+
 fn assert_sound(world: &CellWorld, jobs: std::ops::RangeInclusive<u64>) {
     assert_eq!(world.violations, Vec::<String>::new(), "{:#?}", world.log);
     for id in jobs {
--- a/tests/succession.rs
+++ b/tests/succession.rs
@@ -179,6 +179,7 @@
         id: Arc::from(id),
         address: Arc::from(address),
         pool: Arc::from("pool"),
+        max_capacity: capacity(),
     }
 }
 
