Look for the ends of short runs while ends wait for a slow store

While an executor lists ends that are not durable, its renewals return at once and were repeated each 250 ms, so the next end was found up to 250 ms late. With the store 60 times slower ends wait 0.4 s, and a job of two short steps lost 0.25 s of its 0.8 s that way. The renewal now follows when the first short run is expected to end, by its progress; long runs are looked for as before.

--- a/src/fleet/cell_executors.rs
+++ b/src/fleet/cell_executors.rs
@@ -28,9 +28,6 @@
 /// must be checked more often, in ms.
 const MAX_RENEW_WAIT_THROTTLED_MS: Millis = 400;
 
-/// Interval of renewals while ends wait to become durable, in ms.
-const RENEW_UNACKED_INTERVAL_MS: Millis = 250;
-
 /// Interval of attempts to reach an executor that does not reply, in ms; the first follows at once.
 const RENEW_RETRY_INTERVAL_MS: Millis = 300;
 
@@ -325,17 +322,29 @@
             self.unreconciled.remove(id);
         }
         self.stop_stuck_runs(id, now);
+        let unacked_interval_ms = policy::unacked_interval_ms(self.next_short_end_ms(id, now));
         if let Some(executor) = self.executors.get_mut(id) {
             executor.next_renewal_at = if executor.unacked.is_empty() {
                 now.mono
             } else {
-                now.mono + RENEW_UNACKED_INTERVAL_MS
+                now.mono + unacked_interval_ms
             };
         }
         self.adjust_throttle(id);
         self.clear_survivors(id);
     }
 
+    /// Estimates the time until the first short run on an executor ends, in ms; none if there is none.
+    fn next_short_end_ms(&self, id: &ExecutorId, now: Now) -> Option<Millis> {
+        let remaining_ms = |(task, run): (&TaskId, &Run)| {
+            let short = self.step_spec(task)?;
+            let short = !short.persistent && policy::is_short_run(short.estimate_ms);
+            short.then(|| self.remaining_run_ms(task, run, now))?
+        };
+        let runs = self.executors.get(id)?.runs.iter();
+        runs.filter_map(remaining_ms).min()
+    }
+
     fn process_running_row(&mut self, id: &ExecutorId, row: &RunningRow, sent: Millis, now: Now) {
         let Some(executor) = self.executors.get_mut(id) else {
             return;
--- a/src/fleet/policy/mod.rs
+++ b/src/fleet/policy/mod.rs
@@ -14,6 +14,7 @@
 mod pace;
 mod placement;
 mod preemption;
+mod renewal;
 mod reservation;
 mod speed;
 mod throttle;
@@ -38,6 +39,7 @@
     pace::round_pause_ms,
     placement::{PlacementOption, choose_best_fit, choose_spread},
     preemption::{Victim, choose_gang_victims, choose_victims},
+    renewal::{is_short_run, unacked_interval_ms},
     reservation::{Room, reserve_for_gang, reserve_for_large},
     speed::{MIN_PROGRESS_MS, RunTimeFactor, needs_speed, remaining_run_ms},
     throttle::best_effort_share,
