--- a/src/entry/committer.rs
+++ b/src/entry/committer.rs
@@ -90,7 +90,7 @@
             let outcome = self.commit_alone(&commit.writes).await;
             return Some(report(commit.call, &outcome));
         };
-        match self.transaction(&commit.writes, revision) {
+        match Self::transaction(&commit.writes, revision) {
             Ok(txn) => {
                 let shared = self.shared.clone();
                 self.in_flight
@@ -121,7 +121,7 @@
             Err(outcome) => return outcome,
         };
         let epoch = keys::encode(&self.epoch);
-        let txn = self.transaction(writes, revision).and_then(|mut txn| {
+        let txn = Self::transaction(writes, revision).and_then(|mut txn| {
             txn.set.push((keys::EPOCH.to_owned(), epoch?, 0));
             Ok(txn)
         });
@@ -158,7 +158,7 @@
         Err(CommitOutcome::NotOwner)
     }
 
-    fn transaction(&self, writes: &[StoreWrite], revision: u64) -> Result<Transaction, EntryError> {
+    fn transaction(writes: &[StoreWrite], revision: u64) -> Result<Transaction, EntryError> {
         let mut txn = Transaction::default();
         txn.expect.push((keys::EPOCH.to_owned(), revision));
         for write in writes {
