--- a/src/fleet/cell_runs.rs
+++ b/src/fleet/cell_runs.rs
@@ -21,9 +21,6 @@
 /// Timeout of a start, stop or throttle command, in ms; executors reply at once.
 const COMMAND_TIMEOUT_MS: Millis = 300;
 
-/// The same of the start of a short run, which has no time to wait for a lost reply, in ms.
-const SHORT_RUN_START_TIMEOUT_MS: Millis = 150;
-
 /// Time until an unanswered stop command is sent again, in ms.
 const STOP_RETRY_MS: Millis = 300;
 
@@ -38,7 +35,6 @@
     /// connection after failed calls and for repeated starts.
     pub(super) fn send_command(&mut self, id: &ExecutorId, command: ExecutorCommand) -> CallId {
         let call = self.next_call();
-        let timeout_ms = self.command_timeout_ms(&command);
         if let Some(executor) = self.executors.get(id) {
             let repeated = match &command {
                 ExecutorCommand::Start(start) => executor
@@ -52,24 +48,13 @@
                 executor: id.clone(),
                 address: executor.info.address.clone(),
                 command,
-                timeout_ms,
+                timeout_ms: COMMAND_TIMEOUT_MS,
                 new_connection: repeated || executor.failed_calls > 0,
             });
         }
         call
     }
 
-    fn command_timeout_ms(&self, command: &ExecutorCommand) -> Millis {
-        let is_short_run = |start: &StartCommand| {
-            let spec = self.step_spec(&start.task);
-            spec.is_some_and(|s| !s.persistent && policy::is_short_run(s.estimate_ms))
-        };
-        match command {
-            ExecutorCommand::Start(start) if is_short_run(start) => SHORT_RUN_START_TIMEOUT_MS,
-            _ => COMMAND_TIMEOUT_MS,
-        }
-    }
-
     /// Starts a task on an executor under a new run number. The run uses capacity from now on,
     /// also while the command is unanswered.
     pub(super) fn start_run(
