--- a/src/entry/mod.rs
+++ b/src/entry/mod.rs
@@ -37,7 +37,7 @@
     admission::{AdmissionOutcome, OverloadRefusal},
     caller_api::router as caller_router,
     cell_query::{CellQuery, QueryError},
-    committer::Commit,
+    committer::{Commit, run as run_committer},
     config_watch::watch_wait,
     daemon::{check_settings, run},
     dispatch::{Dispatch, RemoteCall, RemoteCommand},
