Read the heartbeats of executors at most ten times a second

The owner now makes at most ten of these watches a second; what it reads of an executor is up to 0.1 s older, against bounds of seconds.

--- a/src/entry/owner_watch.rs
+++ b/src/entry/owner_watch.rs
@@ -11,13 +11,17 @@
         platform::{EXECUTORS_PREFIX, StoreChange, StoreError, StoreItem},
     },
     std::{sync::Arc, time::Duration},
-    tokio::sync::mpsc,
+    tokio::{sync::mpsc, time::MissedTickBehavior},
 };
 
 /// Max time that the store holds a watch open. Short, because a connection may stop delivering
 /// without an error.
 const WATCH_WAIT: Duration = Duration::from_secs(2);
 
+/// Min time between watches of executors. Each of their heartbeats is a change that ends a watch, so with
+/// hundreds of executors one would follow the other without a pause.
+const EXECUTOR_WATCH_INTERVAL: Duration = Duration::from_millis(100);
+
 /// Time between watches of accepted jobs. The watch is only needed for jobs and cancellations
 /// whose message was lost.
 const WORK_WATCH_INTERVAL: Duration = Duration::from_millis(700);
@@ -30,12 +34,15 @@
 
 /// Watches the platform's list of executors; lists all of them again after a failed watch, unless
 /// the store was only busy.
-pub(super) async fn watch_executors(
+pub async fn watch_executors(
     shared: Arc<Shared>,
     tx: mpsc::UnboundedSender<OwnerInput>,
     mut revision: u64,
 ) {
+    let mut interval = tokio::time::interval(EXECUTOR_WATCH_INTERVAL);
+    interval.set_missed_tick_behavior(MissedTickBehavior::Delay);
     loop {
+        interval.tick().await;
         let result = shared
             .watch(EXECUTORS_PREFIX, revision, WATCH_WAIT, READ_TIMEOUT)
             .await;
--- a/tests/committer.rs
+++ b/tests/committer.rs
@@ -110,13 +110,11 @@
     }
     tokio::time::sleep(Duration::from_millis(50)).await;
     store.0.lock().expect("items").under_way -= 1;
-    match store.transact(&txn) {
-        Some(revision) => Json(json!({ "revision": revision })).into_response(),
-        None => {
-            let body = Json(json!({"items": []}));
-            (StatusCode::PRECONDITION_FAILED, body).into_response()
-        }
+    if let Some(revision) = store.transact(&txn) {
+        return Json(json!({ "revision": revision })).into_response();
     }
+    let body = Json(json!({"items": []}));
+    (StatusCode::PRECONDITION_FAILED, body).into_response()
 }
 
 async fn read(
@@ -125,12 +123,10 @@
 ) -> Response {
     let items = store.0.lock().expect("items");
     let key = &query["key"];
-    match items.values.get(key) {
-        Some((value, revision)) => {
-            Json(json!({"key": key, "value": value, "revision": revision})).into_response()
-        }
-        None => StatusCode::NOT_FOUND.into_response(),
-    }
+    let Some((value, revision)) = items.values.get(key) else {
+        return StatusCode::NOT_FOUND.into_response();
+    };
+    Json(json!({"key": key, "value": value, "revision": revision})).into_response()
 }
 
 struct Committer {
