Drop a roster entry whose maximum capacity may be less in the write under way

An executor that left and was added again may have a smaller maximum capacity than the present record says; until the new one is durable the record that the next owner reads is not certain. Found by reading.

--- a/src/fleet/cell_executors.rs
+++ b/src/fleet/cell_executors.rs
@@ -337,9 +337,11 @@
     /// Estimates the time until the first short run on an executor ends, in ms; none if there is none.
     fn next_short_end_ms(&self, id: &ExecutorId, now: Now) -> Option<Millis> {
         let remaining_ms = |(task, run): (&TaskId, &Run)| {
-            let short = self.step_spec(task)?;
-            let short = !short.persistent && policy::is_short_run(short.estimate_ms);
-            short.then(|| self.remaining_run_ms(task, run, now))?
+            let spec = self.step_spec(task)?;
+            if spec.persistent || !policy::is_short_run(spec.estimate_ms) {
+                return None;
+            }
+            self.remaining_run_ms(task, run, now)
         };
         let runs = self.executors.get(id)?.runs.iter();
         runs.filter_map(remaining_ms).min()
--- a/src/fleet/cell_jobs.rs
+++ b/src/fleet/cell_jobs.rs
@@ -251,11 +251,16 @@
         };
         let entries: Vec<RosterEntry> = self.executors.values().map(entry).collect();
         self.roster_sent = entries.iter().map(|e| (e.id.clone(), e.clone())).collect();
-        // The write may take effect although no reply comes. Maximum capacities only rise, so that
-        // of the present record is the least.
+        // The write may take effect although no reply comes. Maximum capacities rise while an executor
+        // is known, so that of the present record is the least; one that was added again may have less.
         let sent = &self.roster_sent;
-        self.roster
-            .retain(|id, entry| sent.get(id).is_some_and(|s| s.address == entry.address));
+        let stays_true = |entry: &RosterEntry| {
+            let sent = sent.get(&entry.id);
+            sent.is_some_and(|s| {
+                s.address == entry.address && s.max_capacity.covers(&entry.max_capacity)
+            })
+        };
+        self.roster.retain(|_, entry| stays_true(entry));
         StoreWrite::Roster(Roster::new(entries))
     }
 
