--- a/src/fleet/commit_queue.rs
+++ b/src/fleet/commit_queue.rs
@@ -11,8 +11,8 @@
     std::collections::{BTreeMap, HashMap},
 };
 
-/// Maximum changes in one commit: the platform takes 32 entries, and two of them are the guard
-/// on the epoch record.
+/// Maximum changes in one commit: the platform takes 32 entries, and up to two of them are the
+/// guard on the epoch record.
 const MAX_COMMIT_ENTRIES: usize = 30;
 
 /// Maximum commits under way. The store takes up to some 300 ms for each when it is slow.
@@ -88,7 +88,7 @@
 struct InFlight {
     call: CallId,
     /// Its jobs, with the positions that they had; one that changes meanwhile is also dirty again.
-    jobs: HashMap<JobId, Position>,
+    jobs: BTreeMap<JobId, Position>,
     batch: CommitBatch,
     /// Whether it was sent after one that failed.
     is_retry: bool,
@@ -160,7 +160,7 @@
         }
         let singles = usize::from(self.roster.is_due()) + usize::from(self.waits.is_due());
         let mut free_entries = MAX_COMMIT_ENTRIES - singles;
-        let mut jobs = HashMap::new();
+        let mut jobs = BTreeMap::new();
         let mut has_more = false;
         for (position, job) in &self.order {
             if self.is_in_flight(*job) {
