Make the test of a grown executor fail without its guard

The executor was listed with its full capacity first, so the roster named that from the beginning and the test passed with the check removed. It now joins with the small one. With the check of the roster removed the test ends in a broken cap (QUOTA); with it it passes.

--- a/tests/capacity_changes.rs
+++ b/tests/capacity_changes.rs
@@ -81,15 +81,13 @@
     };
     let rule = TenantRule { weight: 100, cap };
     config.tenants.insert(Arc::from("t"), rule);
-    let mut world = world_with_config(1, 1, config);
+    let mut world = world_with_config(1, 0, config);
     let tenant_job = |id, estimate_ms| Submission {
         tenant: Some(Arc::from("t")),
         ..job(id, "urgent", vec![step(8, 1_000, estimate_ms)])
     };
-    set_capacity(&mut world, "e0", with_cpu(1_000));
-    world.run(10_000);
-    world.replace_owner();
-    world.run(10_000);
+    world.add_executor("e0", "pool", "r0", with_cpu(1_000));
+    world.run(1_000);
     world.store_up = false;
     set_capacity(&mut world, "e0", capacity());
     world.run(1_000);
