--- a/review/standin/world.rs
+++ b/review/standin/world.rs
@@ -29,7 +29,7 @@
 /// Prefix of the queue.
 pub const QUEUE: &str = "/lohu930/";
 
-/// `graceS` has no part here; daemons are killed at the end of a case.
+/// A node: its addresses, files and process.
 pub struct Node {
     front: String,
     ready: String,
@@ -387,7 +387,7 @@
         reply
     }
 
-    /// Sends a client's request until it is answered with something other than 502, 503 or 504, to one
+    /// Sends a client's request until it is answered with something other than 429 or 502 to 504, to one
     /// node after the other; gives up after 5 attempts, as clients with 4 retries do.
     pub fn insist(&self, node: usize, method: &str, id: &str, body: &str) -> Option<(u16, String)> {
         for attempt in 0..5 {
