Learn in time what was sent over connections that went silent

Cause: the message to the owner was lost with the link, and the owner's watch of accepted work, the other way, could stay without a reply for 4 s and was then followed by a pause and a read of everything. The same held for the watch of executors (drain), of the members (owner) and of waves; a retry could also take another idle connection that had gone silent.

Change: waits and margins within the bound of the news; a watch of work goes on from its revision at once; a request without a reply to a service with one server gives up all connections opened before; notifications are sent again over the next connection to the owner; takeover reads are made twice; the second stop of a run opens a connection. The stand-in also silences watches that wait already.

--- a/src/entry/membership.rs
+++ b/src/entry/membership.rs
@@ -26,8 +26,9 @@
 /// Timeout of a call to the store, and the margin of a watch beyond its own wait.
 const STORE_TIMEOUT: Duration = Duration::from_millis(900);
 
-/// Time that the store holds one watch of the members open.
-const WATCH_WAIT: Duration = Duration::from_secs(5);
+/// Time that the store holds one watch of the members open. If the connection goes silent, the loss of
+/// the owner shows only after that.
+const WATCH_WAIT: Duration = Duration::from_millis(1_500);
 
 /// Time between a failed watch and the read that replaces it.
 const WATCH_RETRY_DELAY: Duration = Duration::from_millis(20);
--- a/src/entry/owner_link.rs
+++ b/src/entry/owner_link.rs
@@ -15,7 +15,7 @@
     },
     futures_util::StreamExt,
     std::{
-        collections::HashMap,
+        collections::{HashMap, VecDeque},
         sync::{Arc, Mutex, MutexGuard, PoisonError},
         time::Duration,
     },
@@ -52,6 +52,13 @@
 /// Timeout of a request to the owner.
 const REQUEST_TIMEOUT: Duration = Duration::from_millis(400);
 
+/// Time for which a notification is sent again over a new connection, in ms: until a connection that
+/// has gone silent is closed and replaced.
+const RESEND_WINDOW_MS: Millis = 3_000;
+
+/// Max number of notifications kept to be sent again.
+const MAX_RECENT: usize = 1_024;
+
 /// Max number of messages queued for a connection that does not accept them.
 const MAX_QUEUED_MESSAGES: usize = 4_096;
 
@@ -76,6 +83,8 @@
     tx: Option<mpsc::Sender<PeerMessage>>,
     last_call: u64,
     pending: HashMap<u64, oneshot::Sender<Reply>>,
+    /// Notifications of the last [`RESEND_WINDOW_MS`] and when they were sent; the oldest first.
+    recent: VecDeque<(Millis, PeerMessage)>,
 }
 
 impl OwnerLink {
@@ -87,12 +96,20 @@
         self.inner().tx.is_some()
     }
 
+    /// Sends a notification now and, if the connection is replaced soon, once more: a connection that
+    /// has gone silent loses what is sent over it.
     fn notify(&self, message: PeerMessage) {
-        let tx = self.inner().tx.clone();
-        if let Some(tx) = tx {
+        let now = clock::mono();
+        let mut inner = self.inner();
+        if let Some(tx) = &inner.tx {
             // If the queue is full, the message is lost and the owner finds the job by its watch.
-            let _ = tx.try_send(message);
+            let _ = tx.try_send(message.clone());
         }
+        while inner.recent.len() >= MAX_RECENT {
+            inner.recent.pop_front();
+        }
+        inner.recent.push_back((now, message));
+        inner.drop_old(now);
     }
 
     async fn request(&self, message: impl FnOnce(u64) -> PeerMessage) -> Option<Reply> {
@@ -119,11 +136,27 @@
 
     fn set_sender(&self, tx: Option<mpsc::Sender<PeerMessage>>) {
         let mut inner = self.inner();
+        if let Some(tx) = &tx {
+            inner.drop_old(clock::mono());
+            for (_, message) in &inner.recent {
+                let _ = tx.try_send(message.clone());
+            }
+        }
         inner.tx = tx;
         inner.pending.clear();
     }
 }
 
+impl Inner {
+    fn drop_old(&mut self, now: Millis) {
+        while let Some((at, _)) = self.recent.front()
+            && *at + RESEND_WINDOW_MS < now
+        {
+            self.recent.pop_front();
+        }
+    }
+}
+
 impl Shared {
     /// Notifies the owner of a job that is already in the store. The message may be lost; the
     /// owner also finds the job by its watch.
--- a/src/entry/owner_watch.rs
+++ b/src/entry/owner_watch.rs
@@ -14,9 +14,16 @@
     tokio::{sync::mpsc, time::MissedTickBehavior},
 };
 
-/// Max time that the store holds a watch open. Short, because a connection may stop delivering
-/// without an error.
-const WATCH_WAIT: Duration = Duration::from_secs(2);
+/// Max time that the store holds a watch of executors open. A connection may stop delivering without
+/// an error, which shows only when the reply is overdue: then the watch goes on over a new connection,
+/// and the platform requires that the changes it missed are heeded 2 s and more after them.
+const EXECUTOR_WATCH_WAIT: Duration = Duration::from_secs(1);
+
+/// The same of the watch of accepted jobs and cancellations, which pauses between two calls.
+const WORK_WATCH_WAIT: Duration = Duration::from_millis(500);
+
+/// Time beyond its wait after which the reply to a watch is overdue; a slow store takes 0.26 s.
+const WATCH_GRACE: Duration = Duration::from_millis(700);
 
 /// Min time between watches of executors. Each of their heartbeats is a change that ends a watch, so with
 /// hundreds of executors one would follow the other without a pause.
@@ -44,7 +51,7 @@
     loop {
         interval.tick().await;
         let result = shared
-            .watch(EXECUTORS_PREFIX, revision, WATCH_WAIT, READ_TIMEOUT)
+            .watch(EXECUTORS_PREFIX, revision, EXECUTOR_WATCH_WAIT, WATCH_GRACE)
             .await;
         match result {
             Ok((changes, next)) => {
@@ -53,19 +60,18 @@
                     on_executor_change(&shared, &tx, change);
                 }
             }
-            Err(error) => {
-                tokio::time::sleep(WATCH_RETRY_DELAY).await;
-                if matches!(error, StoreError::Busy) {
+            Err(StoreError::Busy) => tokio::time::sleep(WATCH_RETRY_DELAY).await,
+            Err(_) => {
+                let Ok((items, next)) = shared.range(EXECUTORS_PREFIX, READ_TIMEOUT).await else {
+                    tokio::time::sleep(WATCH_RETRY_DELAY).await;
                     continue;
-                }
-                if let Ok((items, next)) = shared.range(EXECUTORS_PREFIX, READ_TIMEOUT).await {
-                    revision = next;
-                    let infos = items
-                        .iter()
-                        .filter_map(|i| executor_or_log(&shared, i))
-                        .collect();
-                    let _ = tx.send(OwnerInput::Cell(CellEvent::Relisted(infos)));
-                }
+                };
+                revision = next;
+                let infos = items
+                    .iter()
+                    .filter_map(|i| executor_or_log(&shared, i))
+                    .collect();
+                let _ = tx.send(OwnerInput::Cell(CellEvent::Relisted(infos)));
             }
         }
     }
@@ -89,18 +95,20 @@
 }
 
 /// Watches accepted jobs and cancellations, to find those whose message to the owner was lost.
-pub(super) async fn watch_work(
+pub async fn watch_work(
     shared: Arc<Shared>,
     tx: mpsc::UnboundedSender<OwnerInput>,
     mut revision: u64,
 ) {
+    let mut overdue = false;
+    tokio::time::sleep(WORK_WATCH_INTERVAL).await;
     loop {
-        tokio::time::sleep(WORK_WATCH_INTERVAL).await;
         let result = shared
-            .watch(keys::WORK_PREFIX, revision, WATCH_WAIT, READ_TIMEOUT)
+            .watch(keys::WORK_PREFIX, revision, WORK_WATCH_WAIT, WATCH_GRACE)
             .await;
         match result {
             Ok((changes, next)) => {
+                overdue = false;
                 revision = next;
                 for change in changes {
                     if let StoreChange::Set(item) = change {
@@ -109,12 +117,19 @@
                 }
             }
             Err(StoreError::Busy) => {}
+            Err(StoreError::Unknown) if !overdue => {
+                // Changes may be waiting already; the store still has them in its history.
+                overdue = true;
+                continue;
+            }
             Err(_) => {
                 if let Ok(next) = read_work(&shared, &tx).await {
+                    overdue = false;
                     revision = next;
                 }
             }
         }
+        tokio::time::sleep(WORK_WATCH_INTERVAL).await;
     }
 }
 
--- a/src/entry/store_calls.rs
+++ b/src/entry/store_calls.rs
@@ -87,7 +87,7 @@
         wait: Duration,
         grace: Duration,
     ) -> Result<(Vec<StoreChange>, u64), StoreError> {
-        let result = self.store.watch(prefix, after, wait, wait + grace).await;
+        let result = self.store.watch(prefix, after, wait, grace).await;
         self.record_call(StoreCall::Watch, result)
     }
 
--- a/src/entry/takeover.rs
+++ b/src/entry/takeover.rs
@@ -15,8 +15,9 @@
     std::{collections::HashMap, time::Duration},
 };
 
-/// Timeout of a read from the store, and the margin of a watch beyond its own wait.
-pub(super) const READ_TIMEOUT: Duration = Duration::from_secs(2);
+/// Timeout of a read from the store. A reply that is overdue may have been sent over a connection that
+/// has gone silent, so the read is worth another attempt.
+pub(super) const READ_TIMEOUT: Duration = Duration::from_secs(1);
 
 /// What the store contains at a takeover, with the revisions from which watches continue.
 pub(super) struct TakeoverState {
@@ -30,11 +31,11 @@
 /// can change them any more.
 pub(super) async fn load(shared: &Shared) -> Result<TakeoverState, StoreError> {
     let (work, progress, roster, waits, executor_items, evacuations) = tokio::try_join!(
-        shared.range(keys::WORK_PREFIX, READ_TIMEOUT),
-        shared.range(keys::PROGRESS_PREFIX, READ_TIMEOUT),
-        shared.get(keys::ROSTER, READ_TIMEOUT),
-        shared.get(keys::LEASE_WAITS, READ_TIMEOUT),
-        shared.range(EXECUTORS_PREFIX, READ_TIMEOUT),
+        read_twice(|| shared.range(keys::WORK_PREFIX, READ_TIMEOUT)),
+        read_twice(|| shared.range(keys::PROGRESS_PREFIX, READ_TIMEOUT)),
+        read_twice(|| shared.get(keys::ROSTER, READ_TIMEOUT)),
+        read_twice(|| shared.get(keys::LEASE_WAITS, READ_TIMEOUT)),
+        read_twice(|| shared.range(EXECUTORS_PREFIX, READ_TIMEOUT)),
         load_evacuations(shared),
     )?;
     let (work, work_revision) = work;
@@ -86,12 +87,24 @@
     })
 }
 
+/// Reads again after a missing reply: the connection may have gone silent, and the next attempt opens
+/// a new one.
+async fn read_twice<T, F>(read: impl Fn() -> F) -> Result<T, StoreError>
+where
+    F: Future<Output = Result<T, StoreError>>,
+{
+    match read().await {
+        Err(StoreError::Unknown) => read().await,
+        result => result,
+    }
+}
+
 /// Reads the zones to evacuate; none where operators request no evacuations.
 async fn load_evacuations(shared: &Shared) -> Result<Evacuations, StoreError> {
     if shared.settings.bounds.evacuation_ms.is_none() {
         return Ok(Evacuations::default());
     }
-    let (items, revision) = shared.range(EVACUATIONS_PREFIX, READ_TIMEOUT).await?;
+    let (items, revision) = read_twice(|| shared.range(EVACUATIONS_PREFIX, READ_TIMEOUT)).await?;
     let zones = items
         .iter()
         .filter_map(|i| config_watch::zone_or_log(shared, i));
--- a/src/entry/upkeep.rs
+++ b/src/entry/upkeep.rs
@@ -53,7 +53,7 @@
 const WRITE_TIMEOUT: Duration = Duration::from_secs(1);
 
 /// Time that the store holds a watch of the requests open.
-const WATCH_WAIT: Duration = Duration::from_secs(10);
+const WATCH_WAIT: Duration = Duration::from_secs(3);
 
 /// Time between a failed read of the store and the next attempt.
 const READ_RETRY_DELAY: Duration = Duration::from_millis(200);
--- a/src/fleet/cell_runs.rs
+++ b/src/fleet/cell_runs.rs
@@ -32,7 +32,7 @@
 
 impl Cell {
     /// Sends a command to an executor; returns the call id that its result will carry. Uses a new
-    /// connection after failed calls and for repeated starts.
+    /// connection after failed calls and for repeated starts and stops.
     pub(super) fn send_command(&mut self, id: &ExecutorId, command: ExecutorCommand) -> CallId {
         let call = self.next_call();
         if let Some(executor) = self.executors.get(id) {
@@ -41,6 +41,9 @@
                     .runs
                     .get(&start.task)
                     .is_some_and(|r| r.start_attempts > 1),
+                ExecutorCommand::Stop { task, .. } => {
+                    executor.runs.get(task).is_some_and(|r| r.stop_attempts > 1)
+                }
                 _ => false,
             };
             self.effects.push(CellEffect::Command {
@@ -216,6 +219,7 @@
         };
         run.stage = RunStage::StopSent;
         run.stage_since = now.mono;
+        run.stop_attempts += 1;
         let number = run.number;
         let call = self.send_stop(id, task, number);
         self.set_call(id, task, call);
@@ -491,6 +495,7 @@
         stage_since: now,
         call: None,
         start_attempts: 0,
+        stop_attempts: 0,
         ticket,
         percent: 0,
         progressed_at: now,
--- a/src/fleet/executor.rs
+++ b/src/fleet/executor.rs
@@ -81,6 +81,8 @@
     pub call: Option<CallId>,
     /// How often the start was sent.
     pub start_attempts: u32,
+    /// Stop commands sent.
+    pub stop_attempts: u32,
     pub ticket: Option<Arc<str>>,
     /// Progress in percent.
     pub percent: u32,
--- a/src/platform/executor_client.rs
+++ b/src/platform/executor_client.rs
@@ -18,9 +18,19 @@
 };
 
 /// Sends commands to executors and requests to the advice service.
-#[derive(Clone, Debug, Default)]
+#[derive(Clone, Debug)]
 pub struct ExecutorClient {
     client: WireClient,
+    advice: WireClient,
+}
+
+impl Default for ExecutorClient {
+    fn default() -> Self {
+        Self {
+            client: WireClient::new(),
+            advice: WireClient::for_single_server(),
+        }
+    }
 }
 
 #[derive(Serialize)]
@@ -53,7 +63,7 @@
             body,
             incarnation: Some(id),
             timeout,
-            large_body: false,
+            body_pause: None,
             new_connection,
         };
         let reply = self.client.send(request).await;
@@ -106,10 +116,10 @@
             body: serde_json::to_vec(&query).ok()?,
             incarnation: None,
             timeout,
-            large_body: false,
+            body_pause: None,
             new_connection: false,
         };
-        let (status, body) = self.client.send(request).await.ok()?;
+        let (status, body) = self.advice.send(request).await.ok()?;
         if status != StatusCode::OK {
             return None;
         }
--- a/src/platform/machine_client.rs
+++ b/src/platform/machine_client.rs
@@ -46,7 +46,7 @@
 impl MachineClient {
     /// Creates a client; nothing is sent yet.
     pub fn new(address: SocketAddr) -> Self {
-        let client = WireClient::new();
+        let client = WireClient::for_single_server();
         Self { client, address }
     }
 
@@ -63,7 +63,7 @@
             body: Vec::new(),
             incarnation: None,
             timeout,
-            large_body: false,
+            body_pause: None,
             new_connection: false,
         };
         match self.client.send(request).await {
--- a/src/platform/store_client.rs
+++ b/src/platform/store_client.rs
@@ -110,7 +110,7 @@
     /// Creates a client; nothing is sent yet.
     pub fn new(address: SocketAddr) -> Self {
         Self {
-            client: WireClient::new(),
+            client: WireClient::for_single_server(),
             address,
         }
     }
@@ -122,14 +122,26 @@
         body: Vec<u8>,
         timeout: Duration,
     ) -> Result<(StatusCode, Vec<u8>), StoreError> {
-        let reads = method == Method::GET;
+        let body_pause = (method == Method::GET).then_some(timeout);
+        self.send_with_pause(method, path, body, timeout, body_pause)
+            .await
+    }
+
+    async fn send_with_pause(
+        &self,
+        method: Method,
+        path: String,
+        body: Vec<u8>,
+        timeout: Duration,
+        body_pause: Option<Duration>,
+    ) -> Result<(StatusCode, Vec<u8>), StoreError> {
         let request = WireRequest {
             method,
             url: format!("http://{}{path}", self.address),
             body,
             incarnation: None,
             timeout,
-            large_body: reads,
+            body_pause,
             new_connection: false,
         };
         let reply = self.client.send(request).await;
@@ -185,17 +197,20 @@
     }
 
     /// Waits up to `wait` for changes under a prefix after a revision; returns them with the
-    /// revision for the next watch. Fails with [`StoreError::Compacted`] if that history is gone.
+    /// revision for the next watch. The reply must come within `wait` and `grace`. Fails with
+    /// [`StoreError::Compacted`] if that history is gone.
     pub async fn watch(
         &self,
         prefix: &str,
         after: u64,
         wait: Duration,
-        timeout: Duration,
+        grace: Duration,
     ) -> Result<(Vec<StoreChange>, u64), StoreError> {
         let wait_ms = wait.as_millis();
         let path = format!("/-/kv-watch?prefix={prefix}&after={after}&waitMs={wait_ms}");
-        match self.send(Method::GET, path, Vec::new(), timeout).await? {
+        let body = Vec::new();
+        let reply = self.send_with_pause(Method::GET, path, body, wait + grace, Some(grace));
+        match reply.await? {
             (StatusCode::OK, body) => {
                 let page: WirePage = parse(&body)?;
                 let changes = page.items.into_iter().map(WireItem::into_change);
--- a/src/platform/wire_client.rs
+++ b/src/platform/wire_client.rs
@@ -8,7 +8,10 @@
     bytes::Buf,
     http_body_util::{BodyExt, Limited},
     hyper::{Method, Request, StatusCode, header},
-    std::time::Duration,
+    std::{
+        sync::{Arc, Mutex, PoisonError},
+        time::Duration,
+    },
 };
 
 /// Maximum size of a reply body read into memory, in bytes: a page of the store has about 1 MB
@@ -22,13 +25,23 @@
 #[derive(Clone, Copy, Debug)]
 pub struct NoReply;
 
-/// HTTP client that tells replies of any status from missing ones.
+/// HTTP client that tells replies of any status from missing ones. Clones share their connections.
 #[derive(Clone, Debug)]
 pub struct WireClient {
     /// Reuses idle connections.
-    pooled: HttpClient,
+    pooled: Arc<Mutex<Pool>>,
     /// Opens a connection for each request.
     unpooled: HttpClient,
+    /// Whether all requests go to one server, so that a missing reply casts doubt on every connection.
+    single_server: bool,
+}
+
+/// Connections that may be reused.
+#[derive(Clone, Debug)]
+struct Pool {
+    client: HttpClient,
+    /// Rises each time the connections are given up.
+    generation: u64,
 }
 
 /// One request.
@@ -43,18 +56,50 @@
     /// From the connection to the end of the reply body, or only to its beginning if the body may
     /// take longer.
     pub timeout: Duration,
-    /// Whether a large body may take longer, as long as parts of it keep arriving within the timeout.
-    pub large_body: bool,
+    /// Time in which each part of a large body must follow the one before, if the body may take
+    /// longer than the timeout.
+    pub body_pause: Option<Duration>,
     /// Whether to open a new connection, as an idle pooled one may be dead unnoticed.
     pub new_connection: bool,
 }
 
 impl WireClient {
-    /// Creates a client; nothing is sent yet.
+    /// Creates a client for many servers; nothing is sent yet.
     pub fn new() -> Self {
         Self {
-            pooled: HttpClient::new(Pooling::Reuse),
+            pooled: Arc::new(Mutex::new(Pool {
+                client: HttpClient::new(Pooling::Reuse),
+                generation: 0,
+            })),
             unpooled: HttpClient::new(Pooling::PerRequest),
+            single_server: false,
+        }
+    }
+
+    /// Creates a client for one server. After a request without a reply it reuses no connection that
+    /// was opened before: all may have gone silent together, and each would cost a timeout.
+    pub fn for_single_server() -> Self {
+        Self {
+            single_server: true,
+            ..Self::new()
+        }
+    }
+
+    fn pool(&self) -> Pool {
+        self.pooled
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner)
+            .clone()
+    }
+
+    /// Gives up the connections of a generation, unless that was done already.
+    fn replace_pool(&self, generation: u64) {
+        let mut pool = self.pooled.lock().unwrap_or_else(PoisonError::into_inner);
+        if pool.generation == generation {
+            *pool = Pool {
+                client: HttpClient::new(Pooling::Reuse),
+                generation: generation + 1,
+            };
         }
     }
 
@@ -68,25 +113,30 @@
             req = req.header("expect-instance", incarnation);
         }
         let req = req.body(Body::from(request.body)).map_err(|_| NoReply)?;
+        let pool = self.pool();
         let client = if request.new_connection {
             &self.unpooled
         } else {
-            &self.pooled
+            &pool.client
         };
-        let max_pause = request.large_body.then_some(request.timeout);
+        let (timeout, body_pause) = (request.timeout, request.body_pause);
         let reply = async {
             let head = client.send(req);
-            let resp = within(max_pause, head).await?.map_err(|_| NoReply)?;
+            let resp = within(Some(timeout), head).await?.map_err(|_| NoReply)?;
             let status = resp.status();
             let body = Limited::new(resp.into_body(), MAX_REPLY_BYTES);
-            Ok((status, read_body(body, max_pause).await?))
+            Ok((status, read_body(body, body_pause).await?))
         };
-        let limit = if request.large_body {
-            request.timeout + MAX_TRANSFER
+        let limit = if body_pause.is_some() {
+            timeout + MAX_TRANSFER
         } else {
-            request.timeout
+            timeout
         };
-        within(Some(limit), Box::pin(reply)).await?
+        let reply = within(Some(limit), Box::pin(reply)).await.flatten();
+        if reply.is_err() && self.single_server {
+            self.replace_pool(pool.generation);
+        }
+        reply
     }
 }
 
--- a/standins/src/platform_host.rs
+++ b/standins/src/platform_host.rs
@@ -332,7 +332,15 @@
             None
         };
         match fate {
-            None => self.execute(from, to, call).await,
+            None => {
+                let (path, opened_at) = (call.path.clone(), call.opened_at);
+                let reply = self.execute(from, to, call).await;
+                // A connection may have gone silent while the call waited.
+                match self.faults.decide(from, to, &path, opened_at) {
+                    Some(Fate::Silent) => silence().await,
+                    _ => reply,
+                }
+            }
             Some(Fate::Refuse(status)) => Some((status, json!({}))),
             Some(Fate::Reset) => None,
             Some(Fate::Silent) => silence().await,
