--- a/src/core/resources.rs
+++ b/src/core/resources.rs
@@ -36,10 +36,21 @@
 
     /// Adds each resource of another amount; the sum must fit a `u32`.
     pub fn add(&mut self, other: &Self) {
-        self.cpu_milli += other.cpu_milli;
-        self.memory_mib += other.memory_mib;
-        self.accelerators += other.accelerators;
-        self.slots += other.slots;
+        self.cpu_milli = self.cpu_milli.saturating_add(other.cpu_milli);
+        self.memory_mib = self.memory_mib.saturating_add(other.memory_mib);
+        self.accelerators = self.accelerators.saturating_add(other.accelerators);
+        self.slots = self.slots.saturating_add(other.slots);
+    }
+
+    /// Returns so many times each resource.
+    #[must_use]
+    pub fn times(&self, factor: u32) -> Self {
+        Self {
+            cpu_milli: self.cpu_milli.saturating_mul(factor),
+            memory_mib: self.memory_mib.saturating_mul(factor),
+            accelerators: self.accelerators.saturating_mul(factor),
+            slots: self.slots.saturating_mul(factor),
+        }
     }
 
     /// Subtracts each resource of another amount, down to zero.
--- a/src/entry/caller_api.rs
+++ b/src/entry/caller_api.rs
@@ -145,6 +145,11 @@
             return empty(StatusCode::BAD_REQUEST);
         }
     };
+    if let Some(limit) = spec.exceeded_limit() {
+        let detail = format!("job={id} reason={limit}");
+        shared.log_event(FleetEvent::JobRefused, &detail);
+        return empty(StatusCode::BAD_REQUEST);
+    }
     let submission = Submission {
         id,
         queue: QueueRule::clone(&checked.queue),
@@ -169,10 +174,21 @@
 /// with an unknown outcome it retries until the caller's deadline.
 async fn accept(shared: &Shared, submission: Submission) -> Reply {
     let id = submission.id;
-    let record = JobRecord::Open(submission.clone());
+    let record = JobRecord::open(submission.clone());
     let Ok(value) = keys::encode(&record) else {
         return empty(StatusCode::BAD_REQUEST);
     };
+    if value.len() > shared.settings.max_value_bytes {
+        return refuse_size(shared, id, "record too long for the store");
+    }
+    if matches!(record, JobRecord::OpenLarge(_)) && !shared.all_nodes_read_large_jobs() {
+        let job = id.to_string();
+        return refuse(
+            shared,
+            &job,
+            "large job while a node of an earlier version lives",
+        );
+    }
     let txn = Transaction {
         expect: vec![(keys::job(id), 0)],
         set: vec![(keys::job(id), value, 0)],
@@ -211,7 +227,7 @@
 fn reply_stored(shared: &Shared, id: JobId, items: &[StoreItem]) -> Option<Reply> {
     let item = items.iter().find(|i| i.revision > 0)?;
     Some(match keys::decode(&item.key, &item.value) {
-        Ok(JobRecord::Open(old)) => reply_accepted(shared, old),
+        Ok(JobRecord::Open(old) | JobRecord::OpenLarge(old)) => reply_accepted(shared, old),
         Ok(JobRecord::Ended { .. }) => empty(StatusCode::OK),
         Err(e) => {
             shared.log_event(FleetEvent::BadEntry, &e.to_string());
@@ -233,7 +249,9 @@
     }
     match read_record(shared, id).await {
         Ok(Some(JobRecord::Ended { end, .. })) => json(job_state_body(JobStatus::from_end(end))),
-        Ok(Some(JobRecord::Open(_))) => json(job_state_body(JobStatus::Pending)),
+        Ok(Some(JobRecord::Open(_) | JobRecord::OpenLarge(_))) => {
+            json(job_state_body(JobStatus::Pending))
+        }
         Ok(None) => empty(StatusCode::GONE),
         Err(()) => refuse(shared, &id.to_string(), "neither owner nor store answer"),
     }
@@ -256,7 +274,7 @@
 async fn cancel(shared: &Shared, checked: &CheckedRequest, id: JobId) -> Reply {
     let cancel = async {
         match read_record(shared, id).await {
-            Ok(Some(JobRecord::Open(_))) => {}
+            Ok(Some(JobRecord::Open(_) | JobRecord::OpenLarge(_))) => {}
             Ok(Some(JobRecord::Ended { .. })) => return empty(StatusCode::OK),
             Ok(None) => return empty(StatusCode::GONE),
             Err(()) => return refuse(shared, &id.to_string(), "the store does not answer"),
@@ -303,6 +321,12 @@
     reply
 }
 
+/// Replies 413: the job can never be stored; nothing was done.
+fn refuse_size(shared: &Shared, id: JobId, reason: &str) -> Reply {
+    shared.log_event(FleetEvent::JobRefused, &format!("job={id} reason={reason}"));
+    empty(StatusCode::PAYLOAD_TOO_LARGE)
+}
+
 /// Replies 429 with `retry-after`: the job cannot be served in time; nothing was done.
 fn refuse_overload(shared: &Shared, submission: &Submission, refusal: OverloadRefusal) -> Reply {
     let OverloadRefusal {
--- a/src/entry/committer.rs
+++ b/src/entry/committer.rs
@@ -163,9 +163,11 @@
         txn.expect.push((keys::EPOCH.to_owned(), revision));
         for write in writes {
             match write {
-                StoreWrite::Progress { job, progress } => {
-                    let value = keys::encode(progress)?;
-                    txn.set.push((keys::progress(*job), value, 0));
+                StoreWrite::Progress { job, value, record } => {
+                    txn.set.push((keys::progress(*job), value.clone(), 0));
+                    if let Some(record) = record {
+                        txn.set.push((keys::job(*job), keys::encode(record)?, 0));
+                    }
                 }
                 StoreWrite::Ended {
                     job,
--- a/src/entry/membership.rs
+++ b/src/entry/membership.rs
@@ -7,9 +7,11 @@
         core::Millis,
         entry::{
             OwnerInput, Shared, StoreLease, claim_rank, clock, owner, owner::OwnershipClaim,
-            should_step_down, store_keys as keys,
+            should_step_down, store_keys as keys, takeover::ok_or_log,
+        },
+        fleet::{
+            EpochRecord, FleetEvent, NODE_PROTOCOL, NodeRecord, OwnerRecord, policy::OwnershipProof,
         },
-        fleet::{EpochRecord, FleetEvent, NodeRecord, OwnerRecord, policy::OwnershipProof},
         platform::{StoreChange, StoreError, StoreItem, Transaction},
     },
     std::{collections::BTreeMap, sync::Arc, time::Duration},
@@ -92,8 +94,9 @@
         node: shared.node.clone(),
         address: Arc::from(shared.settings.peer_address.to_string()),
         cpu_milli: shared.settings.cpu_milli,
+        protocol: NODE_PROTOCOL,
     };
-    let value = keys::encode(&record).ok()?;
+    let value = record.encode().ok()?;
     let txn = Transaction {
         set: vec![(format!("{}{}", keys::NODES_PREFIX, shared.node), value, id)],
         ..Transaction::default()
@@ -141,7 +144,7 @@
 }
 
 fn publish_members(shared: &Shared, items: &BTreeMap<String, StoreItem>) {
-    let node = |i: &StoreItem| keys::decode::<NodeRecord>(&i.key, &i.value).ok();
+    let node = |i: &StoreItem| ok_or_log(shared, keys::decode_node(&i.key, &i.value));
     let nodes = items
         .values()
         .filter(|i| i.key.starts_with(keys::NODES_PREFIX));
--- a/src/entry/owner.rs
+++ b/src/entry/owner.rs
@@ -138,6 +138,7 @@
         max_lease_ms: shared.settings.bounds.max_lease_ms,
         kill_grace_ms: shared.settings.bounds.kill_grace_ms,
         ended_retention_ms: shared.settings.bounds.ended_retention_ms,
+        max_value_bytes: shared.settings.max_value_bytes,
         rate_burst: shared.settings.bounds.rate_burst(),
         cpu_milli: shared.settings.cpu_milli,
     };
--- a/src/entry/owner_watch.rs
+++ b/src/entry/owner_watch.rs
@@ -179,7 +179,7 @@
         return;
     }
     let record = ok_or_log(shared, keys::decode::<JobRecord>(&item.key, &item.value));
-    if let Some(JobRecord::Open(submission)) = record {
+    if let Some(JobRecord::Open(submission) | JobRecord::OpenLarge(submission)) = record {
         let _ = tx.send(OwnerInput::Submitted(Box::new(submission)));
     }
 }
--- a/src/entry/shared.rs
+++ b/src/entry/shared.rs
@@ -289,6 +289,13 @@
         self.state().nodes = nodes;
     }
 
+    /// Returns whether every live node reads the records of large jobs; an owner of an earlier version
+    /// would leave such a job alone.
+    pub fn all_nodes_read_large_jobs(&self) -> bool {
+        let state = self.state();
+        !state.nodes.is_empty() && state.nodes.iter().all(NodeRecord::reads_large_jobs)
+    }
+
     /// Returns the live nodes, sorted by name.
     pub fn nodes(&self) -> Vec<NodeRecord> {
         self.state().nodes.clone()
--- a/src/entry/store_keys.rs
+++ b/src/entry/store_keys.rs
@@ -4,7 +4,7 @@
 use {
     crate::{
         entry::EntryError,
-        fleet::{JobId, JobProgress, Roster},
+        fleet::{JobId, JobProgress, JobRecord, NodeRecord, Roster},
     },
     serde::{Serialize, de::DeserializeOwned},
 };
@@ -75,9 +75,18 @@
     name_key(key, postcard::from_bytes(value))
 }
 
-/// Decodes a progress record; the error names the key.
-pub fn decode_progress(key: &str, value: &[u8]) -> Result<JobProgress, EntryError> {
-    name_key(key, JobProgress::decode(value))
+/// Decodes the progress record of a job with the given record; the error names the key.
+pub fn decode_progress(
+    key: &str,
+    value: &[u8],
+    record: &JobRecord,
+) -> Result<JobProgress, EntryError> {
+    name_key(key, JobProgress::decode(value, record.progress_format()))
+}
+
+/// Decodes the record of a node; the error names the key.
+pub fn decode_node(key: &str, value: &[u8]) -> Result<NodeRecord, EntryError> {
+    name_key(key, NodeRecord::decode(value))
 }
 
 /// Decodes a roster; the error names the key.
--- a/src/entry/takeover.rs
+++ b/src/entry/takeover.rs
@@ -5,9 +5,7 @@
 use {
     crate::{
         entry::{EntryError, Shared, config_watch, store_keys as keys},
-        fleet::{
-            Evacuations, ExecutorInfo, FleetEvent, JobId, JobProgress, JobRecord, RecoveredState,
-        },
+        fleet::{Evacuations, ExecutorInfo, FleetEvent, JobId, JobRecord, RecoveredState},
         platform::{
             EVACUATIONS_PREFIX, EXECUTORS_PREFIX, StoreError, StoreItem, executor_from_entry,
         },
@@ -41,14 +39,10 @@
     let (work, work_revision) = work;
     let (progress, _) = progress;
     let (executor_items, executors_revision) = executor_items;
-    let mut done: HashMap<JobId, JobProgress> = HashMap::new();
-    for item in &progress {
-        let id = item.key.trim_start_matches(keys::PROGRESS_PREFIX).parse();
-        if let (Ok(id), Some(record)) = (
-            id,
-            ok_or_log(shared, keys::decode_progress(&item.key, &item.value)),
-        ) {
-            done.insert(id, record);
+    let mut progress_items: HashMap<JobId, StoreItem> = HashMap::new();
+    for item in progress {
+        if let Ok(id) = item.key.trim_start_matches(keys::PROGRESS_PREFIX).parse() {
+            progress_items.insert(id, item);
         }
     }
     let mut recovered = RecoveredState {
@@ -63,7 +57,10 @@
             && let Some(record) =
                 ok_or_log(shared, keys::decode::<JobRecord>(&item.key, &item.value))
         {
-            recovered.jobs.push((id, record, done.remove(&id)));
+            let item = progress_items.remove(&id);
+            let progress = item
+                .and_then(|i| ok_or_log(shared, keys::decode_progress(&i.key, &i.value, &record)));
+            recovered.jobs.push((id, record, progress));
         }
     }
     if let Some(item) = roster {
--- a/src/fleet/cell.rs
+++ b/src/fleet/cell.rs
@@ -10,8 +10,9 @@
         fleet::{
             AdviceSlots, CellEffect, CellEvent, CommitQueue, CrashWatch, EarlierLeases,
             Evacuations, Executor, ExecutorId, ExecutorInfo, FencingToken, FleetConfig, FleetEvent,
-            INCARNATIONS_PER_OWNER, Job, JobEnd, JobId, JobRecord, QueueRule, RecoveredState,
-            RosterEntry, StepId, TaskId, UpkeepPlan,
+            INCARNATIONS_PER_OWNER, Job, JobEnd, JobId, QueueRule, RecoveredState, RosterEntry,
+            StepId, TaskId, UpkeepPlan,
+            cell_jobs::JobOrigin,
             job::RUN_NUMBERS_PER_OWNER,
             policy::{self, AdviceYield},
             run_log::{EndedRun, StartedRun},
@@ -33,6 +34,8 @@
     pub kill_grace_ms: Millis,
     /// Retention of an ended job's state, in ms (platform's `status_s`).
     pub ended_retention_ms: Millis,
+    /// Maximum size of a value in the store, in bytes.
+    pub max_value_bytes: usize,
     /// What a tenant may send at once beyond its rate.
     pub rate_burst: RateBurst,
     /// CPU time of the owner's VM, in thousandths of a core; 0: not stated.
@@ -158,6 +161,8 @@
     pub(super) next_round_at: Millis,
     /// Runs started in this round whose line is not logged yet, all of one step.
     pub(super) started_runs: Vec<StartedRun>,
+    /// Runs started in the last round.
+    pub(super) round_starts: usize,
     /// How long the job of `started_runs` waited, in ms, if they hold its first run.
     pub(super) first_wait_ms: Option<Millis>,
     /// Runs whose ends were read from the reply in work and whose line is not logged yet.
@@ -212,6 +217,7 @@
             needs_placement: true,
             next_round_at: now.mono,
             started_runs: Vec::new(),
+            round_starts: 0,
             first_wait_ms: None,
             ended_runs: Vec::new(),
             effects: Vec::new(),
@@ -226,14 +232,7 @@
             cell.unreconciled.insert(Arc::from(UNREADABLE_ROSTER));
         }
         for (id, record, progress) in recovered.jobs {
-            match record {
-                JobRecord::Open(submission) => {
-                    cell.add_job(submission, progress.as_ref(), true, now);
-                }
-                JobRecord::Ended { end, .. } => {
-                    cell.ended_jobs.insert(id, (end, now.mono));
-                }
-            }
+            cell.add_recovered(id, record, progress.as_ref(), now);
         }
         for id in recovered.cancelled {
             cell.cancel(id, now);
@@ -268,7 +267,7 @@
             CellEvent::Relisted(infos) => self.on_relisted(infos, now),
             CellEvent::Submitted(submission) => {
                 // Stored after this owner's claim, so no earlier owner has started it.
-                self.add_job(*submission, None, false, now);
+                self.add_job(*submission, None, JobOrigin::Accepted, now);
             }
             CellEvent::JobRead { job, record } => self.on_job_read(job, record.map(|r| *r), now),
             CellEvent::Cancelled(id) => self.cancel(id, now),
--- a/src/fleet/cell_crashes.rs
+++ b/src/fleet/cell_crashes.rs
@@ -12,7 +12,7 @@
         Now, RecordChange, RunStage, StepId, StepSpec, TaskId, WatchedRun,
         cell_capacity::CapacitySnapshot,
         cell_plan::eligible,
-        cell_runs::{MAX_START_ATTEMPTS, task_index},
+        cell_runs::MAX_START_ATTEMPTS,
         policy::{self, CrashVerdict, MAX_HOLD_MS, PlacementOption, SuspectPlace},
     },
     std::{collections::HashSet, sync::Arc},
@@ -185,8 +185,7 @@
     fn is_open_task(&self, task: &TaskId) -> bool {
         let open = self.jobs.get(&task.step.job).filter(|j| j.end.is_none());
         let step = open.and_then(|j| j.steps.get(&(task.step.occurrence, task.step.step)));
-        let state = step.and_then(|s| s.tasks.get(task_index(task)));
-        state.is_some_and(|t| !t.done)
+        step.is_some_and(|s| s.is_open(task.index))
     }
 
     /// Releases the executors whose suspect tasks are cleared, run elsewhere, or did not start in time.
@@ -201,7 +200,10 @@
             if runs.any(|(t, r)| t.step.job == hold.job && !executor.is_cleared(r)) {
                 return true;
             }
-            let is_waiting = |t: &TaskId| self.task(t).is_some_and(|t| t.is_waiting(now.mono));
+            let is_waiting = |t: &TaskId| {
+                let step = self.lookup_step(&t.step).map(|(_, _, step)| step);
+                step.is_some_and(|s| s.is_startable(t.index, now.mono))
+            };
             let mut suspects = watch.suspects_of(hold.job);
             let waits = suspects.any(|t| is_waiting(t) && self.is_open_task(t));
             waits && now.mono < hold.since + MAX_HOLD_MS
@@ -225,6 +227,13 @@
         waiting.into_iter().partition(is_clear)
     }
 
+    /// Lists the suspect tasks of a step that are not done.
+    pub(super) fn suspects_of_step(&self, step: &StepId) -> Vec<u32> {
+        let suspects = self.crash_watch.suspects_of(step.job);
+        let of_step = suspects.filter(|t| t.step == *step && self.is_open_task(t));
+        of_step.map(|t| t.index).collect()
+    }
+
     /// Places suspect tasks one by one; returns what blocked any of them.
     pub(super) fn place_suspects(
         &mut self,
--- a/src/fleet/cell_departures.rs
+++ b/src/fleet/cell_departures.rs
@@ -160,7 +160,7 @@
             let run = executor.and_then(|e| e.runs.get(&TaskId { step: *id, index }));
             run.is_some_and(|r| r.stage == RunStage::Confirmed)
         };
-        let runs = (0u32..).zip(&step.tasks);
+        let runs = step.active_tasks();
         let runs = runs.flat_map(|(i, t)| t.active_on.iter().map(move |name| (i, name)));
         u32::try_from(runs.filter(|r| departs(*r)).count()).unwrap_or(u32::MAX)
     }
--- a/src/fleet/cell_explain.rs
+++ b/src/fleet/cell_explain.rs
@@ -141,13 +141,9 @@
             occurrence: id.occurrence,
             step: id.step,
             dependencies_done: job.is_some_and(|j| j.dependencies_done(id.occurrence, id.step)),
-            tasks: step.tasks.len(),
-            done: step.done_count,
-            running: step
-                .tasks
-                .iter()
-                .filter(|t| !t.active_on.is_empty())
-                .count(),
+            tasks: usize::try_from(step.count).unwrap_or(usize::MAX),
+            done: step.done_count(),
+            running: step.active_tasks().count(),
             executors,
         }
     }
--- a/src/fleet/cell_jobs.rs
+++ b/src/fleet/cell_jobs.rs
@@ -8,20 +8,53 @@
         core::{CallId, Millis},
         fleet::{
             Cell, CellEffect, CommitBatch, Executor, FleetEvent, Job, JobEnd, JobId, JobProgress,
-            JobRecord, Now, RecordChange, Roster, RosterEntry, StoreWrite, Submission,
+            JobRecord, Now, ProgressFormat, RecordChange, Roster, RosterEntry, StoreWrite,
+            Submission, commit_queue::MAX_RECORD_WEIGHT,
         },
     },
     std::sync::Arc,
 };
 
+/// How the owner learned of a job.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(super) enum JobOrigin {
+    /// Accepted since this owner's claim.
+    Accepted,
+    /// Read from the store: an earlier owner may have started tasks of it.
+    Recovered,
+    /// Read from the store as [`JobRecord::OpenLarge`].
+    RecoveredLarge,
+}
+
 impl Cell {
-    /// Adds an accepted job, unless it is known or has ended. `recovered` means that an earlier
-    /// owner may have started tasks of it.
+    /// Adds a job of the store, which an earlier owner may have started.
+    pub(super) fn add_recovered(
+        &mut self,
+        id: JobId,
+        record: JobRecord,
+        progress: Option<&JobProgress>,
+        now: Now,
+    ) {
+        match record {
+            JobRecord::Open(submission) => {
+                self.add_job(submission, progress, JobOrigin::Recovered, now);
+            }
+            JobRecord::OpenLarge(submission) => {
+                self.add_job(submission, progress, JobOrigin::RecoveredLarge, now);
+            }
+            JobRecord::Ended { end, .. } if !self.jobs.contains_key(&id) => {
+                self.ended_jobs.entry(id).or_insert((end, now.mono));
+            }
+            JobRecord::Ended { .. } => {}
+        }
+    }
+
+    /// Adds an accepted job, unless it is known or has ended.
     pub(super) fn add_job(
         &mut self,
         submission: Submission,
         progress: Option<&JobProgress>,
-        recovered: bool,
+        origin: JobOrigin,
         now: Now,
     ) {
         let id = submission.id;
@@ -33,7 +66,9 @@
             let runs = e.unknown_runs.keys().any(|t| t.step.job == id);
             runs || e.unknown_ends.values().any(|row| row.task.step.job == id)
         });
-        job.recovered = recovered || unknown;
+        job.recovered = origin != JobOrigin::Accepted || unknown;
+        job.stored_large = origin == JobOrigin::RecoveredLarge;
+        job.large |= job.stored_large;
         job.may_have_progress_record |= job.recovered;
         job.over_rate = self.exceeds_rate(job.submission.tenant.as_ref(), now.mono);
         job.received_at = now.mono;
@@ -49,6 +84,10 @@
                  queue={queue} tenant={tenant}"
             ),
         );
+        if job.large && !job.stored_large {
+            // Earlier versions read the record that they know, and cannot schedule the job.
+            self.commit_queue.mark_dirty(id, RecordChange::Progress);
+        }
         self.jobs.insert(id, job);
         if let Some(progress) = progress {
             self.restore_crashes(id, progress, now);
@@ -60,6 +99,7 @@
         if self.pending_cancels.remove(&id).is_some() {
             self.cancel(id, now);
         }
+        self.try_finish_job(id, now);
     }
 
     /// Requests the record of a job that an executor named and that is not known here. A job is
@@ -73,12 +113,8 @@
     /// Handles the record of a job that was not known; `None` if there is no such job any more.
     pub(super) fn on_job_read(&mut self, id: JobId, record: Option<JobRecord>, now: Now) {
         self.job_reads.remove(&id);
-        match record {
-            Some(JobRecord::Open(submission)) => self.add_job(submission, None, true, now),
-            Some(JobRecord::Ended { end, .. }) if !self.jobs.contains_key(&id) => {
-                self.ended_jobs.entry(id).or_insert((end, now.mono));
-            }
-            Some(JobRecord::Ended { .. }) | None => {}
+        if let Some(record) = record {
+            self.add_recovered(id, record, None, now);
         }
         if !self.jobs.contains_key(&id) {
             self.take_unknown_ends(id);
@@ -187,9 +223,9 @@
         self.commit_queue.waits.dirty |= self.earlier_leases.needs_write(now.mono);
         loop {
             let call = self.next_call();
-            let jobs = &self.jobs;
+            let (jobs, max_value_bytes) = (&self.jobs, self.bounds.max_value_bytes);
             let entries = |id: JobId| match jobs.get(&id) {
-                Some(job) => 1 + usize::from(job.end.is_some() && job.may_have_progress_record),
+                Some(job) => commit_weight(job, max_value_bytes),
                 None => 2,
             };
             let Some(batch) = self.commit_queue.next_batch(call, now.mono, entries) else {
@@ -220,14 +256,54 @@
         self.effects.push(CellEffect::Commit { call, writes });
     }
 
-    fn store_write_for(&self, id: JobId, now: Now) -> Option<StoreWrite> {
+    /// Returns the write of a job's progress. A record of the dense format that is too long for a value
+    /// makes the job a large one; one of the sparse format leaves out checkpoints.
+    fn progress_write(&mut self, id: JobId) -> Option<StoreWrite> {
+        let job = self.jobs.get(&id)?;
+        let specs = &job.submission.spec.steps;
+        let mut progress = job.progress();
+        progress.crashed_tasks = self.crash_watch.of_job(id);
+        let max_bytes = self.bounds.max_value_bytes;
+        let dense = (!job.large).then(|| progress.encode(ProgressFormat::Dense, specs));
+        if let Some(Ok(value)) = dense
+            && value.len() <= max_bytes
+        {
+            return Some(StoreWrite::Progress {
+                job: id,
+                value,
+                record: None,
+            });
+        }
+        if progress.max_sparse_bytes() > max_bytes {
+            let tasks = progress.steps.iter_mut().flat_map(|s| &mut s.tasks);
+            tasks.for_each(|t| t.checkpoint = Arc::default());
+            let detail =
+                format!("job={id} progress too long for a value; stored without checkpoints");
+            self.log(FleetEvent::CommitFailed, detail);
+        }
+        let job = self.jobs.get_mut(&id)?;
+        job.large = true;
+        let record = JobRecord::OpenLarge(job.submission.clone());
+        let record = (!job.stored_large).then(|| Box::new(record));
+        match progress.encode(ProgressFormat::Sparse, &job.submission.spec.steps) {
+            Ok(value) => Some(StoreWrite::Progress {
+                job: id,
+                value,
+                record,
+            }),
+            Err(e) => {
+                self.log(FleetEvent::CommitFailed, format!("job={id} {e}"));
+                None
+            }
+        }
+    }
+
+    fn store_write_for(&mut self, id: JobId, now: Now) -> Option<StoreWrite> {
         let Some(job) = self.jobs.get(&id) else {
             return (!self.ended_jobs.contains_key(&id)).then_some(StoreWrite::Delete { job: id });
         };
         let Some(end) = job.end else {
-            let mut progress = job.progress();
-            progress.crashed_tasks = self.crash_watch.of_job(id);
-            return Some(StoreWrite::Progress { job: id, progress });
+            return self.progress_write(id);
         };
         let record = Box::new(JobRecord::Ended {
             end,
@@ -290,6 +366,7 @@
             let Some(job) = self.jobs.get_mut(&id) else {
                 continue;
             };
+            job.stored_large |= job.large;
             let Some(end) = job.end else { continue };
             if !self.commit_queue.is_durable(id) || job.end_durable {
                 continue;
@@ -321,6 +398,17 @@
 /// Returns how long a job may take by its objective, in ms: the estimate of its critical path,
 /// stretched by its queue's factor, and the queue's fixed part.
 fn objective(job: &Job) -> Millis {
-    let rule = &job.submission.queue;
-    rule.objective_ms + job.critical_path_ms() * rule.stretch_milli / 1000
+    job.submission.queue.objective_of(job.critical_path_ms())
+}
+
+/// Returns the entries of a commit that a job's record takes, or more for a long record: as many as its
+/// part of the longest value.
+fn commit_weight(job: &Job, max_value_bytes: usize) -> usize {
+    if job.end.is_some() {
+        return 1 + usize::from(job.may_have_progress_record);
+    }
+    let entries = 1 + usize::from(job.large && !job.stored_large);
+    let bytes_per_entry = (max_value_bytes / MAX_RECORD_WEIGHT).max(1);
+    let bytes = job.max_progress_bytes();
+    (bytes / bytes_per_entry).clamp(entries, MAX_RECORD_WEIGHT)
 }
--- a/src/fleet/cell_load.rs
+++ b/src/fleet/cell_load.rs
@@ -374,7 +374,7 @@
             }
             // Of a task that runs, half is left on average.
             let half_tasks = 2 * u64::from(waiting) + u64::from(active);
-            work.add(&allocation.times(spec.estimate_ms * half_tasks / 2));
+            work.add(&allocation.times(spec.estimate_ms.saturating_mul(half_tasks) / 2));
             if let Some(advice) = rule.advice {
                 let needs_call = waiting > 0 && step.advice.advised.is_empty();
                 if needs_call && job.dependencies_done(*occurrence, *index) {
@@ -463,8 +463,7 @@
 
 /// Counts the tasks of a step that wait and those that are or may be running.
 fn count_tasks(job: &Job, step: &Step) -> (u32, u32) {
-    let tasks = u32::try_from(step.tasks.len()).unwrap_or(u32::MAX);
-    let open = tasks.saturating_sub(step.done_count);
+    let open = step.count.saturating_sub(step.done_count());
     let waiting = if job.start_sent || job.recovered {
         step.count_waiting()
     } else {
--- a/src/fleet/cell_plan.rs
+++ b/src/fleet/cell_plan.rs
@@ -8,7 +8,7 @@
         core::{Millis, Resources},
         fleet::{
             BlockReason, Cell, ExecutorId, ExecutorInfo, Job, Now, RunNumber, Step, StepId,
-            StepSpec, Task, TaskId,
+            StepSpec, TaskId,
             cell_capacity::{CapacitySnapshot, ExecutorCapacity},
             policy::{self, PlacementOption, Rank, Room, Timeliness, WaitingJob},
         },
@@ -20,6 +20,16 @@
 /// third of the pool.
 const RESERVED_DIVISOR: usize = 3;
 
+/// Bounds the tasks of one step that start in one round.
+const MAX_STEP_STARTS: usize = 512;
+
+/// Bounds the tasks that start in one round.
+const MAX_ROUND_STARTS: usize = 2_048;
+
+/// Runs on one executor from which no more tasks start there, however little they need: each takes
+/// a line of every reply to a renewal.
+const MAX_EXECUTOR_RUNS: usize = 512;
+
 /// A step with waiting tasks, and its rank.
 #[derive(Clone, Copy, Debug)]
 pub(super) struct Candidate {
@@ -56,8 +66,22 @@
         let mut snapshot = self.capacity_snapshot(now);
         self.reserve_moves(&mut snapshot);
         let mut unadvised = Vec::new();
+        // Steps that differ in their occurrence only and found no room: the next ones find none either.
+        let mut full = HashSet::new();
+        self.round_starts = 0;
         for candidate in &candidates {
+            let kind = (candidate.step.job, candidate.step.step);
+            if self.round_starts >= MAX_ROUND_STARTS {
+                self.needs_placement = true;
+                break;
+            }
+            if full.contains(&kind) {
+                continue;
+            }
             let reason = self.place_step(candidate.step, &mut snapshot, now);
+            if matches!(reason, Some(BlockReason::Cap | BlockReason::Room)) {
+                full.insert(kind);
+            }
             self.log_started(&candidate.step);
             self.set_blocked(candidate.step, reason);
             if !matches!(reason, None | Some(BlockReason::Cap | BlockReason::Members)) {
@@ -122,23 +146,40 @@
             return Some(BlockReason::Takeover);
         }
         let spec = spec.clone();
-        let waiting: Vec<u32> = waiting_tasks(step, now.mono);
+        if spec.gang {
+            let waiting = step.count_startable(now.mono);
+            return match () {
+                () if waiting == 0 => Some(BlockReason::Pause),
+                () if waiting < step.count => Some(BlockReason::Members),
+                () => self.place_whole_gang(id, &spec, snapshot, now),
+            };
+        }
+        let waiting = step.startable(now.mono, MAX_STEP_STARTS);
         if waiting.is_empty() {
             return Some(BlockReason::Pause);
         }
-        let members = step.tasks.len();
-        let waiting_count = waiting.len();
+        let has_more = waiting.len() == MAX_STEP_STARTS;
         let (waiting, suspects) = self.split_suspects(id, waiting);
-        match () {
-            () if !spec.gang => {
-                let blocked = self.place_each(id, &spec, &waiting, snapshot, now);
-                let suspects_blocked = self.place_suspects(id, &spec, &suspects, snapshot, now);
-                blocked.or(suspects_blocked)
-            }
-            () if waiting_count < members => Some(BlockReason::Members),
-            () if !self.may_place_gang(&id, &suspects, snapshot) => Some(BlockReason::CrashSuspect),
-            () => self.place_gang(id, &spec, !suspects.is_empty(), snapshot, now),
+        let blocked = self.place_each(id, &spec, &waiting, snapshot, now);
+        let suspects_blocked = self.place_suspects(id, &spec, &suspects, snapshot, now);
+        let blocked = blocked.or(suspects_blocked);
+        self.needs_placement |= has_more && blocked.is_none();
+        blocked
+    }
+
+    /// Places a gang of which all members wait, if its suspect members may start.
+    fn place_whole_gang(
+        &mut self,
+        id: StepId,
+        spec: &StepSpec,
+        snapshot: &mut CapacitySnapshot,
+        now: Now,
+    ) -> Option<BlockReason> {
+        let suspects = self.suspects_of_step(&id);
+        if !self.may_place_gang(&id, &suspects, snapshot) {
+            return Some(BlockReason::CrashSuspect);
         }
+        self.place_gang(id, spec, !suspects.is_empty(), snapshot, now)
     }
 
     /// Returns the reason for a step that found no executor; if its queue needs advice, what keeps
@@ -218,7 +259,9 @@
         let needs_speed = job.needs_speed(id.step, now.mono);
         for entry in self.advised_executors(id, snapshot) {
             let name = &entry.info.id;
+            let runs = self.executors.get(name).map_or(0, |e| e.runs.len());
             let allowed = entry.is_open_to(id)
+                && runs < MAX_EXECUTOR_RUNS
                 && entry.free.covers(&need)
                 && eligible(&entry.info, &rule.pool, spec)
                 && step.advice.is_allowed(rule, name, now.mono);
@@ -300,9 +343,7 @@
         now: Now,
     ) -> Option<BlockReason> {
         let need = spec.allocation();
-        let mut total = Resources::default();
-        (0..spec.count).for_each(|_| total.add(&need));
-        if !self.within_cap(&id, &total, snapshot) {
+        if !self.within_cap(&id, &need.times(spec.count), snapshot) {
             return Some(BlockReason::Cap);
         }
         let pool = self.pool_of(&id);
@@ -311,6 +352,9 @@
             found = self.keep_quiet_options(id.job, found);
         }
         let (ids, options) = found;
+        if !may_fit_gang(spec, &options) {
+            return Some(self.no_capacity_reason(&id, snapshot));
+        }
         let rack_of = |e: &ExecutorId| self.executors.get(e)?.info.rack().cloned();
         let racks: HashSet<_> = ids.iter().map(rack_of).collect();
         let mut places = None;
@@ -359,13 +403,13 @@
         };
         let used = tasks
             .iter()
-            .filter_map(|i| task_of(step, *i))
+            .filter_map(|i| step.task(*i))
             .map(|t| t.last_run_number);
         used.max().unwrap_or(0).max(base) + 1
     }
 
     fn failed_on(&self, id: &StepId, index: u32) -> &[ExecutorId] {
-        let task = self.lookup_step(id).and_then(|(_, _, s)| task_of(s, index));
+        let task = self.lookup_step(id).and_then(|(_, _, s)| s.task(index));
         task.map_or(&[], |t| &t.failed_on)
     }
 
@@ -450,14 +494,15 @@
         && spec.required_label.as_ref().is_none_or(labelled)
 }
 
-fn task_of(step: &Step, index: u32) -> Option<&Task> {
-    step.tasks.get(usize::try_from(index).ok()?)
-}
-
-fn waiting_tasks(step: &Step, now: Millis) -> Vec<u32> {
-    let tasks = (0u32..).zip(&step.tasks);
-    let waiting = tasks.filter(|(_, t)| t.is_waiting(now));
-    waiting.map(|(i, _)| i).collect()
+/// Returns whether the options have room for as many tasks as a gang has members.
+fn may_fit_gang(spec: &StepSpec, options: &[PlacementOption]) -> bool {
+    let need = spec.allocation();
+    let fits = options.iter().map(|o| {
+        let fits = o.free.times_covered(&need);
+        let limit = spec.max_per_executor;
+        u64::from(if limit > 0 { fits.min(limit) } else { fits })
+    });
+    fits.sum::<u64>() >= u64::from(spec.count)
 }
 
 /// Chooses an executor for each member of a gang, by index; `None` if one does not fit.
--- a/src/fleet/cell_preempt.rs
+++ b/src/fleet/cell_preempt.rs
@@ -28,12 +28,7 @@
         };
         let rule = self.queue_rule(job);
         let need = spec.allocation();
-        let mut remaining = step
-            .tasks
-            .iter()
-            .filter(|t| t.is_waiting(now.mono))
-            .count()
-            .min(MAX_EXECUTORS_PER_STEP);
+        let mut remaining = step.startable(now.mono, MAX_EXECUTORS_PER_STEP).len();
         let mut stops: Vec<(ExecutorId, TaskId)> = Vec::new();
         for entry in self.advised_executors(&candidate.step, snapshot) {
             if remaining == 0 {
--- a/src/fleet/cell_run_ends.rs
+++ b/src/fleet/cell_run_ends.rs
@@ -5,7 +5,6 @@
 
 use crate::fleet::{
     Cell, EndedRow, ExecutorId, FleetEvent, JobEnd, JobId, Now, RecordChange, RunEnd, TaskId,
-    cell_runs::task_index,
     run_log::{EndedRun, format_ended},
 };
 
@@ -138,19 +137,13 @@
         let Some(step) = self.step_mut(task) else {
             return false;
         };
-        let mut duplicates = Vec::new();
-        let mut changed = false;
-        for (i, t) in step.tasks.iter_mut().enumerate() {
-            let is_ended_task = i == task_index(task);
-            if (is_ended_task || gang) && !t.done {
-                t.done = true;
-                step.done_count += 1;
-                changed = true;
-            }
-            if is_ended_task {
-                duplicates.extend(t.active_on.iter().cloned());
-            }
-        }
+        let changed = if gang {
+            step.mark_all_done()
+        } else {
+            step.mark_done(task.index)
+        };
+        let state = step.task(task.index);
+        let duplicates = state.map_or_else(Vec::new, |t| t.active_on.clone());
         for id in duplicates {
             self.stop_run(&id, *task, now);
         }
@@ -179,7 +172,14 @@
             .jobs
             .get(&job)
             .map_or(1, |j| self.queue_rule(j).max_attempts);
-        let Some(t) = self.task_mut(&row.task) else {
+        let Some(step) = self.step_mut(&row.task) else {
+            return false;
+        };
+        // Failures of a task that is done count for nothing.
+        if !step.is_open(row.task.index) {
+            return false;
+        }
+        let Some(t) = step.task_mut(row.task.index) else {
             return false;
         };
         if t.failed_runs.contains(&row.run) {
@@ -188,8 +188,7 @@
         t.failed_runs.push(row.run);
         t.failed_on.push(id.clone());
         let failures = u32::try_from(t.failed_runs.len()).unwrap_or(u32::MAX);
-        let done = t.done;
-        if failures >= max_attempts && !done {
+        if failures >= max_attempts {
             self.end_job(job, JobEnd::Failed, now);
         }
         true
--- a/src/fleet/cell_runs.rs
+++ b/src/fleet/cell_runs.rs
@@ -85,6 +85,7 @@
             self.effects.push(CellEffect::FirstStart { wait_ms });
         }
         self.record_run(id, task, run);
+        self.round_starts += 1;
         self.started_runs.push(StartedRun {
             task,
             run: number,
@@ -148,7 +149,7 @@
             return;
         };
         step.last_start_at = started_at;
-        if let Some(t) = step.tasks.get_mut(task_index(&task)) {
+        if let Some(t) = step.task_mut(task.index) {
             t.active_on.push(id.clone());
             t.last_run_number = t.last_run_number.max(number);
         }
@@ -169,11 +170,8 @@
         };
         let gang = job.spec(task.step.step).is_some_and(|s| s.gang);
         let key = (task.step.occurrence, task.step.step);
-        let checkpoint_index = if gang { 0 } else { task_index(&task) };
-        let state = job
-            .steps
-            .get(&key)
-            .and_then(|s| s.tasks.get(checkpoint_index));
+        let checkpoint_index = if gang { 0 } else { task.index };
+        let state = job.steps.get(&key).and_then(|s| s.task(checkpoint_index));
         let checkpoint = state.map(|t| t.checkpoint.clone()).unwrap_or_default();
         let payload = job.submission.spec.payload.clone();
         let lease_ms = self.bounds.max_lease_ms;
@@ -391,8 +389,8 @@
         let Some(state) = self.step_mut(task) else {
             return;
         };
-        let members: Vec<_> = (0u32..)
-            .zip(&state.tasks)
+        let members: Vec<_> = state
+            .active_tasks()
             .flat_map(|(i, t)| {
                 t.active_on
                     .iter()
@@ -421,14 +419,13 @@
             return false;
         };
         let key = (task.step.occurrence, task.step.step);
-        let Some(t) = job
-            .steps
-            .get(&key)
-            .and_then(|s| s.tasks.get(task_index(&task)))
-        else {
+        let Some(step) = job.steps.get(&key) else {
             return false;
         };
-        if t.done || (!t.active_on.is_empty() && !spec.allow_duplicates) {
+        let active = step
+            .task(task.index)
+            .is_some_and(|t| !t.active_on.is_empty());
+        if !step.is_open(task.index) || (active && !spec.allow_duplicates) {
             return false;
         }
         let run = new_run(run, RunStage::Confirmed, &spec, None, now.mono);
@@ -446,10 +443,10 @@
             return;
         }
         let gang = self.step_spec(&task).is_some_and(|s| s.gang);
-        let checkpoint_index = if gang { 0 } else { task_index(&task) };
+        let checkpoint_index = if gang { 0 } else { task.index };
         if let Some(t) = self
             .step_mut(&task)
-            .and_then(|s| s.tasks.get_mut(checkpoint_index))
+            .and_then(|s| s.task_mut(checkpoint_index))
             && t.checkpoint != *checkpoint
         {
             t.checkpoint = checkpoint.clone();
@@ -457,8 +454,8 @@
     }
 
     pub(super) fn clear_active(&mut self, id: &ExecutorId, task: &TaskId) {
-        if let Some(t) = self.task_mut(task) {
-            t.active_on.retain(|e| e != id);
+        if let Some(step) = self.step_mut(task) {
+            step.clear_active(task.index, id);
         }
     }
 
@@ -467,19 +464,14 @@
     }
 
     pub(super) fn task(&self, task: &TaskId) -> Option<&crate::fleet::Task> {
-        let step = self.lookup_step(&task.step)?.2;
-        step.tasks.get(task_index(task))
+        self.lookup_step(&task.step)?.2.task(task.index)
     }
 
     pub(super) fn task_mut(&mut self, task: &TaskId) -> Option<&mut crate::fleet::Task> {
-        self.step_mut(task)?.tasks.get_mut(task_index(task))
+        self.step_mut(task)?.task_mut(task.index)
     }
 }
 
-pub(super) fn task_index(task: &TaskId) -> usize {
-    usize::try_from(task.index).unwrap_or(usize::MAX)
-}
-
 fn new_run(
     number: RunNumber,
     stage: RunStage,
--- a/src/fleet/cell_upkeep.rs
+++ b/src/fleet/cell_upkeep.rs
@@ -75,19 +75,20 @@
         if !spec.persistent {
             return true;
         }
-        let others = (0u32..)
-            .zip(&step.tasks)
+        let working = step
+            .active_tasks()
             .filter(|(index, _)| *index != task.index)
-            .filter(|(index, _)| !self.is_working(&task.step, step, *index))
+            .filter(|(index, _)| self.is_working(&task.step, step, *index))
             .count();
-        u32::try_from(others).is_ok_and(|n| n < allowed_unavailable(spec.max_unavailable, false))
+        let working = u32::try_from(working).unwrap_or(u32::MAX);
+        let others = step.count.saturating_sub(1).saturating_sub(working);
+        others < allowed_unavailable(spec.max_unavailable, false)
     }
 
     /// Returns whether a task of a persistent step works, on an executor that replies and stays.
     fn is_working(&self, id: &StepId, step: &Step, index: u32) -> bool {
         let task = TaskId { step: *id, index };
-        let position = usize::try_from(index).unwrap_or(usize::MAX);
-        let Some(state) = step.tasks.get(position) else {
+        let Some(state) = step.task(index) else {
             return false;
         };
         state.active_on.iter().any(|name| {
@@ -140,14 +141,14 @@
         let mut tasks = PersistentTasks {
             step: id,
             working_here: 0,
-            not_working: 0,
+            not_working: spec.count,
             max_unavailable: spec.max_unavailable,
         };
-        for index in 0..spec.count {
-            let working = self.is_working(&id, step, index);
+        let active = step.active_tasks().map(|(index, _)| index);
+        for index in active.filter(|i| self.is_working(&id, step, *i)) {
             let here = executor.runs.contains_key(&TaskId { step: id, index });
-            tasks.working_here += u32::from(working && here);
-            tasks.not_working += u32::from(!working);
+            tasks.working_here += u32::from(here);
+            tasks.not_working -= 1;
         }
         Some(tasks)
     }
--- a/src/fleet/commit_queue.rs
+++ b/src/fleet/commit_queue.rs
@@ -15,6 +15,9 @@
 /// guard on the epoch record.
 const MAX_COMMIT_ENTRIES: usize = 30;
 
+/// Weight of the heaviest record: a commit of it alone has room for the records that are written whole.
+pub const MAX_RECORD_WEIGHT: usize = MAX_COMMIT_ENTRIES - 2;
+
 /// Maximum commits under way. The store takes up to some 300 ms for each when it is slow.
 const MAX_IN_FLIGHT: usize = 4;
 
@@ -147,12 +150,12 @@
 
     /// Takes the records of the commit `call`, which is sent at `now`. Returns `None` while enough
     /// commits are under way, before the interval has passed, or if there is nothing to write.
-    /// `entry_count` is the number of changes that a job needs.
+    /// `weight` is the number of changes that a job needs, or more if its record is long.
     pub fn next_batch(
         &mut self,
         call: CallId,
         now: Millis,
-        entry_count: impl Fn(JobId) -> usize,
+        weight: impl Fn(JobId) -> usize,
     ) -> Option<CommitBatch> {
         let max_in_flight = if self.retrying { 1 } else { MAX_IN_FLIGHT };
         if self.in_flight.len() >= max_in_flight || now < self.next_commit_at {
@@ -166,12 +169,12 @@
             if self.is_in_flight(*job) {
                 continue;
             }
-            let size = entry_count(*job);
-            if size > free_entries {
+            let weight = weight(*job);
+            if weight > free_entries {
                 has_more = true;
                 break;
             }
-            free_entries -= size;
+            free_entries -= weight;
             jobs.insert(*job, *position);
         }
         if jobs.is_empty() && singles == 0 {
--- a/src/fleet/event.rs
+++ b/src/fleet/event.rs
@@ -215,7 +215,13 @@
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub enum StoreWrite {
     /// Replaces the progress of a job.
-    Progress { job: JobId, progress: JobProgress },
+    Progress {
+        job: JobId,
+        /// Encoded in the format that belongs to the job's record.
+        value: Vec<u8>,
+        /// Replaces the job's record, if its format changes.
+        record: Option<Box<JobRecord>>,
+    },
     /// Replaces the submission of a job by its outcome.
     Ended {
         job: JobId,
--- a/src/fleet/job.rs
+++ b/src/fleet/job.rs
@@ -7,7 +7,7 @@
     crate::{
         core::Millis,
         fleet::{
-            BlockReason, ExecutorId, JobEnd, JobProgress, QueueRule, RunNumber, StepId,
+            BlockReason, ExecutorId, IndexSet, JobEnd, JobProgress, QueueRule, RunNumber, StepId,
             StepProgress, StepSpec, Submission, TaskId, TaskProgress, policy,
         },
     },
@@ -20,10 +20,13 @@
 /// Run numbers reserved for one owner; the next owner starts above them.
 pub const RUN_NUMBERS_PER_OWNER: RunNumber = 1 << 20;
 
-/// State of one task.
+/// Bounds the steps of one job whose state is kept at a time, by adding occurrences that are due only
+/// as earlier ones complete; one occurrence is always added.
+const MAX_OPEN_STEPS: usize = 64;
+
+/// State of one task that has been started and is not done, or that is done and still has a run.
 #[derive(Clone, Debug, Default)]
 pub struct Task {
-    pub done: bool,
     /// Runs that ended as failed, counted against the queue's maximum of attempts.
     pub failed_runs: Vec<RunNumber>,
     /// Last checkpoint reported; empty if there is none.
@@ -39,9 +42,9 @@
 }
 
 impl Task {
-    /// Returns whether it is neither done nor active nor in a backoff.
-    pub fn is_waiting(&self, now: Millis) -> bool {
-        !self.done && self.active_on.is_empty() && self.not_before <= now
+    /// Returns whether it is neither active nor in a backoff.
+    fn may_start(&self, now: Millis) -> bool {
+        self.active_on.is_empty() && self.not_before <= now
     }
 }
 
@@ -78,12 +81,16 @@
     }
 }
 
-/// State of one step of one occurrence.
+/// State of one step of one occurrence. What it takes depends on the tasks that run or wait for
+/// another run, not on the number of tasks.
 #[derive(Clone, Debug)]
 pub struct Step {
-    pub tasks: Vec<Task>,
-    /// Number of `tasks` that are done.
-    pub done_count: u32,
+    /// Number of its tasks.
+    pub count: u32,
+    /// Indexes of the tasks that are done.
+    done: IndexSet,
+    /// By index; a task without a state has not been started, or is done and has no run.
+    tasks: BTreeMap<u32, Task>,
     /// When the last run of it was sent or adopted, in ms on the owner's monotonic clock.
     pub last_start_at: Millis,
     pub advice: StepAdvice,
@@ -91,29 +98,156 @@
 
 impl Step {
     fn new(spec: &StepSpec) -> Self {
-        let count = usize::try_from(spec.count).unwrap_or(0);
         Self {
-            tasks: vec![Task::default(); count],
-            done_count: 0,
+            count: spec.count,
+            done: IndexSet::default(),
+            tasks: BTreeMap::new(),
             last_start_at: 0,
             advice: StepAdvice::default(),
         }
     }
 
+    /// Returns the number of tasks that are done.
+    pub fn done_count(&self) -> u32 {
+        self.done.len()
+    }
+
+    /// Returns whether a task is done.
+    pub fn is_done(&self, index: u32) -> bool {
+        self.done.contains(index)
+    }
+
+    /// Returns whether there is such a task and it is not done.
+    pub fn is_open(&self, index: u32) -> bool {
+        index < self.count && !self.is_done(index)
+    }
+
     /// Returns whether all tasks are done.
     pub fn is_complete(&self) -> bool {
-        usize::try_from(self.done_count).is_ok_and(|d| d == self.tasks.len())
+        self.done.len() >= self.count
     }
 
     /// Returns whether any task is neither active nor done.
     pub fn has_waiting(&self) -> bool {
-        self.tasks.iter().any(|t| !t.done && t.active_on.is_empty())
+        self.count_waiting() > 0
     }
 
     /// Counts the tasks that are neither active nor done.
     pub fn count_waiting(&self) -> u32 {
-        let waits = |t: &&Task| !t.done && t.active_on.is_empty();
-        u32::try_from(self.tasks.iter().filter(waits).count()).unwrap_or(u32::MAX)
+        let blocked = self.open_tasks().filter(|(_, t)| !t.active_on.is_empty());
+        self.count_open_without(blocked.count())
+    }
+
+    /// Counts the tasks that may start now.
+    pub fn count_startable(&self, now: Millis) -> u32 {
+        let blocked = self.open_tasks().filter(|(_, t)| !t.may_start(now));
+        self.count_open_without(blocked.count())
+    }
+
+    /// Lists the first `max` tasks that may start now.
+    pub fn startable(&self, now: Millis, max: usize) -> Vec<u32> {
+        let may_start = |i: &u32| self.tasks.get(i).is_none_or(|t| t.may_start(now));
+        let open = self.done.gaps(self.count).flatten();
+        open.filter(may_start).take(max).collect()
+    }
+
+    /// Returns whether a task may start now.
+    pub fn is_startable(&self, index: u32, now: Millis) -> bool {
+        self.is_open(index) && self.tasks.get(&index).is_none_or(|t| t.may_start(now))
+    }
+
+    /// Lists the tasks that are or may be running, in order.
+    pub fn active_tasks(&self) -> impl Iterator<Item = (u32, &Task)> {
+        let tasks = self.tasks.iter().map(|(i, t)| (*i, t));
+        tasks.filter(|(_, t)| !t.active_on.is_empty())
+    }
+
+    /// Returns the state of a task; `None` if it has none.
+    pub fn task(&self, index: u32) -> Option<&Task> {
+        self.tasks.get(&index)
+    }
+
+    /// Returns the state of a task that is not done or has a run; `None` for others.
+    pub fn task_mut(&mut self, index: u32) -> Option<&mut Task> {
+        if self.is_open(index) {
+            Some(self.tasks.entry(index).or_default())
+        } else {
+            self.tasks.get_mut(&index)
+        }
+    }
+
+    /// Records that a task is done; returns whether it was not.
+    pub fn mark_done(&mut self, index: u32) -> bool {
+        let changed = index < self.count && self.done.insert(index);
+        self.drop_closed(index);
+        changed
+    }
+
+    /// Records that all tasks are done; returns whether any was not.
+    pub fn mark_all_done(&mut self) -> bool {
+        let changed = !self.is_complete();
+        self.done = IndexSet::up_to(self.count);
+        self.tasks.retain(|_, t| !t.active_on.is_empty());
+        changed
+    }
+
+    /// Records that a task does not run on an executor any more.
+    pub fn clear_active(&mut self, index: u32, executor: &ExecutorId) {
+        if let Some(task) = self.tasks.get_mut(&index) {
+            task.active_on.retain(|e| e != executor);
+        }
+        self.drop_closed(index);
+    }
+
+    /// Drops the state of a task that is done and has no run.
+    fn drop_closed(&mut self, index: u32) {
+        let has_runs = |t: &Task| !t.active_on.is_empty();
+        if self.is_done(index) && !self.tasks.get(&index).is_some_and(has_runs) {
+            self.tasks.remove(&index);
+        }
+    }
+
+    fn open_tasks(&self) -> impl Iterator<Item = (&u32, &Task)> {
+        self.tasks.iter().filter(|(i, _)| !self.is_done(**i))
+    }
+
+    fn count_open_without(&self, blocked: usize) -> u32 {
+        let blocked = u32::try_from(blocked).unwrap_or(u32::MAX);
+        self.count
+            .saturating_sub(self.done.len())
+            .saturating_sub(blocked)
+    }
+
+    /// Restores stored progress.
+    fn restore(&mut self, saved: &StepProgress) {
+        for range in saved.done.ranges() {
+            self.done
+                .insert_range(range.start..range.end.min(self.count));
+        }
+        for saved in &saved.tasks {
+            if let Some(task) = self.task_mut(saved.index) {
+                task.failed_runs.clone_from(&saved.failed_runs);
+                task.checkpoint = saved.checkpoint.clone();
+            }
+        }
+    }
+
+    /// Returns the progress to store; `None` if there is none.
+    fn progress(&self, (occurrence, step): (u32, u16)) -> Option<StepProgress> {
+        let has_progress = |t: &Task| !t.failed_runs.is_empty() || !t.checkpoint.is_empty();
+        let tasks = self.open_tasks().filter(|(_, t)| has_progress(t));
+        let tasks = tasks.map(|(index, t)| TaskProgress {
+            index: *index,
+            failed_runs: t.failed_runs.clone(),
+            checkpoint: t.checkpoint.clone(),
+        });
+        let progress = StepProgress {
+            occurrence,
+            step,
+            done: self.done.clone(),
+            tasks: tasks.collect(),
+        };
+        (!progress.done.is_empty() || !progress.tasks.is_empty()).then_some(progress)
     }
 }
 
@@ -125,10 +259,13 @@
 )]
 pub struct Job {
     pub submission: Submission,
-    /// Keyed by occurrence and step; an occurrence is added when it is due.
+    /// Keyed by occurrence and step; an occurrence is added when it is due, and removed when all its
+    /// steps are done and nothing of it runs.
     pub steps: BTreeMap<(u32, u16), Step>,
     /// Occurrences added so far.
     pub occurrences: u32,
+    /// Occurrences that were removed.
+    completed: IndexSet,
     /// When this owner received it, in ms on its monotonic clock.
     pub received_at: Millis,
     /// End of its objective, in ms on the same clock; based on the estimated run times.
@@ -151,20 +288,27 @@
     pub end_durable: bool,
     /// Whether its progress may be in the store.
     pub may_have_progress_record: bool,
+    /// Whether it is stored as a large job, or must be from its next record on.
+    pub large: bool,
+    /// Whether the store has it as a large job for certain.
+    pub stored_large: bool,
 }
 
 impl Job {
     /// Creates a job with its due occurrences, and restores the stored progress if there is any.
     pub fn new(
-        submission: Submission,
+        mut submission: Submission,
         progress: Option<&JobProgress>,
         now_unix_ms: Millis,
     ) -> Self {
+        submission.spec.clamp_estimates();
+        let large = submission.spec.is_large();
         let remaining_ms = remaining_times(&submission.spec.steps);
         let mut job = Self {
             submission,
             steps: BTreeMap::new(),
             occurrences: 0,
+            completed: IndexSet::default(),
             received_at: 0,
             due: 0,
             remaining_ms,
@@ -176,11 +320,13 @@
             end: None,
             end_durable: false,
             may_have_progress_record: progress.is_some(),
+            large,
+            stored_large: false,
         };
-        job.add_due_occurrences(now_unix_ms);
         if let Some(progress) = progress {
             job.restore(progress);
         }
+        job.add_due_occurrences(now_unix_ms);
         job
     }
 
@@ -211,14 +357,16 @@
     /// occurrences were added.
     pub fn next_due_unix_ms(&self) -> Option<Millis> {
         let schedule = self.submission.spec.schedule?;
-        let due = schedule.start_unix_ms + u64::from(self.occurrences) * schedule.interval_ms;
+        let after_start = u64::from(self.occurrences).saturating_mul(schedule.interval_ms);
+        let due = schedule.start_unix_ms.saturating_add(after_start);
         (self.occurrences < schedule.count).then_some(due)
     }
 
-    /// Adds the occurrences that are due and returns whether any was added. A job without a
-    /// schedule has one occurrence, due at once.
+    /// Adds the occurrences that are due, as many as may be open, and returns whether any was added. A
+    /// job without a schedule has one occurrence, due at once.
     pub fn add_due_occurrences(&mut self, now_unix_ms: Millis) -> bool {
         let previous = self.occurrences;
+        self.remove_completed();
         if self.submission.spec.schedule.is_none() {
             if self.occurrences == 0 {
                 self.add_occurrence();
@@ -227,6 +375,7 @@
             while self
                 .next_due_unix_ms()
                 .is_some_and(|due| due <= now_unix_ms)
+                && (self.steps.is_empty() || self.steps.len() < MAX_OPEN_STEPS)
             {
                 self.add_occurrence();
             }
@@ -234,11 +383,27 @@
         self.occurrences > previous
     }
 
+    /// Removes the occurrences of a schedule of which all steps are done and nothing runs.
+    fn remove_completed(&mut self) {
+        if self.submission.spec.schedule.is_none() {
+            return;
+        }
+        let open = |s: &Step| !s.is_complete() || s.active_tasks().next().is_some();
+        let open: HashSet<u32> = self
+            .steps
+            .iter()
+            .filter(|(_, s)| open(s))
+            .map(|((occurrence, _), _)| *occurrence)
+            .collect();
+        for ((occurrence, _), _) in self.steps.extract_if(.., |(o, _), _| !open.contains(o)) {
+            self.completed.insert(occurrence);
+        }
+    }
+
     /// Returns whether an occurrence will be added later. An earlier owner whose time of day was ahead
     /// may have started it.
     pub fn is_future_occurrence(&self, occurrence: u32) -> bool {
-        let count = self.submission.spec.schedule.map_or(1, |s| s.count);
-        (self.occurrences..count).contains(&occurrence)
+        (self.occurrences..self.occurrence_count()).contains(&occurrence)
     }
 
     fn add_occurrence(&mut self) {
@@ -251,45 +416,48 @@
     }
 
     fn restore(&mut self, progress: &JobProgress) {
-        for saved_step in &progress.steps {
-            while self.occurrences <= saved_step.occurrence {
+        self.completed = progress.completed.clone();
+        let last = progress.completed.ranges().last().map_or(0, |r| r.end);
+        let saved = progress.steps.iter().map(|s| s.occurrence + 1).max();
+        let added = last.max(saved.unwrap_or(0)).min(self.occurrence_count());
+        while self.occurrences < added {
+            if self.completed.contains(self.occurrences) {
+                self.occurrences += 1;
+            } else {
                 self.add_occurrence();
             }
-            let Some(step) = self
-                .steps
-                .get_mut(&(saved_step.occurrence, saved_step.step))
-            else {
-                continue;
-            };
-            for (task, saved) in step.tasks.iter_mut().zip(&saved_step.tasks) {
-                task.done = saved.done;
-                task.failed_runs.clone_from(&saved.failed_runs);
-                task.checkpoint = saved.checkpoint.clone();
-                step.done_count += u32::from(saved.done);
+        }
+        for saved in &progress.steps {
+            if let Some(step) = self.steps.get_mut(&(saved.occurrence, saved.step)) {
+                step.restore(saved);
             }
         }
     }
 
+    fn occurrence_count(&self) -> u32 {
+        self.submission.spec.schedule.map_or(1, |s| s.count)
+    }
+
     /// Returns the progress to store; steps without any are left out, and so are crashes, which
     /// the job does not know.
     pub fn progress(&self) -> JobProgress {
-        let has_progress =
-            |t: &Task| t.done || !t.failed_runs.is_empty() || !t.checkpoint.is_empty();
-        let with_progress = self
-            .steps
-            .iter()
-            .filter(|(_, s)| s.tasks.iter().any(has_progress));
-        let steps = with_progress.map(|((occurrence, step), s)| StepProgress {
-            occurrence: *occurrence,
-            step: *step,
-            tasks: s.tasks.iter().map(task_progress).collect(),
-        });
+        let steps = self.steps.iter().filter_map(|(key, s)| s.progress(*key));
         JobProgress {
+            completed: self.completed.clone(),
             steps: steps.collect(),
             crashed_tasks: Vec::new(),
         }
     }
 
+    /// Bounds the size of its progress record from above, in bytes, without the crashes.
+    pub fn max_progress_bytes(&self) -> usize {
+        if !self.large {
+            let tasks = self.steps.values().map(|s| u64::from(s.count)).sum::<u64>();
+            return usize::try_from(3 * tasks).unwrap_or(usize::MAX);
+        }
+        self.progress().max_sparse_bytes()
+    }
+
     /// Returns whether all steps that this step depends on are done.
     pub fn dependencies_done(&self, occurrence: u32, step: u16) -> bool {
         let Some(spec) = self.spec(step) else {
@@ -308,7 +476,7 @@
             let estimate_ms = self.spec(*s).map_or(0, |spec| spec.estimate_ms);
             self.steps.get(&(occurrence, *s)).is_some_and(|d| {
                 let ran_ms = now.saturating_sub(d.last_start_at);
-                policy::ends_soon(d.has_waiting(), d.done_count, ran_ms, estimate_ms)
+                policy::ends_soon(d.has_waiting(), d.done_count(), ran_ms, estimate_ms)
             })
         };
         self.spec(step)
@@ -322,8 +490,8 @@
 
     /// Returns whether any task is or may be running.
     pub fn has_runs(&self) -> bool {
-        let active = |s: &Step| s.tasks.iter().any(|t| !t.active_on.is_empty());
-        self.steps.values().any(active)
+        let mut steps = self.steps.values();
+        steps.any(|s| s.active_tasks().next().is_some())
     }
 
     /// Returns all runs that are or may be active, ordered by step and task.
@@ -331,7 +499,7 @@
         let mut runs = Vec::new();
         for (key, step) in &self.steps {
             let step_id = self.step_id(*key);
-            for (index, task) in (0..).zip(&step.tasks) {
+            for (index, task) in step.active_tasks() {
                 let id = TaskId {
                     step: step_id,
                     index,
@@ -359,18 +527,10 @@
     for (i, step) in steps.iter().enumerate().rev() {
         for dependency in step.depends_on.iter().map(|d| usize::from(*d)) {
             if dependency < i {
-                let chain = steps[dependency].estimate_ms + remaining[i];
+                let chain = steps[dependency].estimate_ms.saturating_add(remaining[i]);
                 remaining[dependency] = remaining[dependency].max(chain);
             }
         }
     }
     remaining
 }
-
-fn task_progress(task: &Task) -> TaskProgress {
-    TaskProgress {
-        done: task.done,
-        failed_runs: task.failed_runs.clone(),
-        checkpoint: task.checkpoint.clone(),
-    }
-}
--- a/src/fleet/job_spec.rs
+++ b/src/fleet/job_spec.rs
@@ -84,7 +84,51 @@
     pub schedule: Option<Schedule>,
 }
 
+/// Maximum steps of a job.
+pub const MAX_STEPS: usize = 1_024;
+
+/// Maximum members of a gang: all are placed at one moment.
+pub const MAX_GANG_MEMBERS: u32 = 4_096;
+
+/// Maximum estimate of a task's run time, in ms; longer ones count as this.
+const MAX_ESTIMATE_MS: Millis = 366 * 24 * 3_600 * 1_000;
+
+/// Tasks of all occurrences up to which a job is not large: a state for each fits into one value.
+const MAX_DENSE_TASKS: u64 = 4_096;
+
 impl JobSpec {
+    /// Returns why the job cannot be served, if it exceeds a limit; `None` if it does not.
+    pub fn exceeded_limit(&self) -> Option<String> {
+        if self.steps.len() > MAX_STEPS {
+            return Some(format!("more than {MAX_STEPS} steps"));
+        }
+        if let Some(i) = self.steps.iter().position(|s| s.count == 0) {
+            return Some(format!("step {i} has no task"));
+        }
+        let too_wide = |s: &StepSpec| s.gang && s.count > MAX_GANG_MEMBERS;
+        if let Some(i) = self.steps.iter().position(too_wide) {
+            return Some(format!(
+                "step {i} is a gang of more than {MAX_GANG_MEMBERS}"
+            ));
+        }
+        None
+    }
+
+    /// Returns whether a state for each of its tasks may not fit into one value of the store.
+    pub fn is_large(&self) -> bool {
+        let steps = self.steps.iter().map(|s| u64::from(s.count.max(1)));
+        let tasks: u64 = steps.sum();
+        let occurrences = self.schedule.map_or(1, |s| u64::from(s.count));
+        tasks.saturating_mul(occurrences) > MAX_DENSE_TASKS
+    }
+
+    /// Bounds the amounts with which the scheduler calculates.
+    pub fn clamp_estimates(&mut self) {
+        for step in &mut self.steps {
+            step.estimate_ms = step.estimate_ms.min(MAX_ESTIMATE_MS);
+        }
+    }
+
     /// Returns whether any step runs until the job is cancelled.
     pub fn is_persistent(&self) -> bool {
         self.steps.iter().any(|s| s.persistent)
--- a/src/fleet/mod.rs
+++ b/src/fleet/mod.rs
@@ -43,9 +43,11 @@
 mod executor;
 mod fleet_config;
 mod ids;
+mod index_set;
 mod job;
 mod job_spec;
 pub mod policy;
+mod progress;
 mod records;
 mod run_log;
 mod wave;
@@ -72,11 +74,13 @@
         ExecutorId, FencingToken, INCARNATIONS_PER_OWNER, JobId, ParseIdError, RunNumber, StepId,
         TaskId,
     },
+    index_set::IndexSet,
     job::{Job, Step, Task},
     job_spec::{JobSpec, Schedule, StepSpec},
+    progress::{CrashedTask, JobProgress, ProgressFormat, StepProgress, TaskProgress},
     records::{
-        CrashedTask, EpochRecord, JobEnd, JobProgress, JobRecord, LeaseWaits, NodeRecord,
-        OwnerRecord, Roster, RosterEntry, StepProgress, Submission, TaskProgress,
+        EpochRecord, JobEnd, JobRecord, LeaseWaits, NODE_PROTOCOL, NodeRecord, OwnerRecord, Roster,
+        RosterEntry, Submission,
     },
     wave::{
         MachineId, MachineInfo, MachinePhase, MachineRefusal, MachineReply, MachineState,
--- a/src/fleet/records.rs
+++ b/src/fleet/records.rs
@@ -1,4 +1,4 @@
-//! Records of the store: jobs, progress, owner, nodes and roster, encoded with postcard.
+//! Records of the store: jobs, owner, nodes and roster, encoded with postcard.
 //!
 //! Written by the entry nodes and the owner, read at a takeover. Postcard stores no names, so
 //! fields and variants must keep their order.
@@ -6,7 +6,7 @@
 use {
     crate::{
         core::{Millis, Resources},
-        fleet::{JobId, JobSpec, QueueRule},
+        fleet::{JobId, JobSpec, ProgressFormat, QueueRule},
     },
     serde::{Deserialize, Serialize},
     std::sync::Arc,
@@ -48,60 +48,27 @@
         tenant: Option<Arc<str>>,
         ended_unix_ms: Millis,
     },
+    /// In place of `Open` for a job that versions before this variant cannot schedule; they cannot
+    /// read it and leave the job alone. Its progress has the sparse encoding.
+    OpenLarge(Submission),
 }
 
-/// Durable progress of one task.
-#[derive(Clone, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
-pub struct TaskProgress {
-    pub done: bool,
-    /// Runs that ended as failed. Executors may list their ends again, in any order, to the next
-    /// owner, which must not count them twice.
-    pub failed_runs: Vec<u64>,
-    /// Last checkpoint; empty if there is none.
-    pub checkpoint: Arc<str>,
-}
-
-/// Durable progress of one step of one occurrence; steps without a record have none.
-#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
-pub struct StepProgress {
-    pub occurrence: u32,
-    pub step: u16,
-    /// One for each task of the step, in order.
-    pub tasks: Vec<TaskProgress>,
-}
-
-/// Executors that crashed soon after a task had started there.
-#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
-pub struct CrashedTask {
-    pub occurrence: u32,
-    pub step: u16,
-    pub index: u32,
-    /// Runs under which an executor crashed, and whether no task of another job could have
-    /// caused it.
-    pub runs: Vec<(u64, bool)>,
-}
-
-/// Durable progress of a job, written by the owner.
-#[derive(Clone, Debug, Default, Eq, PartialEq, Serialize)]
-pub struct JobProgress {
-    pub steps: Vec<StepProgress>,
-    /// Records of earlier versions end before it.
-    pub crashed_tasks: Vec<CrashedTask>,
-}
-
-impl JobProgress {
-    /// Decodes a record, also one of an earlier version.
-    pub fn decode(record: &[u8]) -> postcard::Result<Self> {
-        let (steps, rest) = postcard::take_from_bytes(record)?;
-        let crashed_tasks = if rest.is_empty() {
-            Vec::new()
+impl JobRecord {
+    /// Returns the record of an open job.
+    pub fn open(submission: Submission) -> Self {
+        if submission.spec.is_large() {
+            Self::OpenLarge(submission)
         } else {
-            postcard::from_bytes(rest)?
-        };
-        Ok(Self {
-            steps,
-            crashed_tasks,
-        })
+            Self::Open(submission)
+        }
+    }
+
+    /// Returns the encoding of the job's progress.
+    pub fn progress_format(&self) -> ProgressFormat {
+        match self {
+            Self::OpenLarge(_) => ProgressFormat::Sparse,
+            Self::Ended { .. } | Self::Open(_) => ProgressFormat::Dense,
+        }
     }
 }
 
@@ -130,6 +97,36 @@
     pub address: Arc<str>,
     /// CPU time granted to its VM, in thousandths of a core; 0: not known.
     pub cpu_milli: u32,
+    /// What the node's version understands: [`NODE_PROTOCOL`] of it. 0 for versions whose records end
+    /// before it.
+    #[serde(skip)]
+    pub protocol: u32,
+}
+
+/// Protocol of this version: from 1 on, nodes read the records of large jobs.
+pub const NODE_PROTOCOL: u32 = 1;
+
+impl NodeRecord {
+    /// Encodes a record so that earlier versions read it too.
+    pub fn encode(&self) -> postcard::Result<Vec<u8>> {
+        let mut record = postcard::to_stdvec(self)?;
+        record.extend(postcard::to_stdvec(&self.protocol)?);
+        Ok(record)
+    }
+
+    /// Decodes a record, also one of an earlier version.
+    pub fn decode(record: &[u8]) -> postcard::Result<Self> {
+        let (mut node, rest): (Self, _) = postcard::take_from_bytes(record)?;
+        if !rest.is_empty() {
+            node.protocol = postcard::from_bytes(rest)?;
+        }
+        Ok(node)
+    }
+
+    /// Returns whether the node reads the records of large jobs.
+    pub fn reads_large_jobs(&self) -> bool {
+        self.protocol >= 1
+    }
 }
 
 /// Executors that an owner may have used; the next owner must reconcile each of them.
--- a/src/platform/settings.rs
+++ b/src/platform/settings.rs
@@ -34,6 +34,8 @@
     pub metrics_address: SocketAddr,
     /// Address of the platform's key-value store.
     pub store_address: SocketAddr,
+    /// Maximum size of a value in the store, in bytes.
+    pub max_value_bytes: usize,
     /// Address of the placement service, which permits executors for a step.
     pub advice_address: Option<SocketAddr>,
     /// Availability zones of the deployment; empty: not stated.
@@ -145,6 +147,8 @@
     address: SocketAddr,
     #[serde(default = "default_store_lease_ms")]
     ttl_min_ms: u64,
+    #[serde(default = "default_value_bytes")]
+    value_bytes: f64,
 }
 
 #[derive(Default, Deserialize)]
@@ -193,6 +197,10 @@
     1_000
 }
 
+fn default_value_bytes() -> f64 {
+    1_048_576.0
+}
+
 /// Defaults for bounds that the settings do not state, with the figures of the present sites.
 const DEFAULT_MAX_LEASE_MS: u64 = 6_000;
 const DEFAULT_KILL_GRACE_MS: u64 = 1_000;
@@ -243,6 +251,8 @@
             peer_address: SocketAddr::new(ip, first_port),
             metrics_address: SocketAddr::new(ip, last_port),
             store_address: wire.platform.address,
+            max_value_bytes: usize::try_from(saturating_u64(wire.platform.value_bytes))
+                .unwrap_or(usize::MAX),
             advice_address: wire.advice,
             zones: wire.zones.into_keys().collect(),
             bounds: Bounds {
--- a/standins/src/cell_world.rs
+++ b/standins/src/cell_world.rs
@@ -27,6 +27,7 @@
     max_lease_ms: 6_000,
     kill_grace_ms: 200,
     ended_retention_ms: 120_000,
+    max_value_bytes: 1 << 20,
     rate_burst: RateBurst {
         window_ms: 2_000,
         jobs: 0,
@@ -134,6 +135,10 @@
     pub records: Records,
     /// Whether a takeover cannot decode the roster.
     pub roster_unreadable: bool,
+    /// Jobs whose progress the store refuses for good.
+    pub refused_progress: HashSet<JobId>,
+    /// Size of the longest progress record sent to the store, in bytes.
+    pub largest_value: usize,
     /// Jobs that a takeover does not find, as they were stored after its read.
     pub unread_jobs: HashSet<JobId>,
     /// Revision of the owner's epoch: rises with each claim and with the first commit after a failed
@@ -197,6 +202,8 @@
             executors: BTreeMap::new(),
             records: Records::default(),
             roster_unreadable: false,
+            refused_progress: HashSet::new(),
+            largest_value: 0,
             unread_jobs: HashSet::new(),
             revision: 0,
             commit_failed: false,
@@ -258,7 +265,7 @@
 
     /// Stores a job and notifies the owner.
     pub fn submit(&mut self, submission: Submission) {
-        let record = JobRecord::Open(submission.clone());
+        let record = JobRecord::open(submission.clone());
         self.records.jobs.insert(submission.id, record);
         self.submissions.insert(submission.id, submission.clone());
         self.step(CellEvent::Submitted(Box::new(submission)));
@@ -723,6 +730,21 @@
             let event = CellEvent::CommitResult { call, ok: false };
             return self.schedule(4, Pending::Event(event, token));
         }
+        let too_long = |w: &StoreWrite| match w {
+            StoreWrite::Progress { job, value, .. } => {
+                self.largest_value = self.largest_value.max(value.len());
+                value.len() > BOUNDS.max_value_bytes || self.refused_progress.contains(job)
+            }
+            _ => false,
+        };
+        if writes
+            .iter()
+            .map(too_long)
+            .fold(false, |any, long| any | long)
+        {
+            let event = CellEvent::CommitResult { call, ok: false };
+            return self.schedule(4, Pending::Event(event, token));
+        }
         let raises_revision = std::mem::take(&mut self.commit_failed);
         if let Some(plan) = self.commit_plans.pop_front() {
             if let Some(after) = plan.carried_out_after {
@@ -745,7 +767,12 @@
         self.revision += u64::from(raises_revision);
         for write in writes {
             match write {
-                StoreWrite::Progress { job, progress } => {
+                StoreWrite::Progress { job, value, record } => {
+                    if let Some(record) = record {
+                        self.records.jobs.insert(job, *record);
+                    }
+                    let format = self.records.jobs[&job].progress_format();
+                    let progress = JobProgress::decode(&value, format).expect("progress");
                     self.records.progress.insert(job, progress);
                 }
                 StoreWrite::Ended {
--- a/standins/src/platform_host.rs
+++ b/standins/src/platform_host.rs
@@ -485,9 +485,9 @@
             return postcard::to_stdvec(&record).ok();
         }
         if key.starts_with(NODES_PREFIX) {
-            let mut record: NodeRecord = postcard::from_bytes(value).ok()?;
+            let mut record = NodeRecord::decode(value).ok()?;
             record.address = proxy(&record.address)?;
-            return postcard::to_stdvec(&record).ok();
+            return record.encode().ok();
         }
         None
     }
--- a/tests/cell_views.rs
+++ b/tests/cell_views.rs
@@ -137,7 +137,7 @@
     use {
         dragonflyferry::{
             entry::{claim_rank, should_step_down},
-            fleet::NodeRecord,
+            fleet::{NODE_PROTOCOL, NodeRecord},
         },
         std::sync::Arc,
     };
@@ -147,6 +147,7 @@
             node: Arc::from(*name),
             address: Arc::from("10.0.0.1:1"),
             cpu_milli: *cpu_milli,
+            protocol: NODE_PROTOCOL,
         };
         cpu_by_name.iter().map(node).collect()
     }
--- a/tests/committer.rs
+++ b/tests/committer.rs
@@ -11,10 +11,7 @@
     base64::{Engine, engine::general_purpose::STANDARD},
     dragonflyferry::{
         entry::{Commit, EventLog, OwnerInput, Shared, run_committer},
-        fleet::{
-            CellEvent, EpochRecord, JobId, JobProgress, LeaseWaits, StepProgress, StoreWrite,
-            TaskProgress,
-        },
+        fleet::{CellEvent, EpochRecord, JobId, LeaseWaits, StoreWrite},
         platform::NodeSettings,
     },
     serde_json::{Value, json},
@@ -176,17 +173,10 @@
 
 /// A write of the progress of job 1, which differs by `done`.
 fn progress(done: u32) -> StoreWrite {
-    let step = StepProgress {
-        occurrence: done,
-        step: 0,
-        tasks: vec![TaskProgress::default()],
-    };
     StoreWrite::Progress {
         job: JobId(1),
-        progress: JobProgress {
-            steps: vec![step],
-            crashed_tasks: Vec::new(),
-        },
+        value: vec![u8::try_from(done).expect("small")],
+        record: None,
     }
 }
 
--- a/tests/crash_loop.rs
+++ b/tests/crash_loop.rs
@@ -2,8 +2,8 @@
 
 use {
     dragonflyferry::fleet::{
-        CrashedTask, JobId, JobProgress, JobStatus, StepId, StepProgress, StepSpec, TaskId,
-        TaskProgress,
+        CrashedTask, IndexSet, JobId, JobProgress, JobStatus, ProgressFormat, StepId, StepProgress,
+        StepSpec, TaskId,
         policy::{CrashVerdict, judge_crashes},
     },
     standins::{
@@ -169,33 +169,39 @@
         steps: vec![StepProgress {
             occurrence: 0,
             step: 1,
-            tasks: vec![TaskProgress::default()],
+            done: IndexSet::up_to(1),
+            tasks: Vec::new(),
         }],
-        crashed_tasks: Vec::new(),
+        ..JobProgress::default()
     };
-    let earlier = postcard::to_stdvec(&progress.steps).expect("encoded");
-    let read = JobProgress::decode(&earlier).expect("decoded");
+    let specs = [StepSpec::default(), step(1, 1_000, 500)];
+    let now = progress.encode(ProgressFormat::Dense, &specs);
+    let now = now.expect("encoded");
+    let read = JobProgress::decode(&now, ProgressFormat::Dense).expect("decoded");
     assert_eq!(read, progress);
-    let now = postcard::to_stdvec(&progress).expect("encoded");
-    let read = JobProgress::decode(&now).expect("decoded");
+    // The list of crashed tasks is empty: one byte.
+    let earlier = &now[..now.len() - 1];
+    let read = JobProgress::decode(earlier, ProgressFormat::Dense).expect("decoded");
     assert_eq!(read, progress);
 }
 
 #[test]
 fn a_damaged_count_of_crashes_is_an_error_and_not_zero() {
     let progress = JobProgress {
-        steps: Vec::new(),
         crashed_tasks: vec![CrashedTask {
             occurrence: 0,
             step: 0,
             index: 3,
             runs: vec![(1, true), (2, false)],
         }],
+        ..JobProgress::default()
     };
-    let record = postcard::to_stdvec(&progress).expect("encoded");
-    assert_eq!(JobProgress::decode(&record), Ok(progress));
-    let damaged = &record[..record.len() - 1];
-    assert!(JobProgress::decode(damaged).is_err());
+    for format in [ProgressFormat::Dense, ProgressFormat::Sparse] {
+        let record = progress.encode(format, &[]).expect("encoded");
+        assert_eq!(JobProgress::decode(&record, format), Ok(progress.clone()));
+        let damaged = &record[..record.len() - 1];
+        assert!(JobProgress::decode(damaged, format).is_err());
+    }
 }
 
 #[test]
