Write the records that the store takes beside one that it refuses for good

Change: a refusal is an outcome of its own, StoreError::Refused. The records of a refused commit are written one by one, with a backoff; a job whose record alone is refused three times while others are written is given up, so that the ends on its executors are acknowledged. Callers get a 413.

--- a/src/entry/caller_api.rs
+++ b/src/entry/caller_api.rs
@@ -207,6 +207,9 @@
                 }
                 maybe_stored = true;
             }
+            Err(StoreError::Refused) => {
+                return refuse_size(shared, id, "the store refuses the record");
+            }
             Err(StoreError::Busy) if !maybe_stored => {
                 busy_attempts += 1;
                 if busy_attempts >= MAX_BUSY_ATTEMPTS {
--- a/src/entry/committer.rs
+++ b/src/entry/committer.rs
@@ -31,6 +31,8 @@
 /// Outcome of one commit.
 enum CommitOutcome {
     Done,
+    /// Not written, and never will be.
+    Refused,
     /// Not written, or not known whether it was written.
     Retry,
     /// A newer owner has claimed.
@@ -106,6 +108,7 @@
         let outcome = match result {
             Ok(_) => CommitOutcome::Done,
             Err(StoreError::Busy) => CommitOutcome::Retry,
+            Err(StoreError::Refused) => CommitOutcome::Refused,
             Err(_) => {
                 self.revision = None;
                 CommitOutcome::Retry
@@ -134,6 +137,7 @@
                 self.revision = Some(revision);
                 CommitOutcome::Done
             }
+            Err(StoreError::Refused) => CommitOutcome::Refused,
             Err(_) => CommitOutcome::Retry,
         }
     }
@@ -141,7 +145,7 @@
     fn not_encoded(&self, error: &EntryError) -> CommitOutcome {
         self.shared
             .log_event(FleetEvent::CommitFailed, &error.to_string());
-        CommitOutcome::Retry
+        CommitOutcome::Refused
     }
 
     /// Reads the revision of the epoch key after a write with an unknown outcome; `NotOwner` if
@@ -201,6 +205,7 @@
 fn report(call: CallId, outcome: &CommitOutcome) -> OwnerInput {
     match outcome {
         CommitOutcome::NotOwner => OwnerInput::StepDown,
+        CommitOutcome::Refused => OwnerInput::Cell(CellEvent::CommitRefused { call }),
         outcome => OwnerInput::Cell(CellEvent::CommitResult {
             call,
             ok: matches!(outcome, CommitOutcome::Done),
--- a/src/entry/store_calls.rs
+++ b/src/entry/store_calls.rs
@@ -37,7 +37,8 @@
 pub enum StoreOutcome {
     /// The store replied that it did nothing.
     Busy,
-    /// A condition was not met, the history was compacted or the lease does not exist.
+    /// A condition was not met, the history was compacted, the lease does not exist, or the store
+    /// refused the call for good.
     Declined,
     Done,
     /// No usable reply: the call may have taken effect.
@@ -52,9 +53,12 @@
         match result {
             Ok(_) => Self::Done,
             Err(StoreError::Busy) => Self::Busy,
-            Err(StoreError::Conflict(_) | StoreError::Compacted | StoreError::LeaseNotFound) => {
-                Self::Declined
-            }
+            Err(
+                StoreError::Conflict(_)
+                | StoreError::Compacted
+                | StoreError::LeaseNotFound
+                | StoreError::Refused,
+            ) => Self::Declined,
             Err(StoreError::Unknown) => Self::Unknown,
         }
     }
--- a/src/fleet/cell.rs
+++ b/src/fleet/cell.rs
@@ -250,7 +250,9 @@
         // results change nothing.
         let sets_flag_itself = matches!(
             event,
-            CellEvent::CommandResult { .. } | CellEvent::CommitResult { .. }
+            CellEvent::CommandResult { .. }
+                | CellEvent::CommitRefused { .. }
+                | CellEvent::CommitResult { .. }
         );
         self.needs_placement |= !sets_flag_itself;
         match event {
@@ -282,6 +284,7 @@
                 advised,
                 valid_ms,
             } => self.on_advice_result(call, advised, valid_ms, now),
+            CellEvent::CommitRefused { call } => self.on_commit_refused(call, now),
             CellEvent::CommitResult { call, ok } => self.on_commit_result(call, ok, now),
         }
     }
--- a/src/fleet/cell_jobs.rs
+++ b/src/fleet/cell_jobs.rs
@@ -379,6 +379,26 @@
         self.renew_after_commit(now);
     }
 
+    /// Handles a commit that the store refused for good. Its records are written one by one from now on; a
+    /// job whose record alone is refused again and again is given up, so that neither other records
+    /// nor the ends on its executors wait for it.
+    pub(super) fn on_commit_refused(&mut self, call: CallId, now: Now) {
+        let refused = self.commit_queue.on_refused(call, now.mono);
+        let detail = format!("call={call}; refused by the store, tried again record by record");
+        self.log(FleetEvent::CommitFailed, detail);
+        let Some(id) = refused else { return };
+        if self.jobs.get(&id).is_some_and(|j| j.end.is_none()) {
+            let detail = format!("job={id} given up: the store refuses its progress");
+            self.log(FleetEvent::CommitFailed, detail);
+            self.end_job(id, JobEnd::Failed, now);
+        } else {
+            let detail = format!("job={id} the store refuses its end; not recorded");
+            self.log(FleetEvent::CommitFailed, detail);
+            self.commit_queue.forget(id);
+            self.renew_after_commit(now);
+        }
+    }
+
     /// Drops ended jobs past their retention, here and with the next commit in the store.
     pub(super) fn purge_ended(&mut self, now: Now) {
         let retention_ms = self.bounds.ended_retention_ms;
--- a/src/fleet/commit_queue.rs
+++ b/src/fleet/commit_queue.rs
@@ -18,6 +18,12 @@
 /// Weight of the heaviest record: a commit of it alone has room for the records that are written whole.
 pub const MAX_RECORD_WEIGHT: usize = MAX_COMMIT_ENTRIES - 2;
 
+/// Backoff of a record after the store has refused it alone, in ms; doubled each time.
+const REFUSED_RETRY_MS: Millis = 1_000;
+
+/// Refusals after which a record that is written alone is given up.
+const MAX_REFUSALS: u32 = 3;
+
 /// Maximum commits under way. The store takes up to some 300 ms for each when it is slow.
 const MAX_IN_FLIGHT: usize = 4;
 
@@ -86,6 +92,17 @@
     pub waits: bool,
 }
 
+/// A record that was in a commit which the store refused for good.
+#[derive(Debug, Default)]
+struct RefusedRecord {
+    /// Refusals of a commit of it alone.
+    refusals: u32,
+    /// Earliest next commit of it, in ms on the owner's monotonic clock.
+    not_before: Millis,
+    /// Whether another commit has succeeded since: the store does not refuse all of them.
+    others_succeed: bool,
+}
+
 /// A commit under way.
 #[derive(Debug)]
 struct InFlight {
@@ -110,6 +127,10 @@
     /// The same jobs, in the order of writing.
     order: BTreeMap<Position, JobId>,
     last_number: u64,
+    /// Jobs of refused commits; each is written in a commit of its own.
+    refused: HashMap<JobId, RefusedRecord>,
+    /// Whether a commit with the roster or the waits was refused: they are written without jobs.
+    singles_refused: bool,
     /// Commits under way; at most [`MAX_IN_FLIGHT`].
     in_flight: Vec<InFlight>,
     /// Whether a commit failed and none that was sent after it has succeeded.
@@ -161,21 +182,27 @@
         if self.in_flight.len() >= max_in_flight || now < self.next_commit_at {
             return None;
         }
-        let singles = usize::from(self.roster.is_due()) + usize::from(self.waits.is_due());
+        let mut singles = usize::from(self.roster.is_due()) + usize::from(self.waits.is_due());
+        let alone = self.next_refused(now);
         let mut free_entries = MAX_COMMIT_ENTRIES - singles;
         let mut jobs = BTreeMap::new();
-        let mut has_more = false;
-        for (position, job) in &self.order {
-            if self.is_in_flight(*job) {
-                continue;
-            }
-            let weight = weight(*job);
-            if weight > free_entries {
-                has_more = true;
-                break;
+        let mut has_more = alone.is_some();
+        if let Some((job, position)) = alone {
+            singles = 0;
+            jobs.insert(job, position);
+        } else if singles == 0 || !self.singles_refused {
+            for (position, job) in &self.order {
+                if self.is_in_flight(*job) || self.refused.contains_key(job) {
+                    continue;
+                }
+                let weight = weight(*job);
+                if weight > free_entries {
+                    has_more = true;
+                    break;
+                }
+                free_entries -= weight;
+                jobs.insert(*job, *position);
             }
-            free_entries -= weight;
-            jobs.insert(*job, *position);
         }
         if jobs.is_empty() && singles == 0 {
             return None;
@@ -186,8 +213,8 @@
         }
         let batch = CommitBatch {
             jobs: jobs.keys().copied().collect(),
-            roster: self.roster.take(),
-            waits: self.waits.take(),
+            roster: singles > 0 && self.roster.take(),
+            waits: singles > 0 && self.waits.take(),
         };
         self.in_flight.push(InFlight {
             call,
@@ -208,6 +235,15 @@
         self.waits.on_result(commit.batch.waits, ok);
         if ok {
             self.retrying &= !commit.is_retry;
+            for job in commit.jobs.keys() {
+                self.refused.remove(job);
+            }
+            for refused in self.refused.values_mut() {
+                refused.others_succeed = true;
+            }
+            if commit.batch.roster || commit.batch.waits {
+                self.singles_refused = false;
+            }
         } else {
             self.retrying = true;
             self.next_commit_at = now + COMMIT_RETRY_MS;
@@ -217,4 +253,50 @@
         }
         Some(commit.batch)
     }
+
+    /// Returns the first refused record that may be written again.
+    fn next_refused(&self, now: Millis) -> Option<(JobId, Position)> {
+        let due = self.refused.iter().filter(|(_, r)| r.not_before <= now);
+        let due = due.filter(|(job, _)| !self.is_in_flight(**job));
+        let queued = due.filter_map(|(job, _)| Some((*job, *self.dirty.get(job)?)));
+        queued.min_by_key(|(_, position)| *position)
+    }
+
+    /// Ends a commit under way that the store refused for good: nothing of it was written. Its records are
+    /// queued again, each for a commit of its own. Returns a job whose record is to be given up, as it was
+    /// refused alone again and again while others were written.
+    pub fn on_refused(&mut self, call: CallId, now: Millis) -> Option<JobId> {
+        let index = self.in_flight.iter().position(|c| c.call == call)?;
+        let commit = self.in_flight.remove(index);
+        self.roster.on_result(commit.batch.roster, false);
+        self.waits.on_result(commit.batch.waits, false);
+        self.singles_refused |= commit.batch.roster || commit.batch.waits;
+        self.next_commit_at = now + COMMIT_RETRY_MS;
+        let alone = commit.jobs.len() == 1 && !commit.batch.roster && !commit.batch.waits;
+        let mut given_up = None;
+        for (job, position) in commit.jobs {
+            let record = self.refused.entry(job).or_default();
+            if alone {
+                record.refusals += 1;
+                let doublings = record.refusals.min(5) - 1;
+                record.not_before = now + (REFUSED_RETRY_MS << doublings);
+                if record.refusals >= MAX_REFUSALS && record.others_succeed {
+                    given_up = Some(job);
+                }
+            }
+            self.queue(job, position);
+        }
+        if let Some(job) = given_up {
+            self.refused.remove(&job);
+        }
+        given_up
+    }
+
+    /// Drops a job's record from the queue; nothing waits for it any more.
+    pub fn forget(&mut self, job: JobId) {
+        if let Some(position) = self.dirty.remove(&job) {
+            self.order.remove(&position);
+        }
+        self.refused.remove(&job);
+    }
 }
--- a/src/fleet/event.rs
+++ b/src/fleet/event.rs
@@ -280,6 +280,8 @@
         /// How long the tickets are valid, in ms.
         valid_ms: Millis,
     },
+    /// The store refused a commit for good and wrote nothing.
+    CommitRefused { call: CallId },
     /// A commit ended.
     CommitResult {
         call: CallId,
--- a/src/platform/errors.rs
+++ b/src/platform/errors.rs
@@ -46,4 +46,6 @@
     Busy,
     /// No usable reply: the call may have been carried out, or may still be.
     Unknown,
+    /// The store refused the call, did nothing, and would refuse it again.
+    Refused,
 }
--- a/src/platform/store_client.rs
+++ b/src/platform/store_client.rs
@@ -223,7 +223,7 @@
     }
 
     /// Carries out a transaction and returns its revision. Fails with [`StoreError::Conflict`] if a
-    /// condition does not hold, and with [`StoreError::LeaseNotFound`] if a lease does not exist.
+    /// condition does not hold, with [`StoreError::Refused`] if the store never takes it, and with [`StoreError::LeaseNotFound`] if a lease does not exist.
     pub async fn commit(&self, txn: &Transaction, timeout: Duration) -> Result<u64, StoreError> {
         let expect = |(key, revision): &(String, u64)| WireExpect {
             key: key.clone(),
@@ -250,6 +250,13 @@
                 Err(StoreError::Conflict(items))
             }
             (StatusCode::NOT_FOUND, _) => Err(StoreError::LeaseNotFound),
+            (
+                StatusCode::BAD_REQUEST
+                | StatusCode::FORBIDDEN
+                | StatusCode::PAYLOAD_TOO_LARGE
+                | StatusCode::UNPROCESSABLE_ENTITY,
+                _,
+            ) => Err(StoreError::Refused),
             _ => Err(StoreError::Unknown),
         }
     }
--- a/standins/src/cell_world.rs
+++ b/standins/src/cell_world.rs
@@ -742,7 +742,7 @@
             .map(too_long)
             .fold(false, |any, long| any | long)
         {
-            let event = CellEvent::CommitResult { call, ok: false };
+            let event = CellEvent::CommitRefused { call };
             return self.schedule(4, Pending::Event(event, token));
         }
         let raises_revision = std::mem::take(&mut self.commit_failed);
--- a/tests/committer.rs
+++ b/tests/committer.rs
@@ -236,3 +236,21 @@
     assert_eq!(committer.store.transact(&late), None);
     assert_eq!(committer.store.value(PROGRESS), None);
 }
+
+/// Guards against a write that the store never takes and that is taken for one which may take effect.
+#[tokio::test]
+async fn a_write_that_the_store_refuses_for_good_is_reported_as_such() {
+    let mut committer = Committer::start().await;
+    let too_long = StoreWrite::Progress {
+        job: JobId(1),
+        value: vec![0; 4 << 20],
+        record: None,
+    };
+    committer.send(1, too_long);
+    let input = committer.results.recv().await;
+    let is_refused =
+        matches!(input, Some(OwnerInput::Cell(CellEvent::CommitRefused { call })) if call == 1);
+    assert!(is_refused, "{input:?}");
+    committer.send(2, progress(2));
+    assert_eq!(committer.result().await, Some((2, true)));
+}
--- a/tests/large_jobs.rs
+++ b/tests/large_jobs.rs
@@ -140,6 +140,24 @@
     assert!(world.largest_value < 16_384, "{}", world.largest_value);
 }
 
+/// Guards against a record that the store refuses for good and that all others wait for.
+#[test]
+fn a_record_that_the_store_refuses_holds_up_no_other() {
+    let mut world = world(5, 6);
+    world.refused_progress.insert(JobId(1));
+    world.submit(job(1, "patient", vec![step(2_000, 1_000, 500)]));
+    let usual = submit_usual(&mut world, 20);
+    world.run(3_000);
+    assert_completed(&world, &usual);
+    for id in 2_000..2_020 {
+        world.submit(job(id, "urgent", vec![step(2, 1_000, 300)]));
+        world.run(500);
+    }
+    assert_completed(&world, &(2_000..2_020).map(JobId).collect::<Vec<_>>());
+    // Its progress can never be recorded: it is given up, and its ends are acknowledged.
+    assert_eq!(world.job_status(JobId(1)), Some(JobStatus::Failed));
+}
+
 /// Guards against a commit that grows with the number of long records.
 #[test]
 fn long_records_share_a_commit_only_up_to_the_size_of_one_value() {
