Let an odd entry, record or row cost itself alone

Operators of similar systems reported machines that ended, or stopped following a list, because of one odd entry of another writer. Here no process ended, but callers would have seen what the lists then did not tell: one odd item made a page of the store fail (a takeover never ended), one odd row made an executor silent and its runs lost, one odd route kept a configuration from being applied, one odd row made a reply of the advice or machine service useless, a key that a query must encode ended a list after its first page; ports, capacities, clocks and numbers out of range were used.

A takeover that fails waits before the next claim. The stand-in's store cuts pages by size as the platform does.

--- a/src/entry/advice.rs
+++ b/src/entry/advice.rs
@@ -27,7 +27,10 @@
         .executor_client
         .request_advice(address, step, executors, timeout);
     match reply.await {
-        Some((advised, valid_ms)) => (Some(advised), valid_ms.unwrap_or(0)),
+        Some(reply) => {
+            shared.log_skipped(&format!("advice step={step}"), &reply.skipped);
+            (Some(reply.advised), reply.valid_ms.unwrap_or(0))
+        }
         None => (None, 0),
     }
 }
--- a/src/entry/config_watch.rs
+++ b/src/entry/config_watch.rs
@@ -137,7 +137,10 @@
         return;
     }
     let config = match config_from_bytes(&item.value) {
-        Ok(config) => Arc::new(config),
+        Ok((config, skipped)) => {
+            shared.log_skipped("config", &skipped);
+            Arc::new(config)
+        }
         Err(e) => {
             shared.log_event(FleetEvent::BadEntry, &e.to_string());
             return;
--- a/src/entry/dispatcher.rs
+++ b/src/entry/dispatcher.rs
@@ -24,7 +24,11 @@
     let timeout = std::time::Duration::from_millis(remote.timeout_ms);
     let (id, address) = (&remote.executor, &remote.address);
     let client = &shared.executor_client;
-    client
+    let result = client
         .send_command(id, address, &remote.command, timeout, false)
-        .await
+        .await;
+    if let Ok(CommandReply::Renewed(reply)) = &result {
+        shared.log_skipped(&format!("executor={id}"), &reply.skipped);
+    }
+    result
 }
--- a/src/entry/membership.rs
+++ b/src/entry/membership.rs
@@ -150,7 +150,7 @@
         .filter(|i| i.key.starts_with(keys::NODES_PREFIX));
     shared.set_nodes(nodes.filter_map(node).collect());
     let owner = items.get(keys::OWNER);
-    let record = owner.and_then(|i| keys::decode::<OwnerRecord>(&i.key, &i.value).ok());
+    let record = owner.and_then(|i| ok_or_log(shared, keys::decode(&i.key, &i.value)));
     shared.owner.send_if_modified(|current| {
         let changed = *current != record;
         *current = record;
@@ -282,6 +282,7 @@
                 if result.is_err() {
                     shared.log_event(FleetEvent::OwnerLost, "records could not be read; given up");
                     release_ownership(shared, token).await;
+                    tokio::time::sleep(RETRY_INTERVAL).await;
                 }
                 return;
             }
--- a/src/entry/owner_link.rs
+++ b/src/entry/owner_link.rs
@@ -9,6 +9,7 @@
             OwnerInput, PauseGuard, PeerMessage, RelayedCall, RelayedOutcome, RemoteCommand,
             Shared, advice, clock, dispatcher,
             peer_message::{DispatchOffer, frame_codec, send_queued},
+            peer_server::log_unreadable,
         },
         fleet::{CommandError, FleetEvent, JobId, JobStatus, OwnerRecord, Submission},
         platform::StoreError,
@@ -403,6 +404,7 @@
                 let _ = tx.send(message).await;
             });
         }
-        _ => {}
+        None => log_unreadable(shared, "owner", frame.len()),
+        Some(_) => {}
     }
 }
--- a/src/entry/peer_server.rs
+++ b/src/entry/peer_server.rs
@@ -9,6 +9,7 @@
             CellQuery, OwnerInput, PeerMessage, Shared, clock,
             peer_message::{frame_codec, send_queued},
         },
+        fleet::FleetEvent,
     },
     futures_util::StreamExt,
     std::{sync::Arc, time::Duration},
@@ -68,7 +69,10 @@
             frame = source.next() => {
                 let Some(Ok(frame)) = frame else { break };
                 received_at = clock::mono();
-                let Some(message) = PeerMessage::decode(&frame) else { break };
+                let Some(message) = PeerMessage::decode(&frame) else {
+                    log_unreadable(&shared, peer.as_deref().unwrap_or("unknown"), frame.len());
+                    continue;
+                };
                 match message {
                     PeerMessage::Hello { node } => {
                         peer = Some(node.clone());
@@ -102,6 +106,12 @@
     }
 }
 
+/// Logs a message that cannot be decoded, as of a later version.
+pub(super) fn log_unreadable(shared: &Shared, peer: &str, bytes: usize) {
+    let detail = format!("peer={peer} a message of {bytes} bytes cannot be decoded");
+    shared.log_event(FleetEvent::BadEntry, &detail);
+}
+
 /// Passes a message to the owner task; `None` if this node is no longer the owner.
 fn on_message(
     shared: &Arc<Shared>,
--- a/src/entry/store_calls.rs
+++ b/src/entry/store_calls.rs
@@ -4,6 +4,7 @@
 use {
     crate::{
         entry::Shared,
+        fleet::{FleetEvent, SkippedRows},
         platform::{StoreChange, StoreError, StoreItem, Transaction},
     },
     std::time::Duration,
@@ -79,7 +80,9 @@
         timeout: Duration,
     ) -> Result<(Vec<StoreItem>, u64), StoreError> {
         let result = self.store.range(prefix, timeout).await;
-        self.record_call(StoreCall::Range, result)
+        let page = self.record_call(StoreCall::Range, result)?;
+        self.log_skipped(&format!("range={prefix}"), &page.skipped);
+        Ok((page.items, page.revision))
     }
 
     /// Waits up to `wait` for changes under a prefix after a revision; returns them and the
@@ -92,7 +95,9 @@
         grace: Duration,
     ) -> Result<(Vec<StoreChange>, u64), StoreError> {
         let result = self.store.watch(prefix, after, wait, grace).await;
-        self.record_call(StoreCall::Watch, result)
+        let page = self.record_call(StoreCall::Watch, result)?;
+        self.log_skipped(&format!("watch={prefix}"), &page.skipped);
+        Ok((page.items, page.revision))
     }
 
     /// Writes a transaction, all or nothing; returns the new revision.
@@ -113,6 +118,13 @@
         self.record_call(StoreCall::Renew, result)
     }
 
+    /// Logs rows of a list that were left out, if there are any.
+    pub(super) fn log_skipped(&self, list: &str, skipped: &SkippedRows) {
+        if skipped.count > 0 {
+            self.log_event(FleetEvent::BadEntry, &format!("{list} {skipped}"));
+        }
+    }
+
     fn record_call<T>(
         &self,
         call: StoreCall,
--- a/src/entry/upkeep.rs
+++ b/src/entry/upkeep.rs
@@ -20,7 +20,7 @@
     },
     futures_util::future::join_all,
     std::{
-        collections::{BTreeMap, HashMap},
+        collections::{BTreeMap, HashMap, HashSet},
         sync::Arc,
         time::Duration,
     },
@@ -360,10 +360,11 @@
         let sent = clock::now();
         let mut machines: HashMap<MachineId, MachineInfo> = HashMap::new();
         let mut page_token = None;
+        let mut tokens = HashSet::new();
         loop {
             sleep_until(self.reserve_call(false)).await;
             let page = self.client.list_page(page_token.as_deref(), CALL_TIMEOUT);
-            let Some((page, next)) = page.await else {
+            let Some(page) = page.await else {
                 let doubled = LIST_INTERVAL_MS << self.failed_lists.min(8);
                 self.failed_lists += 1;
                 let pause_ms = doubled.min(MAX_LIST_BACKOFF_MS);
@@ -372,12 +373,14 @@
                 self.shared.log_event(FleetEvent::MachinesUnread, &detail);
                 return;
             };
-            machines.extend(page.into_iter().map(|m| (m.id.clone(), m)));
+            self.shared.log_skipped("machines", &page.skipped);
+            machines.extend(page.machines.into_iter().map(|m| (m.id.clone(), m)));
+            let Some(next) = page.next_token else { break };
             // A token that comes again would never end the list.
-            if next.is_none() || next == page_token {
+            if !tokens.insert(next.clone()) {
                 break;
             }
-            page_token = next;
+            page_token = Some(next);
         }
         self.failed_lists = 0;
         self.next_list_at = sent.mono + LIST_INTERVAL_MS;
--- a/src/fleet/cell_departures.rs
+++ b/src/fleet/cell_departures.rs
@@ -176,7 +176,7 @@
 /// does not state it.
 pub(super) fn exit_time(info: &ExecutorInfo, now: Now) -> Option<Millis> {
     let remaining_ms = info.min_remaining_ms.filter(|_| info.draining);
-    remaining_ms.map(|ms| now.mono + ms)
+    remaining_ms.map(|ms| now.mono.saturating_add(ms))
 }
 
 impl Executor {
--- a/src/fleet/cell_executors.rs
+++ b/src/fleet/cell_executors.rs
@@ -280,7 +280,7 @@
         let Some(executor) = self.executors.get_mut(id) else {
             return;
         };
-        let complete = reply.ended.len() < MAX_ENDED_ROWS;
+        let complete = reply.ended.len() + reply.skipped_ends.len() < MAX_ENDED_ROWS;
         executor.has_unread_ends = !complete;
         executor.started_unix_ms = reply.started_unix_ms.or(executor.started_unix_ms);
         executor.failed_calls = 0;
@@ -310,6 +310,7 @@
             self.process_ended_row(id, row, now);
         }
         self.log_ended();
+        self.skip_rows(id, reply);
         for row in &reply.running {
             self.process_running_row(id, row, sent, now);
         }
@@ -334,6 +335,20 @@
         self.clear_survivors(id);
     }
 
+    /// Passes over the rows of a reply that were not understood, so that their ends are acknowledged.
+    fn skip_rows(&mut self, id: &ExecutorId, reply: &RenewReply) {
+        if let Some(executor) = self.executors.get_mut(id) {
+            let last = reply.skipped_ends.iter().copied().max().unwrap_or(0);
+            executor.last_end_seq = executor.last_end_seq.max(last);
+        }
+        if reply.skipped.count > 0 {
+            self.log(
+                FleetEvent::BadEntry,
+                format!("executor={id} {}", reply.skipped),
+            );
+        }
+    }
+
     /// Estimates the time until the first short run on an executor ends, in ms; none if there is none.
     fn next_short_end_ms(&self, id: &ExecutorId, now: Now) -> Option<Millis> {
         let remaining_ms = |(task, run): (&TaskId, &Run)| {
--- a/src/fleet/event.rs
+++ b/src/fleet/event.rs
@@ -12,7 +12,7 @@
         },
     },
     serde::{Deserialize, Serialize},
-    std::sync::Arc,
+    std::{fmt, sync::Arc},
 };
 
 /// An executor as the platform's list describes it.
@@ -107,6 +107,36 @@
     pub running: Vec<RunningRow>,
     /// Ends not yet acknowledged, in the order of `seq`.
     pub ended: Vec<EndedRow>,
+    /// Sequence numbers of ends that were not understood.
+    #[serde(skip)]
+    pub skipped_ends: Vec<u64>,
+    /// Rows that were not understood, or not in full; known only to the node that got the reply.
+    #[serde(skip)]
+    pub skipped: SkippedRows,
+}
+
+/// Rows of a list that were left out, as they were not understood.
+#[derive(Clone, Debug, Default, Eq, PartialEq)]
+pub struct SkippedRows {
+    pub count: usize,
+    /// Why the first of them was not understood.
+    pub first_reason: Arc<str>,
+}
+
+impl SkippedRows {
+    /// Counts a row that was left out.
+    pub fn add(&mut self, reason: impl fmt::Display) {
+        if self.count == 0 {
+            self.first_reason = Arc::from(reason.to_string());
+        }
+        self.count += 1;
+    }
+}
+
+impl fmt::Display for SkippedRows {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "skipped={} first={}", self.count, self.first_reason)
+    }
 }
 
 /// Why a command to an executor failed.
--- a/src/fleet/mod.rs
+++ b/src/fleet/mod.rs
@@ -66,7 +66,7 @@
     event::{
         AdvisedExecutor, CellEffect, CellEvent, CommandError, CommandReply, EndedRow,
         ExecutorCommand, ExecutorInfo, FleetEvent, RecoveredState, RenewCommand, RenewReply,
-        RunEnd, RunLoss, RunningRow, StartCommand, StoreWrite,
+        RunEnd, RunLoss, RunningRow, SkippedRows, StartCommand, StoreWrite,
     },
     executor::{Executor, Run, RunStage, Session},
     fleet_config::{AdviceRule, FleetConfig, QueueRule, TenantRule},
--- a/src/platform/executor_client.rs
+++ b/src/platform/executor_client.rs
@@ -5,15 +5,20 @@
 
 use {
     crate::{
-        fleet::{AdvisedExecutor, CommandError, CommandReply, ExecutorCommand, ExecutorId, StepId},
+        fleet::{
+            AdvisedExecutor, CommandError, CommandReply, ExecutorCommand, ExecutorId, SkippedRows,
+            StepId,
+        },
         platform::{
             settings::saturating_u64,
             wire_client::{WireClient, WireRequest},
-            wire_executor::{WireReply, command_body},
+            wire_executor::{WireReply, command_body, renew_reply},
+            wire_rows::parse_rows,
         },
     },
     hyper::{Method, StatusCode},
     serde::{Deserialize, Serialize},
+    serde_json::value::RawValue,
     std::{net::SocketAddr, sync::Arc, time::Duration},
 };
 
@@ -41,11 +46,25 @@
 
 #[derive(Deserialize)]
 #[serde(rename_all = "camelCase")]
-struct WireAdviceReply {
-    good: Vec<(Arc<str>, Arc<str>)>,
+struct WireAdviceReply<'a> {
+    #[serde(borrow)]
+    good: Vec<&'a RawValue>,
     valid_ms: Option<f64>,
 }
 
+/// Longest validity of a ticket that counts, in ms: a day.
+const MAX_VALID_MS: u64 = 86_400_000;
+
+/// What the advice service says of one step.
+#[derive(Clone, Debug)]
+pub struct AdviceReply {
+    /// The executors that may run the step.
+    pub advised: Vec<AdvisedExecutor>,
+    /// How long their tickets are valid, in ms, if the reply states it.
+    pub valid_ms: Option<u64>,
+    pub skipped: SkippedRows,
+}
+
 impl ExecutorClient {
     /// Sends a command to an executor; another incarnation at the address refuses it.
     pub async fn send_command(
@@ -71,10 +90,8 @@
         let parsed = || serde_json::from_slice::<WireReply>(&body).ok();
         match status {
             StatusCode::OK if matches!(command, ExecutorCommand::Renew(_)) => {
-                let renewal = parsed().and_then(WireReply::into_renew_reply);
-                renewal
-                    .map(CommandReply::Renewed)
-                    .ok_or(CommandError::Unknown)
+                let renewal = renew_reply(&body).map(CommandReply::Renewed);
+                renewal.ok_or(CommandError::Unknown)
             }
             StatusCode::OK => Ok(CommandReply::Accepted),
             StatusCode::MISDIRECTED_REQUEST => Err(CommandError::OtherLife),
@@ -96,16 +113,15 @@
         }
     }
 
-    /// Requests which of `executors` may run a step. Returns the permitted ones, and how long their
-    /// tickets are valid, in ms, if the reply states it; `None` if the call is refused or gets no
-    /// usable reply.
+    /// Requests which of `executors` may run a step; `None` if the call is refused or gets no usable
+    /// reply.
     pub async fn request_advice(
         &self,
         address: SocketAddr,
         step: StepId,
         executors: &[ExecutorId],
         timeout: Duration,
-    ) -> Option<(Vec<AdvisedExecutor>, Option<u64>)> {
+    ) -> Option<AdviceReply> {
         let query = WireAdviceRequest {
             step: step.to_string(),
             workers: executors,
@@ -123,9 +139,15 @@
         if status != StatusCode::OK {
             return None;
         }
-        let reply: WireAdviceReply = serde_json::from_slice(&body).ok()?;
+        let reply: WireAdviceReply<'_> = serde_json::from_slice(&body).ok()?;
+        let mut skipped = SkippedRows::default();
+        let good: Vec<(Arc<str>, Arc<str>)> = parse_rows(&reply.good, &mut skipped);
         let to_advised = |(executor, ticket)| AdvisedExecutor { executor, ticket };
-        let advised = reply.good.into_iter().map(to_advised).collect();
-        Some((advised, reply.valid_ms.map(saturating_u64)))
+        let valid_ms = reply.valid_ms.map(saturating_u64);
+        Some(AdviceReply {
+            advised: good.into_iter().map(to_advised).collect(),
+            valid_ms: valid_ms.map(|ms| ms.min(MAX_VALID_MS)),
+            skipped,
+        })
     }
 }
--- a/src/platform/machine_client.rs
+++ b/src/platform/machine_client.rs
@@ -5,12 +5,12 @@
 
 use {
     crate::{
-        fleet::{MachineId, MachineInfo, MachineReply},
+        fleet::{MachineId, MachineReply},
         platform::{
             wire_client::{NoReply, WireClient, WireRequest},
             wire_machine::{
-                HOLDER_HEADER, TOKEN_HEADER, UPKEEP_PATH, machines_from_page, machines_path,
-                upkeep_body, upkeep_reply,
+                HOLDER_HEADER, MachinePage, TOKEN_HEADER, UPKEEP_PATH, machines_from_page,
+                machines_path, upkeep_body, upkeep_reply,
             },
         },
     },
@@ -50,13 +50,12 @@
         Self { client, address }
     }
 
-    /// Reads one page of the list of machines; returns it with the token of the next page, if there is
-    /// one. `None` if the call is refused or gets no usable reply.
+    /// Reads one page of the list of machines; `None` if the call is refused or gets no usable reply.
     pub async fn list_page(
         &self,
         page_token: Option<&str>,
         timeout: Duration,
-    ) -> Option<(Vec<MachineInfo>, Option<String>)> {
+    ) -> Option<MachinePage> {
         let request = WireRequest {
             method: Method::GET,
             url: format!("http://{}{}", self.address, machines_path(page_token)),
--- a/src/platform/mod.rs
+++ b/src/platform/mod.rs
@@ -15,13 +15,14 @@
 mod wire_executor;
 mod wire_job;
 mod wire_machine;
+mod wire_rows;
 
 pub use {
     errors::{PlatformError, StoreError},
-    executor_client::ExecutorClient,
+    executor_client::{AdviceReply, ExecutorClient},
     machine_client::{MachineClient, UpkeepCall},
     settings::{Bounds, NodeSettings, SETTINGS_VARIABLE, UpkeepSettings},
-    store_client::{StoreChange, StoreClient, StoreItem, Transaction},
+    store_client::{StoreChange, StoreClient, StoreItem, StorePage, Transaction},
     wire_config::{CONFIG_KEY, config_from_bytes},
     wire_evacuation::{EVACUATIONS_PREFIX, OPERATOR_PREFIX, zone_from_evacuation},
     wire_executor::{EXECUTORS_PREFIX, executor_from_entry},
@@ -29,5 +30,5 @@
         API_KEY_HEADER, DEADLINE_HEADER, READY_PATH, job_from_bytes, job_state_body,
         queue_depth_body,
     },
-    wire_machine::{WAVES_PREFIX, wave_from_key, wave_from_request, wave_status},
+    wire_machine::{MachinePage, WAVES_PREFIX, wave_from_key, wave_from_request, wave_status},
 };
--- a/src/platform/store_client.rs
+++ b/src/platform/store_client.rs
@@ -4,14 +4,17 @@
 //! caller.
 
 use {
+    crate::fleet::SkippedRows,
     crate::platform::{
         StoreError,
         settings::saturating_u64,
         wire_client::{WireClient, WireRequest},
+        wire_rows::{parse_rows, push_query_value},
     },
     base64::{Engine, engine::general_purpose::STANDARD},
     hyper::{Method, StatusCode},
     serde::{Deserialize, Serialize, de::DeserializeOwned},
+    serde_json::value::RawValue,
     std::{net::SocketAddr, time::Duration},
 };
 
@@ -64,15 +67,25 @@
 
 #[derive(Deserialize)]
 #[serde(rename_all = "camelCase")]
-struct WirePage {
-    #[serde(default, alias = "events")]
-    items: Vec<WireItem>,
+struct WirePage<T> {
+    #[serde(default = "Vec::new", alias = "events")]
+    items: Vec<T>,
     #[serde(default)]
     has_more: bool,
     #[serde(default)]
     store_revision: u64,
 }
 
+/// Items or changes of a range or watch.
+#[derive(Clone, Debug, Default)]
+pub struct StorePage<T> {
+    pub items: Vec<T>,
+    /// Revision from which a watch continues.
+    pub revision: u64,
+    /// Items that were not understood.
+    pub skipped: SkippedRows,
+}
+
 #[derive(Deserialize)]
 struct WireRevision {
     revision: u64,
@@ -160,7 +173,8 @@
         match self.send(Method::GET, path, Vec::new(), timeout).await? {
             (StatusCode::OK, body) => {
                 let item: WireItem = parse(&body)?;
-                Ok(Some(item.decode(key)?))
+                let item = item.decode(key).map_err(|_| StoreError::Unknown)?;
+                Ok(Some(item))
             }
             (StatusCode::NOT_FOUND, _) => Ok(None),
             _ => Err(StoreError::Unknown),
@@ -169,53 +183,74 @@
 
     /// Reads all items under a prefix and returns them with the revision from which to watch. The
     /// timeout applies to each page. Pages are no snapshot: a change between two pages is reported
-    /// by a watch from that revision.
+    /// by a watch from that revision. An item that is not understood is left out.
     pub async fn range(
         &self,
         prefix: &str,
         timeout: Duration,
-    ) -> Result<(Vec<StoreItem>, u64), StoreError> {
+    ) -> Result<StorePage<StoreItem>, StoreError> {
         let mut items: Vec<StoreItem> = Vec::new();
+        let mut skipped = SkippedRows::default();
         let mut revision = None;
         loop {
-            let after = items.last().map(|i| format!("&after={}", i.key));
-            let path = format!("/-/kv-range?prefix={prefix}{}", after.unwrap_or_default());
+            let mut path = format!("/-/kv-range?prefix={prefix}");
+            if let Some(last) = items.last() {
+                path.push_str("&after=");
+                push_query_value(&mut path, &last.key);
+            }
             let reply = self.send(Method::GET, path, Vec::new(), timeout).await?;
             let (StatusCode::OK, body) = reply else {
                 return Err(StoreError::Unknown);
             };
-            let page: WirePage = parse(&body)?;
+            let page = parse_page(&body, &mut skipped)?;
             let first_revision = *revision.get_or_insert(page.store_revision);
-            let empty = page.items.is_empty();
+            let before = items.len();
             for item in page.items {
-                items.push(item.decode("")?);
+                match item.decode("") {
+                    Ok(item) => items.push(item),
+                    Err(reason) => skipped.add(reason),
+                }
             }
-            if !page.has_more || empty {
-                return Ok((items, first_revision));
+            if !page.has_more || items.len() == before {
+                return Ok(StorePage {
+                    items,
+                    revision: first_revision,
+                    skipped,
+                });
             }
         }
     }
 
     /// Waits up to `wait` for changes under a prefix after a revision; returns them with the
     /// revision for the next watch. The reply must come within `wait` and `grace`. Fails with
-    /// [`StoreError::Compacted`] if that history is gone.
+    /// [`StoreError::Compacted`] if that history is gone. A change that is not understood is left out.
     pub async fn watch(
         &self,
         prefix: &str,
         after: u64,
         wait: Duration,
         grace: Duration,
-    ) -> Result<(Vec<StoreChange>, u64), StoreError> {
+    ) -> Result<StorePage<StoreChange>, StoreError> {
         let wait_ms = wait.as_millis();
         let path = format!("/-/kv-watch?prefix={prefix}&after={after}&waitMs={wait_ms}");
         let body = Vec::new();
         let reply = self.send_with_pause(Method::GET, path, body, wait + grace, Some(grace));
         match reply.await? {
             (StatusCode::OK, body) => {
-                let page: WirePage = parse(&body)?;
-                let changes = page.items.into_iter().map(WireItem::into_change);
-                let changes: Vec<StoreChange> = changes.collect::<Result<_, _>>()?;
-                Ok((changes, page.store_revision.max(after)))
+                let mut skipped = SkippedRows::default();
+                let page = parse_page(&body, &mut skipped)?;
+                let mut items = Vec::new();
+                for item in page.items {
+                    match item.into_change() {
+                        Ok(change) => items.push(change),
+                        Err(reason) => skipped.add(reason),
+                    }
+                }
+                Ok(StorePage {
+                    items,
+                    revision: page.store_revision.max(after),
+                    skipped,
+                })
             }
             (StatusCode::GONE, _) => Err(StoreError::Compacted),
             _ => Err(StoreError::Unknown),
@@ -244,10 +279,9 @@
         match self.send(Method::POST, path, body, timeout).await? {
             (StatusCode::OK, body) => Ok(parse::<WireRevision>(&body)?.revision),
             (StatusCode::PRECONDITION_FAILED, body) => {
-                let page: WirePage = parse(&body)?;
-                let items = page.items.into_iter().map(|i| i.decode(""));
-                let items: Vec<StoreItem> = items.collect::<Result<_, _>>()?;
-                Err(StoreError::Conflict(items))
+                let page = parse_page(&body, &mut SkippedRows::default())?;
+                let items = page.items.into_iter().filter_map(|i| i.decode("").ok());
+                Err(StoreError::Conflict(items.collect()))
             }
             (StatusCode::NOT_FOUND, _) => Err(StoreError::LeaseNotFound),
             (
@@ -287,17 +321,18 @@
 }
 
 impl WireItem {
-    fn decode(self, key: &str) -> Result<StoreItem, StoreError> {
+    fn decode(self, key: &str) -> Result<StoreItem, String> {
+        let key = self.key.unwrap_or_else(|| key.to_owned());
         let text = self.value.unwrap_or_default();
-        let value = STANDARD.decode(text).map_err(|_| StoreError::Unknown)?;
+        let value = STANDARD.decode(text).map_err(|e| format!("{key}: {e}"))?;
         Ok(StoreItem {
-            key: self.key.unwrap_or_else(|| key.to_owned()),
+            key,
             value,
             revision: self.revision,
         })
     }
 
-    fn into_change(self) -> Result<StoreChange, StoreError> {
+    fn into_change(self) -> Result<StoreChange, String> {
         if self.removed {
             return Ok(StoreChange::Removed(self.key.unwrap_or_default()));
         }
@@ -305,6 +340,20 @@
     }
 }
 
+/// Parses a page; one that is not understood as a whole is parsed item by item.
+fn parse_page(body: &[u8], skipped: &mut SkippedRows) -> Result<WirePage<WireItem>, StoreError> {
+    if let Ok(page) = parse(body) {
+        return Ok(page);
+    }
+    let rows: WirePage<&RawValue> =
+        serde_json::from_slice(body).map_err(|_| StoreError::Unknown)?;
+    Ok(WirePage {
+        items: parse_rows(&rows.items, skipped),
+        has_more: rows.has_more,
+        store_revision: rows.store_revision,
+    })
+}
+
 fn parse<T: DeserializeOwned>(body: &[u8]) -> Result<T, StoreError> {
     serde_json::from_slice(body).map_err(|_| StoreError::Unknown)
 }
--- a/src/platform/wire_config.rs
+++ b/src/platform/wire_config.rs
@@ -6,26 +6,34 @@
 use {
     crate::{
         core::Resources,
-        fleet::{AdviceRule, FleetConfig, QueueRule, TenantRule},
-        platform::{PlatformError, settings::saturating_u64},
+        fleet::{AdviceRule, FleetConfig, QueueRule, SkippedRows, TenantRule},
+        platform::{PlatformError, settings::saturating_u64, wire_rows::parse_rows},
     },
     serde::Deserialize,
+    serde_json::value::RawValue,
     std::{collections::HashMap, sync::Arc},
 };
 
 /// Store key of the configuration in force.
 pub const CONFIG_KEY: &str = "op/config";
 
+/// Largest factor and fixed part of an objective that count, so that sums of them stay in range.
+const MAX_STRETCH_MILLI: u64 = 1_000_000;
+const MAX_OBJECTIVE_MS: u64 = 366 * 24 * 3_600 * 1_000;
+
 /// Maximum request body if the configuration states none, in bytes: the figure of the sites.
 const DEFAULT_MAX_BODY_BYTES: usize = 262_144;
 
+/// A configuration; routes and tenants are parsed one by one.
 #[derive(Deserialize)]
-struct WireConfig {
+struct WireConfig<'a> {
     version: u64,
-    routes: Vec<WireRoute>,
-    #[serde(default)]
-    tenants: Vec<WireTenant>,
-    limits: Option<WireLimits>,
+    #[serde(borrow)]
+    routes: Vec<&'a RawValue>,
+    #[serde(borrow, default)]
+    tenants: Vec<&'a RawValue>,
+    #[serde(borrow)]
+    limits: Option<&'a RawValue>,
 }
 
 #[derive(Deserialize)]
@@ -89,6 +97,12 @@
 }
 
 impl WireResources {
+    /// Returns whether each amount is one that a server can have.
+    pub(super) fn is_plausible(&self) -> bool {
+        let mut amounts = [self.cpu, self.mem_mb, self.gpu].into_iter();
+        amounts.all(|amount| (0.0..f64::from(u32::MAX)).contains(&amount))
+    }
+
     pub(super) fn to_resources(self) -> Resources {
         Resources {
             cpu_milli: ceil_u32(self.cpu),
@@ -104,14 +118,21 @@
     u32::try_from(saturating_u64(x.ceil())).unwrap_or(u32::MAX)
 }
 
-/// Parses a configuration; E5003 if it is not understood.
-pub fn config_from_bytes(bytes: &[u8]) -> Result<FleetConfig, PlatformError> {
-    let wire: WireConfig = serde_json::from_slice(bytes).map_err(|e| PlatformError::BadConfig {
-        message: e.to_string(),
-    })?;
+/// Parses a configuration; E5003 if it is not understood as a whole. Leaves out and counts the routes and
+/// tenants that are not understood.
+pub fn config_from_bytes(bytes: &[u8]) -> Result<(FleetConfig, SkippedRows), PlatformError> {
+    let wire: WireConfig<'_> =
+        serde_json::from_slice(bytes).map_err(|e| PlatformError::BadConfig {
+            message: e.to_string(),
+        })?;
+    let mut skipped = SkippedRows::default();
+    let routes: Vec<WireRoute> = parse_rows(&wire.routes, &mut skipped);
+    let wire_tenants: Vec<WireTenant> = parse_rows(&wire.tenants, &mut skipped);
+    let limits = wire.limits.map_or_else(Vec::new, |l| vec![l]);
+    let limits: Vec<Option<WireLimits>> = parse_rows(&limits, &mut skipped);
     let mut api_keys = HashMap::new();
     let mut tenants = HashMap::new();
-    for tenant in wire.tenants {
+    for tenant in wire_tenants {
         for key in tenant.api_keys {
             api_keys.insert(key, tenant.name.clone());
         }
@@ -121,14 +142,15 @@
         };
         tenants.insert(tenant.name, rule);
     }
-    let max_body_bytes = wire.limits.and_then(|l| l.body_bytes);
-    Ok(FleetConfig {
+    let max_body_bytes = limits.into_iter().flatten().find_map(|l| l.body_bytes);
+    let config = FleetConfig {
         version: wire.version,
-        queues: wire.routes.into_iter().map(queue_rule).collect(),
+        queues: routes.into_iter().map(queue_rule).collect(),
         tenants,
         api_keys,
         max_body_bytes: max_body_bytes.unwrap_or(DEFAULT_MAX_BODY_BYTES),
-    })
+    };
+    Ok((config, skipped))
 }
 
 fn queue_rule(route: WireRoute) -> Arc<QueueRule> {
@@ -144,8 +166,8 @@
         pool: route.service,
         priority: route.priority,
         max_attempts: route.max_attempts.unwrap_or(1).max(1),
-        stretch_milli: saturating_u64(route.stretch.unwrap_or(1.0) * 1000.0),
-        objective_ms: saturating_u64(route.slo_ms),
+        stretch_milli: saturating_u64(route.stretch.unwrap_or(1.0) * 1000.0).min(MAX_STRETCH_MILLI),
+        objective_ms: saturating_u64(route.slo_ms).min(MAX_OBJECTIVE_MS),
         advice,
         public: route.public,
     })
--- a/src/platform/wire_machine.rs
+++ b/src/platform/wire_machine.rs
@@ -5,12 +5,20 @@
 
 use {
     crate::{
-        fleet::{MachineId, MachineInfo, MachineRefusal, MachineReply, MachineState, WaveRequest},
-        platform::{PlatformError, settings::saturating_u64},
+        fleet::{
+            MachineId, MachineInfo, MachineRefusal, MachineReply, MachineState, SkippedRows,
+            WaveRequest,
+        },
+        platform::{
+            PlatformError,
+            settings::saturating_u64,
+            wire_rows::{parse_rows, push_query_value},
+        },
     },
     hyper::StatusCode,
     serde::{Deserialize, Serialize},
-    std::{collections::BTreeSet, fmt::Write, sync::Arc},
+    serde_json::value::RawValue,
+    std::{collections::BTreeSet, sync::Arc},
 };
 
 /// Prefix of the store keys that each request the maintenance of some machines.
@@ -84,24 +92,28 @@
     let mut path = MACHINES_PATH.to_owned();
     if let Some(token) = page_token {
         path.push_str("?pageToken=");
-        for byte in token.bytes() {
-            if byte.is_ascii_alphanumeric() || b"-._~".contains(&byte) {
-                path.push(char::from(byte));
-            } else {
-                let _ = write!(path, "%{byte:02X}");
-            }
-        }
+        push_query_value(&mut path, token);
     }
     path
 }
 
 #[derive(Deserialize)]
 #[serde(rename_all = "camelCase")]
-struct WireMachines {
-    machines: Vec<WireMachine>,
+struct WireMachines<'a> {
+    #[serde(borrow)]
+    machines: Vec<&'a RawValue>,
     next_token: Option<String>,
 }
 
+/// A page of the list of machines.
+#[derive(Clone, Debug)]
+pub struct MachinePage {
+    pub machines: Vec<MachineInfo>,
+    /// Token of the next page, if there is one.
+    pub next_token: Option<String>,
+    pub skipped: SkippedRows,
+}
+
 #[derive(Deserialize)]
 #[serde(rename_all = "camelCase")]
 struct WireMachine {
@@ -111,11 +123,13 @@
     id: Option<Arc<str>>,
 }
 
-/// Parses a page of the list; returns its machines and the token of the next page, if there is one.
-/// `None` if it is not understood.
-pub(super) fn machines_from_page(body: &[u8]) -> Option<(Vec<MachineInfo>, Option<String>)> {
-    let page: WireMachines = serde_json::from_slice(body).ok()?;
-    let machines = page.machines.into_iter().map(|m| MachineInfo {
+/// Parses a page of the list; `None` if it is not understood as a whole. Leaves out and counts machines
+/// that are not understood.
+pub(super) fn machines_from_page(body: &[u8]) -> Option<MachinePage> {
+    let page: WireMachines<'_> = serde_json::from_slice(body).ok()?;
+    let mut skipped = SkippedRows::default();
+    let machines: Vec<WireMachine> = parse_rows(&page.machines, &mut skipped);
+    let machines = machines.into_iter().map(|m| MachineInfo {
         id: m.machine_id,
         state: match &*m.state {
             "down" => MachineState::Down,
@@ -126,8 +140,11 @@
         },
         executor: m.id.filter(|id| !id.is_empty()),
     });
-    let next = page.next_token.filter(|t| !t.is_empty());
-    Some((machines.collect(), next))
+    Some(MachinePage {
+        machines: machines.collect(),
+        next_token: page.next_token.filter(|t| !t.is_empty()),
+        skipped,
+    })
 }
 
 #[derive(Serialize)]
--- a/standins/src/cell_executor.rs
+++ b/standins/src/cell_executor.rs
@@ -8,7 +8,8 @@
         core::{Millis, Resources},
         fleet::{
             CommandError, CommandReply, EndedRow, ExecutorCommand, ExecutorInfo, FleetConfig,
-            JobId, RenewReply, RunEnd, RunningRow, StartCommand, StepSpec, Submission, TaskId,
+            JobId, RenewReply, RunEnd, RunningRow, SkippedRows, StartCommand, StepSpec, Submission,
+            TaskId,
         },
     },
     std::{
@@ -321,6 +322,8 @@
             started_unix_ms: self.info.started_unix_ms,
             running: self.running.iter().map(row).collect(),
             ended: self.ended.iter().take(500).cloned().collect(),
+            skipped_ends: Vec::new(),
+            skipped: SkippedRows::default(),
         }
     }
 
--- a/standins/src/platform_store.rs
+++ b/standins/src/platform_store.rs
@@ -15,6 +15,9 @@
 /// Items of one page.
 const PAGE_ITEMS: usize = 500;
 
+/// Size of the values in base64 from which on a page takes no more items.
+const PAGE_BYTES: usize = 1 << 20;
+
 /// Status and body of a reply.
 pub type StoreReply = (u16, Value);
 
@@ -118,12 +121,17 @@
         let mut rows = rows
             .take_while(|(k, _)| k.starts_with(prefix))
             .filter(|(k, _)| k.as_str() > after);
-        let items: Vec<Value> = rows
-            .by_ref()
-            .take(PAGE_ITEMS)
-            .map(|(k, i)| item_row(k, i))
-            .collect();
-        let has_more = rows.next().is_some();
+        let mut items: Vec<Value> = Vec::new();
+        let mut bytes = 0;
+        let mut has_more = false;
+        for (key, item) in rows.by_ref() {
+            if items.len() == PAGE_ITEMS || bytes >= PAGE_BYTES {
+                has_more = true;
+                break;
+            }
+            bytes += item.value.len();
+            items.push(item_row(key, item));
+        }
         let revision = self.revision;
         (
             200,
--- a/standins/src/soak.rs
+++ b/standins/src/soak.rs
@@ -226,6 +226,24 @@
     }
 }
 
+/// Returns a configuration in which the first queue has this pool.
+pub fn sample_config(version: u64, pool: &str) -> Vec<u8> {
+    let route = |name: &str, pool: &str| {
+        json!({
+            "name": name, "host": HOST, "prefix": format!("/{name}/"), "service": pool,
+            "sloMs": 500, "priority": 1, "maxAttempts": 30, "stretch": 2.0, "public": true,
+        })
+    };
+    let config = json!({
+        "version": version,
+        "routes": [route(QUEUES[0], pool), route(QUEUES[1], POOLS[2])],
+        "services": [],
+        "tenants": [],
+        "limits": {"bodyBytes": 100_000},
+    });
+    config.to_string().into_bytes()
+}
+
 /// Ends a fault when it is dropped.
 struct FaultGuard<'a>(&'a PlatformHost, usize);
 
@@ -257,20 +275,7 @@
     /// Writes a configuration in which the first queue has this pool.
     fn configure(&self, pool: &str) {
         let version = self.config_version.fetch_add(3, Ordering::Relaxed) + 1;
-        let route = |name: &str, pool: &str| {
-            json!({
-                "name": name, "host": HOST, "prefix": format!("/{name}/"), "service": pool,
-                "sloMs": 500, "priority": 1, "maxAttempts": 30, "stretch": 2.0, "public": true,
-            })
-        };
-        let config = json!({
-            "version": version,
-            "routes": [route(QUEUES[0], pool), route(QUEUES[1], POOLS[2])],
-            "services": [],
-            "tenants": [],
-            "limits": {"bodyBytes": 100_000},
-        });
-        self.host.put("op/config", config.to_string().as_bytes());
+        self.host.put("op/config", &sample_config(version, pool));
     }
 
     /// Returns the owner, or the latest one while there is none.
--- a/standins/src/soak_clients.rs
+++ b/standins/src/soak_clients.rs
@@ -155,6 +155,12 @@
         false
     }
 
+    /// Submits a job once, to one node; returns the status of the reply.
+    pub async fn submit_to(&self, node: usize, id: &str, job: &JobRecord) -> Option<StatusCode> {
+        let reply = self.send(node, Method::POST, job.queue, id, job_body(job));
+        reply.await.map(|(status, _)| status)
+    }
+
     async fn cancel(&self, id: &str, queue: &str, rng: &mut SmallRng) {
         self.journal.update_job(id, |j| j.cancelled = true);
         for _ in 0..MAX_ATTEMPTS {
--- a/tests/platform.rs
+++ b/tests/platform.rs
@@ -32,7 +32,7 @@
         "stretch":1.5,"advice":{"decideMs":17.0,"eachMs":0.24,"validMs":2000},"public":false}],
         "services":[],"limits":{"bodyBytes":1000},
         "tenants":[{"name":"t","apiKeys":["k1"],"weight":10,"cap":{"cpu":1000,"gpu":2}}]}"#;
-    let config = config_from_bytes(text.as_bytes()).expect("configuration");
+    let (config, _) = config_from_bytes(text.as_bytes()).expect("configuration");
     insta::assert_debug_snapshot!((
         config.version,
         &config.queues,
@@ -48,7 +48,7 @@
     };
     let routes = [route("short", "/a/"), route("long", "/a/b/")].join(",");
     let text = format!(r#"{{"version":1,"routes":[{routes}]}}"#);
-    let config = config_from_bytes(text.as_bytes()).expect("configuration");
+    let (config, _) = config_from_bytes(text.as_bytes()).expect("configuration");
     let found = |path| {
         config
             .queue_for_request("h", path)
--- a/tests/succession.rs
+++ b/tests/succession.rs
@@ -6,8 +6,8 @@
         fleet::{
             Cell, CellEffect, CellEvent, CommandError, CommandReply, EndedRow, ExecutorCommand,
             ExecutorId, ExecutorInfo, FleetConfig, JobId, JobRecord, Now, RecoveredState,
-            RenewCommand, RenewReply, RosterEntry, RunEnd, RunningRow, Schedule, StartCommand,
-            StepId, Submission, TaskId, TenantRule,
+            RenewCommand, RenewReply, RosterEntry, RunEnd, RunningRow, Schedule, SkippedRows,
+            StartCommand, StepId, Submission, TaskId, TenantRule,
         },
     },
     standins::{
@@ -160,6 +160,8 @@
         started_unix_ms: Some(born),
         running,
         ended,
+        skipped_ends: Vec::new(),
+        skipped: SkippedRows::default(),
     }
 }
 
