--- a/examples/soak.rs
+++ b/examples/soak.rs
@@ -17,7 +17,7 @@
 
 const HELP: &str = "\
 Usage: soak [--seeds FIRST..LAST] [--seconds N] [--nodes N] [--executors N] [--parallel N]
-            [--only KIND,...] [--keep DIR] [--daemon FILE]
+            [--only KIND,...] [--keep DIR] [--daemon FILE] [--upgrade-from FILE] [--large PERCENT]
 
   --seeds FIRST..LAST  seeds, the last one included (1..1)
   --seconds N          time with faults (40)
@@ -27,6 +27,8 @@
   --only KIND,...      kinds of faults, as in `standins::soak::FAULTS` (all)
   --keep DIR           folder for the logs of seeds that broke a rule
   --daemon FILE        the daemon (beside the folder of this program)
+  --upgrade-from FILE  daemon of an earlier version; its nodes are replaced one by one
+  --large PERCENT      part of the jobs with thousands of tasks (0)
 ";
 
 type SoakError = Box<dyn Error + Send + Sync>;
@@ -42,6 +44,8 @@
     only: Vec<String>,
     keep: Option<PathBuf>,
     daemon: PathBuf,
+    upgrade_from: Option<PathBuf>,
+    large_percent: u32,
 }
 
 impl Options {
@@ -69,6 +73,8 @@
             only: only.collect(),
             keep: args.opt_value_from_str("--keep")?,
             daemon: daemon.or(beside).unwrap_or_default(),
+            upgrade_from: args.opt_value_from_str("--upgrade-from")?,
+            large_percent: args.opt_value_from_str("--large")?.unwrap_or(0),
         };
         if !options.daemon.is_file() {
             return Err("no daemon; build it first: cargo build --release".into());
@@ -124,7 +130,11 @@
         let mut soak = Soak::new(seed, &options.daemon, &folder)
             .nodes(options.nodes)
             .executors(options.executors)
-            .fault_time(Duration::from_secs(options.seconds));
+            .fault_time(Duration::from_secs(options.seconds))
+            .large_percent(options.large_percent);
+        if let Some(daemon) = &options.upgrade_from {
+            soak = soak.upgrade_from(daemon);
+        }
         if !only.is_empty() {
             soak = soak.only(&only);
         }
--- a/standins/src/soak.rs
+++ b/standins/src/soak.rs
@@ -87,6 +87,10 @@
     executors: usize,
     fault_ms: Millis,
     faults: Vec<(&'static str, u32)>,
+    /// Program of an earlier version with which all nodes start; they are replaced one by one.
+    upgrade_from: Option<PathBuf>,
+    /// Part of the jobs that are large, in percent.
+    large_percent: u32,
 }
 
 /// What a soak did and which rules were broken.
@@ -137,9 +141,26 @@
             executors: 24,
             fault_ms: 20_000,
             faults: FAULTS.to_vec(),
+            upgrade_from: None,
+            large_percent: 0,
         }
     }
 
+    /// Starts all nodes with this program, of an earlier version, and replaces one after the other during
+    /// the time with faults.
+    #[must_use]
+    pub fn upgrade_from(mut self, daemon: &Path) -> Self {
+        self.upgrade_from = Some(daemon.to_owned());
+        self
+    }
+
+    /// Sets the part of the jobs that are large, in percent.
+    #[must_use]
+    pub fn large_percent(mut self, percent: u32) -> Self {
+        self.large_percent = percent;
+        self
+    }
+
     /// Sets the number of nodes, at most 250.
     #[must_use]
     pub fn nodes(mut self, nodes: usize) -> Self {
@@ -170,7 +191,8 @@
 
     /// Runs the soak; writes `report.txt` into the folder.
     pub async fn run(self) -> io::Result<SoakReport> {
-        let nodes = SoakNodes::new(&self.daemon, &self.folder, self.nodes)?;
+        let first_daemon = self.upgrade_from.as_ref().unwrap_or(&self.daemon);
+        let nodes = SoakNodes::new(first_daemon, &self.folder, self.nodes)?;
         let peers = (0..self.nodes).map(|n| nodes.addresses(n).peer).collect();
         let place = |i: usize| (pool_of(i), ZONES[i / 3 % 3]);
         let places: Vec<_> = (0..self.executors).map(place).collect();
@@ -189,7 +211,7 @@
             stage.nodes.configure(node, store)?;
             stage.nodes.start(node)?;
         }
-        let client = stage.client();
+        let client = stage.client().large_percent(self.large_percent);
         let stop = Arc::new(AtomicBool::new(false));
         // Half of the executors' capacity at the mean size of jobs.
         let per_second = f64::from(u32::try_from(self.executors).unwrap_or(24)) / 8.0;
@@ -199,6 +221,9 @@
         for lane in 0..LANES {
             lanes.spawn(stage.clone().run_lane(self.seed * LANES + lane));
         }
+        if self.upgrade_from.is_some() {
+            lanes.spawn(stage.clone().upgrade(self.daemon.clone(), self.fault_ms));
+        }
         lanes.join_all().await;
         stage.lift_faults()?;
         stop.store(true, Ordering::Relaxed);
@@ -310,6 +335,17 @@
         self.pause(ms).await;
     }
 
+    /// Replaces the program of one node after the other, evenly over the time with faults.
+    async fn upgrade(self: Arc<Self>, daemon: PathBuf, fault_ms: Millis) {
+        let count = self.nodes.count();
+        let interval_ms = fault_ms / (count as u64 + 1);
+        for node in 0..count {
+            self.pause(interval_ms).await;
+            self.nodes.set_daemon(node, &daemon);
+            self.terminate(node, 200).await;
+        }
+    }
+
     async fn run_lane(self: Arc<Self>, seed: u64) {
         let mut rng = SmallRng::seed_from_u64(seed);
         while self.host.now() < self.faults_until {
--- a/standins/src/soak_clients.rs
+++ b/standins/src/soak_clients.rs
@@ -44,6 +44,8 @@
     nodes: Arc<[SocketAddr]>,
     journal: Arc<RunJournal>,
     started_at: Instant,
+    /// Part of the jobs that are large, in percent.
+    large_percent: u32,
 }
 
 impl SoakClient {
@@ -55,9 +57,17 @@
             nodes,
             journal,
             started_at,
+            large_percent: 0,
         }
     }
 
+    /// Sets the part of the jobs that are large, in percent.
+    #[must_use]
+    pub fn large_percent(mut self, percent: u32) -> Self {
+        self.large_percent = percent;
+        self
+    }
+
     fn now(&self) -> Millis {
         Millis::try_from(self.started_at.elapsed().as_millis()).unwrap_or(Millis::MAX)
     }
@@ -95,7 +105,12 @@
             let pause = rng.random_range(0.2..1.8) / per_second;
             tokio::time::sleep(Duration::from_secs_f64(pause)).await;
             let id = format!("{:016x}", rng.random::<u64>());
-            let job = random_job(&mut rng);
+            let large = self.large_percent > 0 && rng.random_range(0..100) < self.large_percent;
+            let job = if large {
+                large_job(&mut rng)
+            } else {
+                random_job(&mut rng)
+            };
             let seed = rng.random();
             tokio::spawn(self.clone().follow(id, job, seed, stop.clone()));
         }
@@ -219,6 +234,24 @@
     }
 }
 
+/// Returns a job of which no version before the sparse progress record can store the progress.
+fn large_job(rng: &mut SmallRng) -> JobRecord {
+    let step = StepPlan {
+        count: rng.random_range(4_100..4_400),
+        run_ms: rng.random_range(20..60),
+        after_previous: false,
+        allow_duplicates: false,
+        persistent: false,
+    };
+    JobRecord {
+        queue: QUEUES[0],
+        steps: vec![step],
+        accepted_at: None,
+        cancelled: false,
+        completed_at: None,
+    }
+}
+
 fn job_body(job: &JobRecord) -> String {
     let steps = job.steps.iter().enumerate().map(|(number, step)| {
         let mut row = json!({
--- a/standins/src/soak_nodes.rs
+++ b/standins/src/soak_nodes.rs
@@ -44,7 +44,8 @@
 
 /// Node processes, by number.
 pub struct SoakNodes {
-    daemon: PathBuf,
+    /// Program of each node, from its next start on.
+    daemons: Vec<Mutex<PathBuf>>,
     folder: PathBuf,
     addresses: Vec<NodeAddresses>,
     children: Vec<Mutex<Option<Child>>>,
@@ -69,7 +70,7 @@
             }
         });
         Ok(Self {
-            daemon: daemon.to_owned(),
+            daemons: (0..count).map(|_| Mutex::new(daemon.to_owned())).collect(),
             folder: folder.to_owned(),
             addresses: addresses.collect(),
             children: (0..count).map(|_| Mutex::new(None)).collect(),
@@ -111,6 +112,19 @@
         self.folder.join(format!("node-{node}.toml"))
     }
 
+    /// Sets the program of a node from its next start on.
+    pub fn set_daemon(&self, node: usize, daemon: &Path) {
+        daemon.clone_into(&mut lock(&self.daemons[node]));
+    }
+
+    /// Returns the most memory that a node's process has used, in KiB; `None` if it does not run.
+    pub fn peak_memory_kib(&self, node: usize) -> Option<u64> {
+        let id = lock(&self.children[node]).as_ref().map(Child::id)?;
+        let status = fs::read_to_string(format!("/proc/{id}/status")).ok()?;
+        let line = status.lines().find_map(|l| l.strip_prefix("VmHWM:"))?;
+        line.split_whitespace().next()?.parse().ok()
+    }
+
     /// Starts a node unless it runs.
     pub fn start(&self, node: usize) -> io::Result<()> {
         let mut child = lock(&self.children[node]);
@@ -119,7 +133,7 @@
         }
         let path = self.folder.join(format!("node-{node}.log"));
         let log = File::options().create(true).append(true).open(path)?;
-        let started = Command::new(&self.daemon)
+        let started = Command::new(&*lock(&self.daemons[node]))
             .arg("--platform")
             .env(
                 dragonflyferry::platform::SETTINGS_VARIABLE,
