Let large jobs take what other jobs of their priority leave

Seen by the new test with real daemons: a usual job that is handed in right after large ones of the same queue stayed pending for 20 s. Once past three times their objective, jobs go by due time alone, so that a job of millions of tasks kept those behind it from ever starting.

Change: within a priority, jobs with more than 4,096 tasks due go last (Rank::large). Other jobs are ranked as before.

Measured: tests/large_jobs.rs, daemons_bear_many_large_jobs_and_a_change_of_owner failed before (pending for 20 s) and passes; it also bounds the memory of each daemon to half of a VM's under 120 large jobs and a change of owner.

--- a/src/fleet/cell_plan.rs
+++ b/src/fleet/cell_plan.rs
@@ -106,6 +106,7 @@
         for job in self.jobs.values().filter(|j| j.end.is_none()) {
             let age = now.mono.saturating_sub(job.received_at);
             let objective = job.due - job.received_at;
+            let large = job.has_large_backlog();
             for (key, step) in &job.steps {
                 if step.has_waiting() && job.dependencies_done(key.0, key.1) {
                     let rank = Rank::new(&WaitingJob {
@@ -117,6 +118,7 @@
                         begun: job.start_sent,
                         over_rate: job.over_rate,
                         persistent: job.submission.spec.is_persistent(),
+                        large,
                     });
                     let step = job.step_id(*key);
                     list.push(Candidate { rank, step });
--- a/src/fleet/job.rs
+++ b/src/fleet/job.rs
@@ -8,7 +8,8 @@
         core::Millis,
         fleet::{
             BlockReason, ExecutorId, IndexSet, JobEnd, JobProgress, QueueRule, RunNumber, StepId,
-            StepProgress, StepSpec, Submission, TaskId, TaskProgress, policy,
+            StepProgress, StepSpec, Submission, TaskId, TaskProgress, job_spec::MAX_DENSE_TASKS,
+            policy,
         },
     },
     std::{
@@ -483,6 +484,13 @@
             .is_some_and(|spec| spec.depends_on.iter().all(ends_soon))
     }
 
+    /// Returns whether more of its tasks are due and not done than a job has that is not large.
+    pub fn has_large_backlog(&self) -> bool {
+        let open = self.steps.values();
+        let open = open.map(|s| u64::from(s.count.saturating_sub(s.done_count())));
+        self.large && open.sum::<u64>() > MAX_DENSE_TASKS
+    }
+
     /// Returns whether every occurrence was added and every step is done.
     pub fn is_complete(&self) -> bool {
         self.next_due_unix_ms().is_none() && self.steps.values().all(Step::is_complete)
--- a/src/fleet/job_spec.rs
+++ b/src/fleet/job_spec.rs
@@ -94,7 +94,7 @@
 const MAX_ESTIMATE_MS: Millis = 366 * 24 * 3_600 * 1_000;
 
 /// Tasks of all occurrences up to which a job is not large: a state for each fits into one value.
-const MAX_DENSE_TASKS: u64 = 4_096;
+pub(super) const MAX_DENSE_TASKS: u64 = 4_096;
 
 impl JobSpec {
     /// Returns why the job cannot be served, if it exceeds a limit; `None` if it does not.
--- a/src/fleet/policy/order.rs
+++ b/src/fleet/policy/order.rs
@@ -31,6 +31,7 @@
             expired: timeliness == Timeliness::Expired,
             priority: effective_priority(job.priority, job.over_rate),
             over_rate: job.over_rate,
+            large: job.large,
             timeliness,
             unbegun: job.priority != URGENT && !job.begun,
             due: job.due,
@@ -86,6 +87,10 @@
 
 /// Facts of a job with a waiting step. Times are in ms.
 #[derive(Clone, Copy, Debug)]
+#[expect(
+    clippy::struct_excessive_bools,
+    reason = "independent facts, each documented"
+)]
 pub struct WaitingJob {
     /// Time since it was received.
     pub age: Millis,
@@ -103,16 +108,22 @@
     pub over_rate: bool,
     /// It runs until it is cancelled, so it is never late.
     pub persistent: bool,
+    /// Thousands of its tasks or more are due and not done.
+    pub large: bool,
 }
 
 /// Position of a step in the order of waiting work; the smaller rank is placed first.
 ///
 /// Matters when the pool is full. Fields compare in the order of declaration: expired jobs go
 /// last, urgent queues before less urgent ones, and jobs over their tenant's rate after those
-/// within it. Within a priority, jobs in time go before late ones, patient jobs that have begun
+/// within it. Within a priority, large jobs take what others leave, jobs in time go before late ones, patient jobs that have begun
 /// before those that have not, and then the earliest due first. A late urgent job still goes before
 /// less urgent work, since its objective is based on a rough estimate.
 #[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
+#[expect(
+    clippy::struct_excessive_bools,
+    reason = "independent facts, each documented"
+)]
 pub struct Rank {
     /// Whether `timeliness` is [`Timeliness::Expired`].
     pub expired: bool,
@@ -120,6 +131,9 @@
     pub priority: u32,
     /// Beyond the tenant's permitted rate of jobs.
     pub over_rate: bool,
+    /// Thousands of the job's tasks or more are due, which take all room for longer than other jobs may
+    /// wait.
+    pub large: bool,
     pub timeliness: Timeliness,
     /// A patient job no task of which was started.
     pub unbegun: bool,
--- a/standins/src/soak_clients.rs
+++ b/standins/src/soak_clients.rs
@@ -176,6 +176,12 @@
         reply.await.map(|(status, _)| status)
     }
 
+    /// Sends a body as a job's submission once, to one node; returns the status of the reply.
+    pub async fn submit_body(&self, node: usize, id: &str, body: String) -> Option<StatusCode> {
+        let reply = self.send(node, Method::POST, QUEUES[0], id, body);
+        reply.await.map(|(status, _)| status)
+    }
+
     async fn cancel(&self, id: &str, queue: &str, rng: &mut SmallRng) {
         self.journal.update_job(id, |j| j.cancelled = true);
         for _ in 0..MAX_ATTEMPTS {
--- a/tests/large_jobs.rs
+++ b/tests/large_jobs.rs
@@ -15,10 +15,23 @@
     standins::{
         CellWorld,
         cell_sample::{job, step, world},
+        platform_host::PlatformHost,
+        run_journal::{JobRecord as JobPlan, StepPlan},
+        soak::sample_config,
+        soak_clients::{QUEUES, SoakClient},
+        soak_nodes::SoakNodes,
+    },
+    std::{
+        collections::BTreeSet,
+        path::Path,
+        sync::Arc,
+        time::{Duration, Instant},
     },
-    std::{collections::BTreeSet, sync::Arc},
 };
 
+/// Memory of a VM at the sites, in KiB.
+const MEMORY_LIMIT_KIB: u64 = 260 * 1_024;
+
 /// First id of the jobs of moderate size.
 const FIRST_USUAL: u64 = 1_000;
 
@@ -124,6 +137,21 @@
     assert_eq!(world.violations, Vec::<String>::new());
 }
 
+/// Guards against jobs that wait behind large ones of the same queue, which are never done.
+#[test]
+fn usual_jobs_do_not_wait_behind_large_ones_of_their_queue() {
+    let mut world = world(6, 6);
+    for id in 1..=30 {
+        world.submit(job(id, "urgent", vec![step(5_000_000, 1_000, 100)]));
+        world.submit(scheduled(100 + id, u32::MAX, vec![step(1_000, 1_000, 100)]));
+    }
+    let usual = submit_usual(&mut world, 60);
+    world.run(6_000);
+    assert_completed(&world, &usual);
+    let started = world.first_start.keys().filter(|id| id.0 < FIRST_USUAL);
+    assert!(started.count() > 0);
+}
+
 /// Guards against occurrences that are kept once they are done, here and in the store.
 #[test]
 fn occurrences_are_done_in_turn_and_each_once() {
@@ -259,6 +287,101 @@
     assert!(long.spec.critical_path_ms() > 0);
 }
 
+/// Returns the plan of a job with one step, for the executors.
+fn plan(count: u32, run_ms: Millis) -> JobPlan {
+    JobPlan {
+        queue: QUEUES[0],
+        steps: vec![StepPlan {
+            count,
+            run_ms,
+            after_previous: false,
+            allow_duplicates: false,
+            persistent: false,
+        }],
+        accepted_at: None,
+        cancelled: false,
+        completed_at: None,
+    }
+}
+
+async fn assert_served(client: &SoakClient, host: &PlatformHost, ids: std::ops::Range<u64>) {
+    for id in ids.map(|id| format!("{id:016x}")) {
+        host.journal.add_job(&id, plan(2, 100));
+        let started_at = Instant::now();
+        let mut state = None;
+        while state.as_deref() != Some("completed") {
+            assert!(
+                started_at.elapsed() < Duration::from_secs(20),
+                "{id} {state:?}"
+            );
+            client.submit_to(1, &id, &plan(2, 100)).await;
+            tokio::time::sleep(Duration::from_millis(100)).await;
+            state = client.ask(1, &id, QUEUES[0]).await;
+        }
+    }
+}
+
+/// Guards against daemons that exceed their memory, or serve nobody else, once many large jobs are
+/// accepted, also after a change of owner.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn daemons_bear_many_large_jobs_and_a_change_of_owner() {
+    let folder = std::env::temp_dir().join(format!("dff-large-{}", std::process::id()));
+    let daemon = Path::new(env!("CARGO_BIN_EXE_dragonflyferryd"));
+    let nodes = SoakNodes::new(daemon, &folder, 3).expect("nodes");
+    let peers = (0..3).map(|n| nodes.addresses(n).peer).collect();
+    let host = PlatformHost::start(1, peers, &[("a", "z0"); 6]);
+    host.put("op/config", &sample_config(1, "a"));
+    for node in 0..3 {
+        let store = host.store_address(node).expect("address");
+        nodes.configure(node, store).expect("settings");
+        nodes.start(node).expect("daemon");
+    }
+    let callers = (0..3).map(|n| nodes.addresses(n).caller).collect();
+    let client = SoakClient::new(callers, host.journal.clone(), host.started_at);
+    assert_served(&client, &host, 1..3).await;
+    let accept = async |id: u64, body: String| {
+        let id = format!("{id:016x}");
+        host.journal.add_job(&id, plan(u32::MAX, 100));
+        let mut status = None;
+        for _ in 0..50 {
+            status = client.submit_body(1, &id, body.clone()).await;
+            if status.is_some_and(|s| s.is_success()) {
+                return;
+            }
+            tokio::time::sleep(Duration::from_millis(100)).await;
+        }
+        panic!("{id}: {status:?}");
+    };
+    for id in (100..400).step_by(10) {
+        let step = r#""cpu":1000,"memMb":100,"estimateMs":100,"checkpoints":true"#;
+        accept(id, format!(r#"{{"steps":[{{"count":5000000,{step}}}]}}"#)).await;
+        let large = r#"{"count":4000000000,"cpu":9000000,"memMb":100}"#;
+        accept(id + 1, format!(r#"{{"steps":[{large}]}}"#)).await;
+        let scheduled = format!(r#""repeatCount":4000000000,"steps":[{{"count":1000,{step}}}]"#);
+        accept(id + 2, format!("{{{scheduled}}}")).await;
+        accept(
+            id + 3,
+            format!(r#"{{"steps":[{{"count":4096,"gang":true,{step}}}]}}"#),
+        )
+        .await;
+    }
+    assert_served(&client, &host, 1_000..1_005).await;
+    let memory = |node| nodes.peak_memory_kib(node).expect("a live process");
+    let peaks: Vec<u64> = (0..3).map(memory).collect();
+    let owner = host.owner().expect("an owner");
+    nodes.kill(owner);
+    nodes.start(owner).expect("daemon");
+    assert_served(&client, &host, 2_000..2_005).await;
+    let later: Vec<u64> = (0..3).map(memory).collect();
+    let max_kib = MEMORY_LIMIT_KIB / 2;
+    let all = peaks.iter().chain(&later);
+    assert!(
+        all.clone().all(|kib| *kib < max_kib),
+        "{peaks:?} {later:?} KiB"
+    );
+    let _ = std::fs::remove_dir_all(&folder);
+}
+
 proptest! {
     #[test]
     fn an_index_set_holds_what_was_inserted(ranges in prop::collection::vec((0u32..200, 0u32..20), 0..40)) {
--- a/tests/policy.rs
+++ b/tests/policy.rs
@@ -216,6 +216,7 @@
     begun: false,
     over_rate: false,
     persistent: false,
+    large: false,
 };
 
 #[test]
