Log what a new owner waits for, and what the last one knew

The logs could not tell which executor held up which job, how long the takeover lasted, or what the earlier owner knew of the executors that were about to exit.

245 TakeoverWait names once a second the unread executors, the time until their leases have expired and the jobs that wait; 246 OwnerStopping what a stopping owner knew; 247 TakeoverEnded when the last executor was read. The reason is cleared then. No decision changes.

cargo test: takeover, succession, departures, docs, story pass.

--- a/src/entry/owner.rs
+++ b/src/entry/owner.rs
@@ -188,6 +188,8 @@
     shared.log_event(FleetEvent::OwnerClaimed, &format!("token={token}"));
     task.serve(&mut rx).await;
     shared.set_local_owner(None);
+    let known = task.cell.describe_stop(clock::now());
+    shared.log_event(FleetEvent::OwnerStopping, &format!("token={token} {known}"));
     shared.log_event(FleetEvent::OwnerLost, &format!("token={token}"));
     task.tasks.shutdown().await;
     Ok(())
--- a/src/fleet/cell.rs
+++ b/src/fleet/cell.rs
@@ -13,6 +13,7 @@
             INCARNATIONS_PER_OWNER, Job, JobEnd, JobId, QueueRule, RecoveredState, RosterEntry,
             StepId, TaskId, UpkeepPlan,
             cell_jobs::JobOrigin,
+            cell_takeover::WAIT_LOG_INTERVAL_MS,
             job::RUN_NUMBERS_PER_OWNER,
             policy::{self, AdviceYield},
             run_log::{EndedRun, StartedRun},
@@ -100,7 +101,7 @@
 const MAX_LOGGED_IDS: usize = 20;
 
 /// Formats ids for a log line: their number and the first of them, without spaces.
-fn list_ids<'a>(ids: impl IntoIterator<Item = &'a ExecutorId>) -> String {
+pub(super) fn list_ids<'a>(ids: impl IntoIterator<Item = &'a ExecutorId>) -> String {
     let ids: Vec<&str> = ids.into_iter().map(|id| &**id).collect();
     let named = &ids[..ids.len().min(MAX_LOGGED_IDS)];
     let more = if ids.len() > named.len() { ",..." } else { "" };
@@ -132,6 +133,10 @@
     pub unreconciled: HashSet<ExecutorId>,
     /// When this owner took over.
     pub took_over_at: Millis,
+    /// Earliest next log line of jobs that wait for unread executors, in ms on the monotonic clock.
+    pub(super) next_wait_log_at: Millis,
+    /// Whether the end of the takeover was logged.
+    pub(super) takeover_ended: bool,
     /// Jobs whose record is being read, as an executor named them and they are not known.
     pub(super) job_reads: HashSet<JobId>,
     /// Leases that earlier owners granted on executors which were not opened since.
@@ -196,6 +201,8 @@
             pending_cancels: HashMap::new(),
             unreconciled: HashSet::new(),
             took_over_at: now.mono,
+            next_wait_log_at: now.mono + WAIT_LOG_INTERVAL_MS,
+            takeover_ended: false,
             job_reads: HashSet::new(),
             earlier_leases: EarlierLeases::new(
                 token,
@@ -355,30 +362,10 @@
         (self.token - 1) * RUN_NUMBERS_PER_OWNER
     }
 
-    /// Stops waiting for executors on which every lease has expired, those of earlier owners and of
-    /// this one: nothing runs there, and ends that were not read bind nobody.
-    fn give_up_unreachable(&mut self, now: Now) {
-        let (executors, grace) = (&self.executors, self.bounds.kill_grace_ms);
-        let earlier = &self.earlier_leases;
-        let expired = |id: &ExecutorId| {
-            let executor = executors.get(id);
-            now.mono >= earlier.expired_at(id)
-                && executor.is_none_or(|e| e.leases_expired(now.mono, grace))
-        };
-        let given_up: Vec<ExecutorId> = self.unreconciled.extract_if(expired).collect();
-        if !given_up.is_empty() {
-            self.log(
-                FleetEvent::ExecutorSilent,
-                format!(
-                    "leases of earlier owners expired; unreachable={}",
-                    list_ids(&given_up)
-                ),
-            );
-        }
-    }
-
     fn tick(&mut self, now: Now) {
         self.give_up_unreachable(now);
+        self.log_takeover_wait(now);
+        self.log_takeover_end(now);
         self.drop_finished_jobs();
         self.drop_closed_suspects();
         self.unlist_missing(now);
--- a/src/fleet/event.rs
+++ b/src/fleet/event.rs
@@ -423,11 +423,14 @@
     ExecutorDraining,
     ExecutorCrashed,
     TaskGivenUp,
+    TakeoverWait,
+    OwnerStopping,
+    TakeoverEnded,
 }
 
 impl FleetEvent {
     /// All events, in the order of their numbers.
-    pub const ALL: [Self; 45] = [
+    pub const ALL: [Self; 48] = [
         Self::NodeStarted,
         Self::NodeStopping,
         Self::SettingsReloaded,
@@ -473,6 +476,9 @@
         Self::ExecutorDraining,
         Self::ExecutorCrashed,
         Self::TaskGivenUp,
+        Self::TakeoverWait,
+        Self::OwnerStopping,
+        Self::TakeoverEnded,
     ];
 
     /// Returns the event with this catalogue number; `None` if there is none.
--- a/src/fleet/mod.rs
+++ b/src/fleet/mod.rs
@@ -34,6 +34,7 @@
 mod cell_run_ends;
 mod cell_runs;
 mod cell_summary;
+mod cell_takeover;
 mod cell_upkeep;
 mod commit_queue;
 mod crash_watch;
--- a/src/report/owner_gaps.rs
+++ b/src/report/owner_gaps.rs
@@ -115,5 +115,6 @@
             | FleetEvent::RunStarted
             | FleetEvent::StepAdvised
             | FleetEvent::TakeoverRead
+            | FleetEvent::TakeoverWait
     )
 }
