Test that a planned stop does not hold up a task for an executor that ran nothing

A new owner starts no recovered task until the leases of every executor of the roster that it has not read have expired, whatever ran there. The test fails a persistent task, stops the owner as planned and lets a drained executor exit before the next owner opens it.

CellWorld::hand_over() is replace_owner() for now.

--- a/standins/src/cell_executor.rs
+++ b/standins/src/cell_executor.rs
@@ -250,6 +250,14 @@
         self.closed_runs.insert(task, run.run);
     }
 
+    /// Fails what runs here.
+    pub fn fail_runs(&mut self) {
+        let tasks: Vec<TaskId> = self.running.keys().copied().collect();
+        for task in tasks {
+            self.end(task, RunEnd::Failed);
+        }
+    }
+
     /// Executes a command. A run that it starts will fail if `fails` is set.
     pub fn handle_command(
         &mut self,
--- a/standins/src/cell_world.rs
+++ b/standins/src/cell_world.rs
@@ -283,6 +283,11 @@
         self.former.pop();
     }
 
+    /// Stops the owner as planned, and has the next one take over.
+    pub fn hand_over(&mut self) {
+        self.replace_owner();
+    }
+
     /// Like [`Self::replace_owner`], but the replaced owner lives on.
     pub fn add_owner(&mut self) {
         let token = self.cell.token + 1;
