Let an unread executor hold up only what it may run

Cause: a new owner started no recovered task while any executor of the roster was unread, for a full lease, as nothing durable said what ran there. The stopping owner knew it and left nothing. The class of fault: a local doubt stops everything, and knowledge is dropped at a planned end.

The record `c/waits` named the executors on which its writer grants no lease. It now also names the tasks that may run on each: for executors that an owner has not reached, once a second as before; at a planned stop for all of them, after the owner has sent its last start and renewal. Runs on executors that are about to exit are stopped first, for at most 1 s. A recovered task waits only for unread executors that may run it, or of which that is not known; caps count what may run there instead of the whole executor. As before, a record counts only for the owner that directly follows its writer. Earlier versions read the part that they know.

Nothing can start twice by it: starts without a reply, stops, runs of unknown jobs and ends that are not durable all count as possible runs, the commit needs the epoch of the writer, and the writer neither starts nor renews after it has decided what the record says.

handover::a_task_without_a_run_does_not_wait_for_an_executor_that_exited_around_a_planned_stop failed before: 6,353 ms from the claim to the start, bound 3,000 ms; it passes now. takeover, succession and departures pass.

--- a/src/entry/committer.rs
+++ b/src/entry/committer.rs
@@ -188,8 +188,10 @@
                     txn.remove.push(keys::cancellation(*job));
                 }
                 StoreWrite::LeaseWaits(waits) => {
-                    txn.set
-                        .push((keys::LEASE_WAITS.to_owned(), keys::encode(waits)?, 0));
+                    let value = waits.encode().map_err(|e| EntryError::RecordCodec {
+                        message: e.to_string(),
+                    })?;
+                    txn.set.push((keys::LEASE_WAITS.to_owned(), value, 0));
                 }
                 StoreWrite::Roster(roster) => {
                     txn.set
--- a/src/entry/membership.rs
+++ b/src/entry/membership.rs
@@ -48,6 +48,9 @@
 /// power failure all nodes are back within about 0.3 s.
 const MIN_OWNER_TIME_MS: Millis = 500;
 
+/// Time for a planned hand-over of ownership; ends before the platform kills a stopped process.
+const HAND_OVER_TIMEOUT: Duration = Duration::from_millis(2_100);
+
 /// Time that a node which stepped down waits for other nodes before it claims again.
 const STEP_DOWN_DELAY: Duration = Duration::from_secs(1);
 
@@ -299,8 +302,14 @@
     if steps_down {
         shared.log_event(FleetEvent::OwnerLost, "ceded to a stronger node");
     }
-    let _ = tx.send(OwnerInput::StepDown);
-    let _ = (&mut run).await;
+    let _ = tx.send(OwnerInput::HandOver);
+    if tokio::time::timeout(HAND_OVER_TIMEOUT, &mut run)
+        .await
+        .is_err()
+    {
+        let _ = tx.send(OwnerInput::StepDown);
+        let _ = (&mut run).await;
+    }
     release_ownership(shared, token).await;
     if steps_down {
         *stepped_down_at = Some(clock::mono());
--- a/src/entry/owner.rs
+++ b/src/entry/owner.rs
@@ -75,7 +75,9 @@
         call: CallId,
         result: Result<CommandReply, CommandError>,
     },
-    /// There is a newer owner, or this node gives up ownership.
+    /// This node gives up ownership as planned.
+    HandOver,
+    /// There is a newer owner, or a hand-over takes too long.
     StepDown,
 }
 
@@ -332,6 +334,7 @@
                 };
                 self.cell.step(event, now);
             }
+            OwnerInput::HandOver => self.cell.step(CellEvent::HandOver, now),
             OwnerInput::StepDown => self.stepped_down = true,
         }
     }
@@ -444,7 +447,7 @@
                 let read = owner_watch::read_job(self.shared.clone(), self.tx.clone(), job);
                 self.tasks.spawn(read);
             }
-            CellEffect::StepDown => self.stepped_down = true,
+            CellEffect::HandedOver | CellEffect::StepDown => self.stepped_down = true,
         }
     }
 
--- a/src/entry/store_keys.rs
+++ b/src/entry/store_keys.rs
@@ -4,7 +4,7 @@
 use {
     crate::{
         entry::EntryError,
-        fleet::{JobId, JobProgress, JobRecord, NodeRecord, Roster},
+        fleet::{JobId, JobProgress, JobRecord, LeaseWaits, NodeRecord, Roster},
     },
     serde::{Serialize, de::DeserializeOwned},
 };
@@ -25,7 +25,7 @@
 /// Key of the roster: the executors that an owner may have used.
 pub const ROSTER: &str = "c/roster";
 
-/// Key of the waits for leases of earlier owners.
+/// Key of what an owner leaves to the next one about executors without new leases.
 pub const LEASE_WAITS: &str = "c/waits";
 
 /// Prefix of the keys of accepted jobs and cancellations; the owner watches it.
@@ -89,6 +89,11 @@
     name_key(key, NodeRecord::decode(value))
 }
 
+/// Decodes what the last owner left to the next one; the error names the key.
+pub fn decode_lease_waits(key: &str, value: &[u8]) -> Result<LeaseWaits, EntryError> {
+    name_key(key, LeaseWaits::decode(value))
+}
+
 /// Decodes a roster; the error names the key.
 pub fn decode_roster(key: &str, value: &[u8]) -> Result<Roster, EntryError> {
     name_key(key, Roster::decode(value))
--- a/src/entry/takeover.rs
+++ b/src/entry/takeover.rs
@@ -71,7 +71,7 @@
     }
     // Without a record that can be read the whole wait is kept.
     recovered.lease_waits =
-        waits.and_then(|item| ok_or_log(shared, keys::decode(&item.key, &item.value)));
+        waits.and_then(|i| ok_or_log(shared, keys::decode_lease_waits(&i.key, &i.value)));
     let executors = executor_items
         .iter()
         .filter_map(|i| executor_or_log(shared, i))
--- a/src/fleet/cell.rs
+++ b/src/fleet/cell.rs
@@ -11,7 +11,8 @@
             AdviceSlots, CellEffect, CellEvent, CommitQueue, CrashWatch, EarlierLeases,
             Evacuations, Executor, ExecutorId, ExecutorInfo, FencingToken, FleetConfig, FleetEvent,
             INCARNATIONS_PER_OWNER, Job, JobEnd, JobId, QueueRule, RecoveredState, RosterEntry,
-            StepId, TaskId, UpkeepPlan,
+            StepId, TaskId, UnreadExecutors, UpkeepPlan,
+            cell_hand_over::{HandOver, possible_runs_by_id},
             cell_jobs::JobOrigin,
             cell_takeover::WAIT_LOG_INTERVAL_MS,
             job::RUN_NUMBERS_PER_OWNER,
@@ -130,7 +131,9 @@
     /// Cancellations that arrived before their job, and when.
     pub pending_cancels: HashMap<JobId, Millis>,
     /// Executors of the earlier owner's roster whose runs this owner has not read yet.
-    pub unreconciled: HashSet<ExecutorId>,
+    pub unread: UnreadExecutors,
+    /// The hand-over to the next owner, once it has begun.
+    pub(super) hand_over: Option<HandOver>,
     /// When this owner took over.
     pub took_over_at: Millis,
     /// Earliest next log line of jobs that wait for unread executors, in ms on the monotonic clock.
@@ -187,6 +190,8 @@
         now: Now,
     ) -> Self {
         let roster_ids: Vec<ExecutorId> = recovered.roster.iter().map(|e| e.id.clone()).collect();
+        let left = recovered.lease_waits.filter(|w| w.token + 1 == token);
+        let mut possible_runs = left.as_ref().map_or_else(HashMap::new, possible_runs_by_id);
         let mut cell = Self {
             token,
             bounds,
@@ -199,15 +204,15 @@
             jobs: BTreeMap::new(),
             ended_jobs: HashMap::new(),
             pending_cancels: HashMap::new(),
-            unreconciled: HashSet::new(),
+            unread: UnreadExecutors::default(),
+            hand_over: None,
             took_over_at: now.mono,
             next_wait_log_at: now.mono + WAIT_LOG_INTERVAL_MS,
             takeover_ended: false,
             job_reads: HashSet::new(),
             earlier_leases: EarlierLeases::new(
-                token,
                 &roster_ids,
-                recovered.lease_waits,
+                left,
                 policy::earlier_runs_end_after(bounds.max_lease_ms, bounds.kill_grace_ms),
                 now.mono,
             ),
@@ -232,11 +237,12 @@
         };
         for entry in recovered.roster {
             cell.roster.insert(entry.id.clone(), entry.clone());
-            cell.unreconciled.insert(entry.id.clone());
+            let tasks = possible_runs.remove(&entry.id);
+            cell.unread.insert(entry.id.clone(), tasks);
             cell.add_from_roster(&entry, now);
         }
         if recovered.roster_unreadable {
-            cell.unreconciled.insert(Arc::from(UNREADABLE_ROSTER));
+            cell.unread.insert(Arc::from(UNREADABLE_ROSTER), None);
         }
         for (id, record, progress) in recovered.jobs {
             cell.add_recovered(id, record, progress.as_ref(), now);
@@ -245,8 +251,12 @@
             cell.cancel(id, now);
         }
         cell.on_evacuations(&Arc::new(recovered.evacuations), now);
-        let (jobs, executors) = (cell.jobs.len(), list_ids(&cell.unreconciled));
-        let detail = format!("token={token} jobs={jobs} executors={executors}");
+        let (jobs, executors) = (cell.jobs.len(), list_ids(cell.unread.ids()));
+        let known = cell.unread.iter().filter(|(_, tasks)| tasks.is_some());
+        let detail = format!(
+            "token={token} jobs={jobs} with_known_runs={} executors={executors}",
+            known.count()
+        );
         cell.log(FleetEvent::TakeoverRead, detail);
         cell
     }
@@ -281,6 +291,7 @@
             CellEvent::JobRead { job, record } => self.on_job_read(job, record.map(|r| *r), now),
             CellEvent::Cancelled(id) => self.cancel(id, now),
             CellEvent::AdviceNodes(nodes) => self.advice_slots.set_nodes(nodes),
+            CellEvent::HandOver => self.begin_hand_over(now),
             CellEvent::CommandResult {
                 call,
                 executor,
--- a/src/fleet/cell_capacity.rs
+++ b/src/fleet/cell_capacity.rs
@@ -55,11 +55,11 @@
 #[derive(Debug, Default)]
 pub(super) struct CapacitySnapshot {
     pools: HashMap<Arc<str>, PoolCapacity>,
-    /// Whether runs of an earlier owner that this owner has not read may exist.
-    pub has_unreconciled: bool,
-    /// Sum of the maximum capacities of unreconciled executors: upper bound of what runs there. One
-    /// whose capacity is unknown counts as the largest executor.
-    pub unreconciled_capacity: Resources,
+    /// Sum of the maximum capacities of unread executors whose possible runs are not known: upper bound
+    /// of what runs there. One whose capacity is unknown counts as the largest executor.
+    pub unread_capacity: Resources,
+    /// What the possible runs on the other unread executors need, by tenant.
+    pub unread_needs: HashMap<Arc<str>, Resources>,
 }
 
 impl CapacitySnapshot {
@@ -148,21 +148,37 @@
             });
             pool.max_free.max_assign(&free);
         }
-        snapshot.has_unreconciled = !self.unreconciled.is_empty();
+        self.add_unread(&mut snapshot);
+        snapshot
+    }
+
+    /// Adds what may run on the executors that this owner has not read.
+    fn add_unread(&self, snapshot: &mut CapacitySnapshot) {
         let mut largest = Resources::default();
         let executors = self.executors.values();
         executors.for_each(|e| largest.max_assign(&e.max_capacity));
-        for id in &self.unreconciled {
-            if let Some(executor) = self.executors.get(id) {
-                let known = executor.max_capacity != Resources::default();
-                let capacity = if known {
-                    &executor.max_capacity
-                } else {
-                    &largest
-                };
-                snapshot.unreconciled_capacity.add(capacity);
+        for (id, tasks) in self.unread.iter() {
+            let Some(executor) = self.executors.get(id) else {
+                continue;
+            };
+            let specs = tasks.and_then(|t| t.iter().map(|t| self.lookup_step(&t.step)).collect());
+            let specs: Option<Vec<_>> = specs;
+            if let Some(specs) = specs {
+                for (job, spec, _) in specs {
+                    if let Some(tenant) = &job.submission.tenant {
+                        let needs = snapshot.unread_needs.entry(tenant.clone()).or_default();
+                        needs.add(&spec.allocation());
+                    }
+                }
+                continue;
             }
+            let known = executor.max_capacity != Resources::default();
+            let capacity = if known {
+                &executor.max_capacity
+            } else {
+                &largest
+            };
+            snapshot.unread_capacity.add(capacity);
         }
-        snapshot
     }
 }
--- a/src/fleet/cell_departures.rs
+++ b/src/fleet/cell_departures.rs
@@ -52,13 +52,14 @@
             let Some((job, spec, _)) = self.lookup_step(&step) else {
                 continue;
             };
-            if job.recovered && snapshot.has_unreconciled {
-                continue;
-            }
+            let recovered = job.recovered;
             let (need, max_per_executor) = (spec.allocation(), spec.max_per_executor);
             let pool = self.queue_rule(job).pool.clone();
             let (ids, mut options) = self.placement_options(&step, snapshot, now);
             for (from, task) in tasks {
+                if recovered && self.unread.may_run(&task) {
+                    continue;
+                }
                 let Some(i) = policy::choose_spread(&need, options.iter().copied()) else {
                     unplaced.push(step);
                     break;
@@ -90,13 +91,20 @@
         }
     }
 
-    /// Stops the runs that will not end before their executor exits, shortly before it does. A gang is
-    /// stopped as a whole, unless it is persistent.
+    /// Stops the runs that will not end before their executor exits, shortly before it does.
     pub(super) fn stop_exiting(&mut self, now: Now) {
+        self.stop_exiting_within(policy::exit_lead_ms(self.bounds.kill_grace_ms), now);
+    }
+
+    /// Stops the runs that will not end before their executor exits, where it may exit within `lead_ms`;
+    /// returns their number. A gang is stopped as a whole, unless it is persistent.
+    pub(super) fn stop_exiting_within(&mut self, lead_ms: Millis, now: Now) -> usize {
         let exiting = |(id, e): (&ExecutorId, &Executor)| {
-            (e.is_departing() && self.must_stop_soon(id, now)).then(|| id.clone())
+            let soon = e.time_left(now.mono).is_some_and(|ms| ms <= lead_ms);
+            (e.is_departing() && soon).then(|| id.clone())
         };
         let exiting: Vec<ExecutorId> = self.executors.iter().filter_map(exiting).collect();
+        let mut stopped = 0;
         for id in exiting {
             for task in self.unfinishable_runs(&id, now) {
                 // Stopped with another member before, in this round.
@@ -108,8 +116,10 @@
                     Some((true, false)) => self.stop_gang(&task, now),
                     _ => self.stop_run(&id, task, now),
                 }
+                stopped += 1;
             }
         }
+        stopped
     }
 
     fn is_confirmed(&self, id: &ExecutorId, task: &TaskId) -> bool {
@@ -181,7 +191,7 @@
 
 impl Executor {
     /// Returns whether it drains and replies, so that its runs can be stopped in order.
-    fn is_departing(&self) -> bool {
+    pub(super) fn is_departing(&self) -> bool {
         self.info.draining && self.is_responsive()
     }
 
--- a/src/fleet/cell_executors.rs
+++ b/src/fleet/cell_executors.rs
@@ -150,7 +150,7 @@
                 step.advice.rejected.remove(id);
             }
         }
-        self.unreconciled.remove(id);
+        self.unread.remove(id);
         self.withdraw_unconfirmed(id);
         self.on_executor_crashed(id, watched, now);
     }
@@ -168,9 +168,9 @@
             Ok(CommandReply::Accepted) => false,
             Err(_) => true,
         };
-        let before = (self.placement_state(id), self.unreconciled.len());
+        let before = (self.placement_state(id), self.unread.len());
         self.apply_command_result(call, id, result, now);
-        let after = (self.placement_state(id), self.unreconciled.len());
+        let after = (self.placement_state(id), self.unread.len());
         self.needs_placement |= may_free_capacity || before != after;
     }
 
@@ -320,7 +320,7 @@
         }
         self.drop_unknown_runs(id, &reply.running);
         if complete {
-            self.unreconciled.remove(id);
+            self.unread.remove(id);
         }
         self.stop_stuck_runs(id, now);
         let unacked_interval_ms = policy::unacked_interval_ms(self.next_short_end_ms(id, now));
@@ -582,9 +582,8 @@
             let lapsed = executor.leases_expired(now.mono, grace);
             let commits = &self.commit_queue;
             let ends_closed = executor.has_no_open_ends(|job| commits.is_durable(job));
-            let settled = !executor.may_run_tasks()
-                && (lapsed || ends_closed)
-                && !self.unreconciled.contains(id);
+            let settled =
+                !executor.may_run_tasks() && (lapsed || ends_closed) && !self.unread.contains(id);
             if !executor.listed && executor.failed_calls > 0 && settled {
                 removable.push(id.clone());
             }
--- a/src/fleet/cell_jobs.rs
+++ b/src/fleet/cell_jobs.rs
@@ -206,14 +206,14 @@
             }
             return;
         }
-        if job.end_durable && !job.has_runs() && self.unreconciled.is_empty() {
+        if job.end_durable && !job.has_runs() && self.unread.is_empty() {
             self.jobs.remove(&id);
         }
     }
 
     /// Drops ended jobs that were kept as executors which were not read might run tasks of them.
     pub(super) fn drop_finished_jobs(&mut self) {
-        if self.unreconciled.is_empty() {
+        if self.unread.is_empty() {
             self.jobs.retain(|_, j| !j.end_durable || j.has_runs());
         }
     }
@@ -247,7 +247,7 @@
             writes.push(self.roster_write());
         }
         if batch.waits {
-            let waits = self.earlier_leases.write(self.token, now.mono);
+            let waits = self.lease_waits(now);
             writes.push(StoreWrite::LeaseWaits(waits));
         }
         for id in &batch.jobs {
@@ -343,6 +343,7 @@
     /// Handles the result of a commit. Ends in it become visible to callers unless the job is dirty
     /// again; failed writes are queued again.
     pub(super) fn on_commit_result(&mut self, call: CallId, ok: bool, now: Now) {
+        self.on_hand_over_written(call, ok, now);
         let Some(batch) = self.commit_queue.on_result(call, ok, now.mono) else {
             return;
         };
@@ -383,6 +384,7 @@
     /// job whose record alone is refused again and again is given up, so that neither other records
     /// nor the ends on its executors wait for it.
     pub(super) fn on_commit_refused(&mut self, call: CallId, now: Now) {
+        self.on_hand_over_written(call, false, now);
         let refused = self.commit_queue.on_refused(call, now.mono);
         let detail = format!("call={call}; refused by the store, tried again record by record");
         self.log(FleetEvent::CommitFailed, detail);
--- a/src/fleet/cell_load.rs
+++ b/src/fleet/cell_load.rs
@@ -272,7 +272,7 @@
             version,
             ..LoadSummary::default()
         };
-        if !self.unreconciled.is_empty() || !self.has_backlog(now.mono) {
+        if self.unread.may_run_any() || !self.has_backlog(now.mono) {
             return summary;
         }
         let outstanding = self.outstanding(now.mono);
--- a/src/fleet/cell_plan.rs
+++ b/src/fleet/cell_plan.rs
@@ -13,7 +13,10 @@
             policy::{self, PlacementOption, Rank, Room, Timeliness, WaitingJob},
         },
     },
-    std::{collections::HashSet, sync::Arc},
+    std::{
+        collections::{BTreeSet, HashSet},
+        sync::Arc,
+    },
 };
 
 /// Bounds the executors of a pool that may be reserved for large tasks that do not fit yet: a
@@ -39,8 +42,11 @@
 
 impl Cell {
     /// Starts tasks, requests advice, commits records and renews leases as far as they are due;
-    /// call after a batch of events, and only while no other node can own the cell.
+    /// call after a batch of events, and only while no other node can own the cell. In a hand-over it only brings that on.
     pub fn plan(&mut self, now: Now) {
+        if self.hand_over.is_some() {
+            return self.plan_hand_over(now);
+        }
         if self.next_round_due().is_some_and(|due| due <= now.mono) {
             self.needs_placement = false;
             self.resend_commands(now);
@@ -51,9 +57,10 @@
         self.send_renewals(now);
     }
 
-    /// Returns the earliest time of the next round; `None` if there is nothing to place.
+    /// Returns the earliest time of the next round; `None` if there is nothing to place, and during a
+    /// hand-over.
     pub fn next_round_due(&self) -> Option<Millis> {
-        self.needs_placement.then_some(self.next_round_at)
+        (self.needs_placement && self.hand_over.is_none()).then_some(self.next_round_at)
     }
 
     /// Places waiting tasks in the order of their rank, and requests missing advice.
@@ -143,30 +150,44 @@
         now: Now,
     ) -> Option<BlockReason> {
         let (job, spec, step) = self.lookup_step(&id)?;
-        // In any pool: the queue may have had another one when the task was started.
-        if job.recovered && !spec.allow_duplicates && snapshot.has_unreconciled {
-            return Some(BlockReason::Takeover);
+        let mut unread = BTreeSet::new();
+        if job.recovered && !spec.allow_duplicates {
+            // In any pool: the queue may have had another one when the task was started.
+            if self.unread.may_run_any() {
+                return Some(BlockReason::Takeover);
+            }
+            unread = self.unread.named_of_step(&id);
         }
         let spec = spec.clone();
         if spec.gang {
             let waiting = step.count_startable(now.mono);
             return match () {
                 () if waiting == 0 => Some(BlockReason::Pause),
+                () if !unread.is_empty() => Some(BlockReason::Takeover),
                 () if waiting < step.count => Some(BlockReason::Members),
                 () => self.place_whole_gang(id, &spec, snapshot, now),
             };
         }
-        let waiting = step.startable(now.mono, MAX_STEP_STARTS);
+        let mut waiting = step.startable(now.mono, MAX_STEP_STARTS + unread.len());
+        let startable = waiting.len();
+        waiting.retain(|index| !unread.contains(index));
+        let held = waiting.len() < startable;
         if waiting.is_empty() {
-            return Some(BlockReason::Pause);
+            let reason = if held {
+                BlockReason::Takeover
+            } else {
+                BlockReason::Pause
+            };
+            return Some(reason);
         }
+        waiting.truncate(MAX_STEP_STARTS);
         let has_more = waiting.len() == MAX_STEP_STARTS;
         let (waiting, suspects) = self.split_suspects(id, waiting);
         let blocked = self.place_each(id, &spec, &waiting, snapshot, now);
         let suspects_blocked = self.place_suspects(id, &spec, &suspects, snapshot, now);
         let blocked = blocked.or(suspects_blocked);
         self.needs_placement |= has_more && blocked.is_none();
-        blocked
+        blocked.or(held.then_some(BlockReason::Takeover))
     }
 
     /// Places a gang of which all members wait, if its suspect members may start.
@@ -415,8 +436,8 @@
         task.map_or(&[], |t| &t.failed_on)
     }
 
-    /// Returns whether the tenant's cap allows `need` in addition to what runs. Unreconciled
-    /// executors count as fully used by each tenant.
+    /// Returns whether the tenant's cap allows `need` in addition to what runs. Unread executors count
+    /// with what may run there, or as fully used by each tenant if that is not known.
     pub(super) fn within_cap(
         &self,
         id: &StepId,
@@ -433,7 +454,10 @@
             return true;
         };
         let mut used = self.tenant_usage.get(tenant).copied().unwrap_or_default();
-        used.add(&snapshot.unreconciled_capacity);
+        used.add(&snapshot.unread_capacity);
+        if let Some(needs) = snapshot.unread_needs.get(tenant) {
+            used.add(needs);
+        }
         rule.allows(&used, need)
     }
 
--- a/src/fleet/cell_run_ends.rs
+++ b/src/fleet/cell_run_ends.rs
@@ -25,7 +25,7 @@
         executor.unknown_runs.remove(&row.task);
         // An end that changes nothing waits for the job's record too: another end of the same
         // gang may have changed it just before.
-        executor.unacked.insert(row.seq, Some(job));
+        executor.unacked.insert(row.seq, row.task);
         if known && !future {
             self.apply_end_and_finish(id, row, now);
             return;
--- a/src/fleet/cell_summary.rs
+++ b/src/fleet/cell_summary.rs
@@ -37,7 +37,7 @@
     pub token: u64,
     /// Number of executors by state, such as `open` or `silent`.
     pub executors: BTreeMap<Arc<str>, usize>,
-    /// Number of unreconciled executors.
+    /// Number of executors whose runs this owner has not read.
     pub unsettled: usize,
     pub queues: BTreeMap<Arc<str>, QueueSummary>,
     pub tenants: BTreeMap<Arc<str>, TenantSummary>,
@@ -73,7 +73,7 @@
         FleetSummary {
             token: self.token,
             executors,
-            unsettled: self.unreconciled.len(),
+            unsettled: self.unread.len(),
             queues,
             tenants: self.tenant_usage.iter().map(tenant).collect(),
             evacuations: self
--- a/src/fleet/cell_takeover.rs
+++ b/src/fleet/cell_takeover.rs
@@ -24,7 +24,7 @@
             now.mono >= earlier.expired_at(id)
                 && executor.is_none_or(|e| e.leases_expired(now.mono, grace))
         };
-        let given_up: Vec<ExecutorId> = self.unreconciled.extract_if(expired).collect();
+        let given_up: Vec<ExecutorId> = self.unread.remove_if(expired);
         if !given_up.is_empty() {
             self.log(
                 FleetEvent::ExecutorSilent,
@@ -39,7 +39,7 @@
 
     /// Logs the end of the takeover, once nothing is left that this owner has not read.
     pub(super) fn log_takeover_end(&mut self, now: Now) {
-        if !self.unreconciled.is_empty() || self.takeover_ended {
+        if !self.unread.is_empty() || self.takeover_ended {
             return;
         }
         self.takeover_ended = true;
@@ -57,7 +57,7 @@
 
     /// Logs which jobs wait for unread executors.
     pub(super) fn log_takeover_wait(&mut self, now: Now) {
-        if self.unreconciled.is_empty() || now.mono < self.next_wait_log_at {
+        if self.unread.is_empty() || now.mono < self.next_wait_log_at {
             return;
         }
         self.next_wait_log_at = now.mono + WAIT_LOG_INTERVAL_MS;
@@ -66,11 +66,11 @@
         let Some(first) = waiting.next() else { return };
         let jobs = 1 + waiting.count();
         let expires = self
-            .unreconciled
-            .iter()
+            .unread
+            .ids()
             .map(|id| self.earlier_leases.expired_at(id));
         let left_ms = expires.max().unwrap_or(0).saturating_sub(now.mono);
-        let unread = list_ids(&self.unreconciled);
+        let unread = list_ids(self.unread.ids());
         let detail = format!("unread={unread} expire_in_ms={left_ms} jobs={jobs} first={first}");
         self.log(FleetEvent::TakeoverWait, detail);
     }
@@ -89,7 +89,7 @@
         format!(
             "executors={} unread={} runs={} unconfirmed={} draining={}",
             self.executors.len(),
-            self.unreconciled.len(),
+            self.unread.len(),
             runs().count(),
             runs().filter(in_doubt).count(),
             draining.join(",")
--- a/src/fleet/cell_upkeep.rs
+++ b/src/fleet/cell_upkeep.rs
@@ -103,7 +103,7 @@
     /// Reports what runs on an executor, for the choice of the next machine. An executor that is not
     /// known runs nothing of this cell.
     pub fn executor_work(&self, id: &ExecutorId, now: Now) -> ExecutorWork {
-        let is_unread = |id: &str| self.unreconciled.contains(id);
+        let is_unread = |id: &str| self.unread.contains(id);
         let mut work = ExecutorWork {
             is_unread: is_unread(id) || is_unread(UNREADABLE_ROSTER),
             ..ExecutorWork::default()
--- a/src/fleet/earlier_leases.rs
+++ b/src/fleet/earlier_leases.rs
@@ -7,7 +7,7 @@
 use {
     crate::{
         core::Millis,
-        fleet::{ExecutorId, LeaseWaits},
+        fleet::{ExecutorId, LeaseWaits, TaskId},
     },
     std::collections::{HashMap, HashSet},
 };
@@ -34,17 +34,15 @@
 }
 
 impl EarlierLeases {
-    /// Creates the waits of an owner that took over at `now`. `earlier` is what the store holds of
-    /// an earlier owner's waits; it counts only if no other owner came between.
+    /// Creates the waits of an owner that took over at `now`. `earlier` is what the owner directly
+    /// before it left.
     pub fn new(
-        token: u64,
         roster: &[ExecutorId],
         earlier: Option<LeaseWaits>,
         full_wait_ms: Millis,
         now: Millis,
     ) -> Self {
         let took_over_at = now.cast_signed();
-        let earlier = earlier.filter(|e| e.token + 1 == token);
         let waited: HashMap<ExecutorId, Millis> =
             earlier.map_or_else(HashMap::new, |e| e.waited.into_iter().collect());
         let unopened = roster.iter().map(|id| {
@@ -97,8 +95,14 @@
         !empty && now >= self.next_write_at
     }
 
-    /// Returns the record to write; the write may take effect although no reply comes.
-    pub fn write(&mut self, token: u64, now: Millis) -> LeaseWaits {
+    /// Returns the record to write; the write may take effect although no reply comes. `tasks_on` returns
+    /// the tasks that may run on an executor, if they are known.
+    pub fn write(
+        &mut self,
+        token: u64,
+        tasks_on: impl Fn(&ExecutorId) -> Option<Vec<TaskId>>,
+        now: Millis,
+    ) -> LeaseWaits {
         let wait = |(id, since): (&ExecutorId, &i64)| {
             let waited_ms = (now.cast_signed() - since).max(0).cast_unsigned();
             (id.clone(), waited_ms.min(self.full_wait_ms))
@@ -112,7 +116,12 @@
         } else {
             now + WRITE_INTERVAL_MS
         };
-        LeaseWaits { token, waited }
+        let possible_runs = waited.iter().map(|(id, _)| tasks_on(id)).collect();
+        LeaseWaits {
+            token,
+            waited,
+            possible_runs,
+        }
     }
 
     /// Handles the result of the last write. A failed one may have taken effect.
--- a/src/fleet/event.rs
+++ b/src/fleet/event.rs
@@ -263,7 +263,7 @@
     Delete { job: JobId },
     /// Replaces the roster.
     Roster(Roster),
-    /// Replaces the waits for leases of earlier owners.
+    /// Replaces what this owner leaves to the next one.
     LeaseWaits(LeaseWaits),
 }
 
@@ -296,6 +296,8 @@
     },
     /// Live nodes that can call the advice service, this one included.
     AdviceNodes(Vec<Arc<str>>),
+    /// This owner stops as planned: it starts nothing more, and leaves what it knows to the next one.
+    HandOver,
     /// A command got its reply or failed.
     CommandResult {
         call: CallId,
@@ -353,6 +355,8 @@
     Log { event: FleetEvent, detail: String },
     /// Reads the record of a job from the store, until it succeeds; see [`CellEvent::JobRead`].
     ReadJob(JobId),
+    /// The hand-over is complete, or could not be recorded: this owner sends nothing more and must stop.
+    HandedOver,
     /// A newer owner exists; this one must stop.
     StepDown,
 }
@@ -366,7 +370,7 @@
     pub cancelled: Vec<JobId>,
     /// Executors that earlier owners may have used.
     pub roster: Vec<RosterEntry>,
-    /// Waits for leases that the last owner wrote, if any.
+    /// What the last owner left, if anything.
     pub lease_waits: Option<LeaseWaits>,
     /// Whether the roster could not be decoded, so that any executor may have been used.
     pub roster_unreadable: bool,
--- a/src/fleet/executor.rs
+++ b/src/fleet/executor.rs
@@ -169,9 +169,9 @@
     pub last_end_seq: u64,
     /// Whether the last list of ends was cut, so that more may follow.
     pub has_unread_ends: bool,
-    /// Ends read but not acknowledged, by sequence number, with the job whose record must be
-    /// durable first.
-    pub unacked: BTreeMap<u64, Option<JobId>>,
+    /// Ends read but not acknowledged, by sequence number; the record of the task's job must be durable
+    /// first.
+    pub unacked: BTreeMap<u64, TaskId>,
     /// Failed renewals, and replies from another incarnation, since the last successful renewal.
     pub failed_calls: u32,
     /// Jobs whose tasks failed here since the last task done or the last suspicion.
@@ -321,15 +321,30 @@
     /// Returns whether the first end that is not acknowledged can be: its job is known, and durable
     /// according to `is_durable`. `None` if all ends are acknowledged.
     pub fn can_acknowledge_next(&self, is_durable: impl Fn(JobId) -> bool) -> Option<bool> {
-        let (seq, job) = self.unacked.first_key_value()?;
-        Some(!self.unknown_ends.contains_key(seq) && job.is_none_or(is_durable))
+        let (seq, task) = self.unacked.first_key_value()?;
+        Some(!self.unknown_ends.contains_key(seq) && is_durable(task.step.job))
     }
 
     /// Returns whether no end is left that the next owner would have to read.
     pub fn has_no_open_ends(&self, is_durable: impl Fn(JobId) -> bool) -> bool {
-        let durable = |job: &Option<JobId>| job.is_none_or(&is_durable);
         let all_read = !self.has_unread_ends && self.unknown_ends.is_empty();
-        all_read && self.unacked.values().all(durable)
+        all_read && self.unacked.values().all(|t| is_durable(t.step.job))
+    }
+
+    /// Lists the tasks that run or may run here, and those whose ends were read but are not durable, in
+    /// order; `None` if there may be ends that were not read.
+    pub fn possible_runs(&self, is_durable: impl Fn(JobId) -> bool) -> Option<Vec<TaskId>> {
+        if self.has_unread_ends {
+            return None;
+        }
+        let ends = self.unacked.iter().filter(|(seq, task)| {
+            self.unknown_ends.contains_key(seq) || !is_durable(task.step.job)
+        });
+        let runs = self.runs.keys().chain(self.unknown_runs.keys());
+        let mut tasks: Vec<TaskId> = runs.chain(ends.map(|(_, task)| task)).copied().collect();
+        tasks.sort_unstable();
+        tasks.dedup();
+        Some(tasks)
     }
 
     /// Returns whether every lease ever sent has certainly expired, and its runs are killed.
--- a/src/fleet/mod.rs
+++ b/src/fleet/mod.rs
@@ -26,6 +26,7 @@
 mod cell_evacuation;
 mod cell_executors;
 mod cell_explain;
+mod cell_hand_over;
 mod cell_health;
 mod cell_jobs;
 mod cell_load;
@@ -51,6 +52,7 @@
 mod progress;
 mod records;
 mod run_log;
+mod unread_executors;
 mod wave;
 
 pub use {
@@ -83,6 +85,7 @@
         EpochRecord, JobEnd, JobRecord, LeaseWaits, NODE_PROTOCOL, NodeRecord, OwnerRecord, Roster,
         RosterEntry, Submission,
     },
+    unread_executors::UnreadExecutors,
     wave::{
         MachineId, MachineInfo, MachinePhase, MachineRefusal, MachineReply, MachineState,
         UpkeepTiming, WaveRecord, WaveRequest, WaveState,
--- a/src/fleet/records.rs
+++ b/src/fleet/records.rs
@@ -6,7 +6,7 @@
 use {
     crate::{
         core::{Millis, Resources},
-        fleet::{JobId, JobSpec, ProgressFormat, QueueRule},
+        fleet::{JobId, JobSpec, ProgressFormat, QueueRule, TaskId},
     },
     serde::{Deserialize, Serialize},
     std::sync::Arc,
@@ -177,13 +177,53 @@
     pub max_capacity: Resources,
 }
 
-/// How long owners have waited for the leases of earlier ones, for executors on which the writer has
-/// granted none. The owner that follows it waits for the rest only.
+/// What the writer leaves to the owner that follows it, for executors on which it grants no lease and
+/// starts nothing: those that it has not reached, or all when it stops as planned.
 #[derive(Clone, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
 pub struct LeaseWaits {
     /// Fencing token of the writer. Means nothing to an owner that does not follow it directly.
     pub token: u64,
-    /// Executors, and the time since the claim of the first owner that granted no lease there, in
-    /// ms when it was written.
+    /// Executors, and the time since a lease was last granted there, in ms when it was written. The next
+    /// owner waits for the rest only.
     pub waited: Vec<(Arc<str>, Millis)>,
+    /// Tasks that may run on each of `waited`, in the same order; `None`: any task may. Records of
+    /// earlier versions end before it.
+    #[serde(skip)]
+    pub possible_runs: Vec<Option<Vec<TaskId>>>,
+}
+
+impl LeaseWaits {
+    /// Encodes a record so that earlier versions read it too.
+    pub fn encode(&self) -> postcard::Result<Vec<u8>> {
+        let mut record = postcard::to_stdvec(self)?;
+        record.extend(postcard::to_stdvec(&self.possible_runs)?);
+        Ok(record)
+    }
+
+    /// Decodes a record, also one of an earlier version.
+    pub fn decode(record: &[u8]) -> postcard::Result<Self> {
+        let (mut waits, rest): (Self, _) = postcard::take_from_bytes(record)?;
+        if !rest.is_empty() {
+            waits.possible_runs = postcard::from_bytes(rest)?;
+        }
+        Ok(waits)
+    }
+
+    /// Bounds the size of its encoding from above, in bytes, without encoding it.
+    pub fn max_bytes(&self) -> usize {
+        let executors = self
+            .waited
+            .iter()
+            .map(|(id, _)| 2 * MAX_VARINT_BYTES + id.len());
+        let runs = self.possible_runs.iter();
+        let runs =
+            runs.map(|r| 1 + MAX_VARINT_BYTES + r.as_ref().map_or(0, Vec::len) * MAX_TASK_BYTES);
+        3 * MAX_VARINT_BYTES + executors.sum::<usize>() + runs.sum::<usize>()
+    }
 }
+
+/// Maximum size of an encoded integer, in bytes.
+const MAX_VARINT_BYTES: usize = 10;
+
+/// Maximum size of an encoded [`TaskId`], in bytes.
+const MAX_TASK_BYTES: usize = MAX_VARINT_BYTES + 5 + 3 + 5;
--- a/standins/src/cell_world.rs
+++ b/standins/src/cell_world.rs
@@ -47,6 +47,9 @@
 /// Time in which the request to evacuate a zone must take effect, in ms.
 const EVACUATION_MS: Millis = 5_000;
 
+/// Time after which an owner that hands over is stopped, in ms.
+const MAX_HAND_OVER_MS: Millis = 2_100;
+
 /// Max delay of a late command, in ms.
 const MAX_LATE_MS: Millis = 12_000;
 /// Crashed executors after which a task must not start any more.
@@ -125,6 +128,8 @@
 pub struct CellWorld {
     /// The present owner.
     pub cell: Cell,
+    /// Fencing token of the last owner that handed over.
+    handed_over: u64,
     /// Earlier owners that live on: they reach executors, but neither the store nor its lists.
     former: Vec<Cell>,
     /// Executors that get no commands of the owner with this fencing token.
@@ -196,6 +201,7 @@
         let now = cell_now(0);
         Self {
             cell: Cell::new(1, BOUNDS, config.clone(), recovered, now),
+            handed_over: 0,
             former: Vec::new(),
             cut: HashSet::new(),
             commit_plans: VecDeque::new(),
@@ -285,6 +291,11 @@
 
     /// Stops the owner as planned, and has the next one take over.
     pub fn hand_over(&mut self) {
+        self.step(CellEvent::HandOver);
+        let gives_up_at = self.now + MAX_HAND_OVER_MS;
+        while self.handed_over < self.cell.token && self.now < gives_up_at {
+            self.run(1);
+        }
         self.replace_owner();
     }
 
@@ -687,6 +698,7 @@
                 self.log
                     .push(format!("{} {event:?} {detail}{by}", self.now));
             }
+            CellEffect::HandedOver => self.handed_over = token,
             CellEffect::StepDown if token != self.cell.token => {
                 self.former.retain(|c| c.token != token);
             }
