Take executors that drain and are empty out of the roster

What callers saw: after a crash of the owner, tasks waited for the leases of an executor that had announced its exit, run out of work and gone, since the roster named it until it had left.

An executor that drains leaves the roster once its owner has read that nothing runs there and that all ends there are durable. No order can be under way then: a start without a reply still counts as a run. One that is first seen draining never enters it. Where it reports ready again, or lists a run, it is used only after a roster that names it is durable, as any new executor. A new owner opens the executors in the order of their announced exits, as there the time to read them is shortest.

takeover, succession, departures and handover pass.

--- a/src/fleet/cell.rs
+++ b/src/fleet/cell.rs
@@ -380,6 +380,7 @@
         self.drop_finished_jobs();
         self.drop_closed_suspects();
         self.unlist_missing(now);
+        self.retire_departing();
         self.expire_leases(now);
         self.add_due_occurrences(now);
         self.expire_advice_calls(now);
--- a/src/fleet/cell_departures.rs
+++ b/src/fleet/cell_departures.rs
@@ -122,6 +122,39 @@
         stopped
     }
 
+    /// Takes the executors that drain and on which nothing is left out of the roster.
+    pub(super) fn retire_departing(&mut self) {
+        let draining = self
+            .executors
+            .iter()
+            .filter(|(_, e)| e.info.draining && !e.retired);
+        let draining: Vec<ExecutorId> = draining.map(|(id, _)| id.clone()).collect();
+        for id in draining {
+            self.review_retirement(&id);
+        }
+    }
+
+    /// Takes an executor out of the roster or puts it back, as it drains or not and anything may be left
+    /// there that the next owner must read.
+    pub(super) fn review_retirement(&mut self, id: &ExecutorId) {
+        let Some(executor) = self.executors.get(id) else {
+            return;
+        };
+        let commits = &self.commit_queue;
+        let empty = !executor.may_run_tasks()
+            && executor.has_no_open_ends(|job| commits.is_durable(job))
+            && !self.unread.contains(id);
+        // Only what an executor itself lists shows that it is empty.
+        let may_retire = executor.retired || executor.is_responsive();
+        let retired = executor.info.draining && empty && may_retire;
+        if retired != executor.retired {
+            self.commit_queue.roster.dirty = true;
+        }
+        if let Some(executor) = self.executors.get_mut(id) {
+            executor.retired = retired;
+        }
+    }
+
     fn is_confirmed(&self, id: &ExecutorId, task: &TaskId) -> bool {
         let run = self.executors.get(id).and_then(|e| e.runs.get(task));
         run.is_some_and(|r| r.stage == RunStage::Confirmed)
--- a/src/fleet/cell_executors.rs
+++ b/src/fleet/cell_executors.rs
@@ -10,8 +10,8 @@
         fleet::{
             Cell, CellEffect, CommandError, CommandReply, Executor, ExecutorCommand, ExecutorId,
             ExecutorInfo, FleetEvent, JobId, Now, RenewCommand, RenewReply, RosterEntry, Run,
-            RunLoss, RunStage, RunningRow, Session, TaskId, cell_departures::exit_time,
-            executor::ClockReading, policy,
+            RunLoss, RunStage, RunningRow, Session, TaskId, cell::UNREADABLE_ROSTER,
+            cell_departures::exit_time, executor::ClockReading, policy,
         },
     },
     std::{collections::HashSet, sync::Arc},
@@ -81,15 +81,18 @@
             known.listed = true;
             known.missing_since = None;
             known.info = Arc::new(info);
+            self.review_retirement(&id);
             return;
         }
         let exits_at = exit_time(&info, now);
         self.on_address_reused(&info, now);
         let mut executor = Executor::new(info, true, now.mono);
         executor.exits_at = exits_at;
+        // No roster that the store may hold names it, so no owner has used it.
+        executor.retired = executor.info.draining && !self.unread.contains(UNREADABLE_ROSTER);
+        self.commit_queue.roster.dirty |= !executor.retired;
         executor.incarnations = self.removed_incarnations.remove(&id).unwrap_or(0);
         self.executors.insert(id, executor);
-        self.commit_queue.roster.dirty = true;
     }
 
     /// Handles the removal of an executor from the platform's list; its lease may still run.
@@ -331,6 +334,7 @@
                 now.mono + unacked_interval_ms
             };
         }
+        self.review_retirement(id);
         self.adjust_throttle(id);
         self.clear_survivors(id);
     }
@@ -473,13 +477,16 @@
         }
     }
 
-    /// Sends the renewals that are due; an executor has at most one in flight.
+    /// Sends the renewals that are due, first to the executors that exit first; an executor has at most
+    /// one in flight.
     pub(super) fn send_renewals(&mut self, now: Now) {
         let due = |(id, e): (&ExecutorId, &Executor)| {
-            (e.pending_renewal.is_none() && e.next_renewal_at <= now.mono).then(|| id.clone())
+            let due = e.pending_renewal.is_none() && e.next_renewal_at <= now.mono;
+            due.then(|| (e.exits_at.unwrap_or(Millis::MAX), id.clone()))
         };
-        let due: Vec<ExecutorId> = self.executors.iter().filter_map(due).collect();
-        for id in due {
+        let mut due: Vec<_> = self.executors.iter().filter_map(due).collect();
+        due.sort();
+        for (_, id) in due {
             self.send_renewal(&id, now);
         }
     }
@@ -601,8 +608,8 @@
                     let restarts = executor.incarnations;
                     self.removed_incarnations.insert(id, restarts);
                 }
+                self.commit_queue.roster.dirty |= !executor.retired;
             }
-            self.commit_queue.roster.dirty = true;
         }
     }
 
--- a/src/fleet/cell_jobs.rs
+++ b/src/fleet/cell_jobs.rs
@@ -325,7 +325,8 @@
             pool: e.info.pool.clone(),
             max_capacity: e.max_capacity,
         };
-        let entries: Vec<RosterEntry> = self.executors.values().map(entry).collect();
+        let used = self.executors.values().filter(|e| !e.retired);
+        let entries: Vec<RosterEntry> = used.map(entry).collect();
         self.roster_sent = entries.iter().map(|e| (e.id.clone(), e.clone())).collect();
         // The write may take effect although no reply comes. Maximum capacities rise while an executor
         // is known, so that of the present record is the least; one that was added again may have less.
--- a/src/fleet/executor.rs
+++ b/src/fleet/executor.rs
@@ -137,6 +137,9 @@
     pub missing_since: Option<Millis>,
     /// Earliest time at which it exits; `None` unless it drains and stated that.
     pub exits_at: Option<Millis>,
+    /// Whether it is left out of the roster: it drains, and nothing is left there that the next owner must
+    /// read. Nothing starts there before a roster that names it is durable.
+    pub retired: bool,
     pub session: Session,
     /// Start of the incarnation in Unix ms, if it was reported.
     pub started_unix_ms: Option<u64>,
@@ -196,6 +199,7 @@
             listed,
             missing_since: None,
             exits_at: None,
+            retired: false,
             session: Session::Opening,
             started_unix_ms: None,
             incarnations: 0,
--- a/tests/handover.rs
+++ b/tests/handover.rs
@@ -53,7 +53,7 @@
 
 /// Returns an executor other than those of the given names.
 fn other_than(world: &CellWorld, names: &[&str]) -> String {
-    let mut ids = world.executors.keys().map(|id| id.to_string());
+    let mut ids = world.executors.keys().map(ToString::to_string);
     ids.find(|id| !names.contains(&&**id))
         .expect("another executor")
 }
