--- a/standins/src/cell_executor.rs
+++ b/standins/src/cell_executor.rs
@@ -182,6 +182,14 @@
         self.info.min_remaining_ms = Some(remaining_ms);
     }
 
+    /// Is ready again: it does not drain, and commands reach it.
+    pub fn cancel_drain(&mut self) {
+        self.exits_at = None;
+        self.info.draining = false;
+        self.info.min_remaining_ms = None;
+        self.unreachable = false;
+    }
+
     /// Exits if it is time; returns whether it does. What runs here ends with it, unreported.
     pub fn exit_if_due(&mut self, now: Millis) -> bool {
         let due = self.listed && self.exits_at.is_some_and(|at| at <= now);
--- a/standins/src/cell_world.rs
+++ b/standins/src/cell_world.rs
@@ -382,6 +382,14 @@
         self.step(CellEvent::Listed(info));
     }
 
+    /// Has an executor that drains or has exited report that it is ready.
+    pub fn set_ready(&mut self, name: &str) {
+        if let Some(executor) = self.executors.get_mut(name) {
+            executor.cancel_drain();
+            self.set_listed(name, true);
+        }
+    }
+
     /// Changes the capacity of an executor; the list says so after `listed_after` ms, and starts that
     /// rely on the earlier capacity are violations after `grace_ms`.
     pub fn set_capacity(
