Test runs and ends that only the last owner could name

Adds runs and ends of jobs that the earlier owner did not know, ends beyond one reply, executors that reply again or are lost again, and occurrences.

--- a/tests/handover.rs
+++ b/tests/handover.rs
@@ -5,7 +5,8 @@
     dragonflyferry::{
         core::{Millis, Resources},
         fleet::{
-            FleetConfig, JobId, JobStatus, LeaseWaits, StepSpec, Submission, TaskId, TenantRule,
+            FleetConfig, JobId, JobStatus, LeaseWaits, Schedule, StepSpec, Submission, TaskId,
+            TenantRule,
         },
     },
     rand::{Rng, SeedableRng, rngs::SmallRng},
@@ -33,6 +34,9 @@
 /// CPU of tasks that share no executor, in thousandths of a core.
 const WIDE_MILLI: u32 = 7_000;
 
+/// Unix time at the start of the simulation, in ms.
+const UNIX_START_MS: Millis = 1_700_000_000_000;
+
 /// How an owner ends.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 enum Stop {
@@ -742,6 +746,152 @@
     });
 }
 
+/// The owner that stops as planned knows the task of a run, but not its job.
+#[test]
+fn a_run_of_a_job_that_the_earlier_owner_did_not_know_is_waited_for() {
+    for stop in STOPS {
+        let mut world = world_with_jobs(1, 3, vec![wide_persistent()]);
+        let host = host_of(&world, 1);
+        world.unread_jobs.insert(JobId(1));
+        world.replace_owner();
+        world.run(500);
+        world.unread_jobs.clear();
+        cut_next(&mut world, &host);
+        stop_owner(&mut world, stop);
+        assert_recovers(&mut world, &[1]);
+    }
+}
+
+/// The same for the end of a done task.
+#[test]
+fn an_end_of_a_job_that_the_earlier_owner_did_not_know_is_not_lost() {
+    for stop in STOPS {
+        let mut world = world(1, 2);
+        world.submit(job(1, "urgent", vec![step(1, 1_000, 600)]));
+        world.run(200);
+        let host = host_of(&world, 1);
+        world.unread_jobs.insert(JobId(1));
+        world.replace_owner();
+        world.run(700);
+        world.unread_jobs.clear();
+        cut_next(&mut world, &host);
+        stop_owner(&mut world, stop);
+        world.run(GIVE_UP_MS);
+        assert_sound(&world);
+    }
+}
+
+/// One reply lists 500 ends; the others have not been read at the planned stop.
+#[test]
+fn ends_beyond_those_of_one_reply_are_waited_for() {
+    for after_ms in [2, 200] {
+        for stop in STOPS {
+            let mut world = world(1, 1);
+            let small = StepSpec {
+                need: Resources {
+                    memory_mib: 1,
+                    ..need(10)
+                },
+                ..step(600, 10, 500)
+            };
+            world.submit(job(1, "urgent", vec![small]));
+            world.run(300);
+            world.store_up = false;
+            time_to_run(&mut world, 1, 0);
+            world.run(after_ms);
+            world.add_executor("other", "pool", "r9", capacity());
+            cut_next(&mut world, "e0");
+            stop_owner(&mut world, stop);
+            world.store_up = true;
+            world.run(GIVE_UP_MS);
+            assert_sound(&world);
+        }
+    }
+}
+
+/// The record in the store still names the executor as one without new work, or may do so.
+#[test]
+fn new_work_on_an_executor_that_replies_again_is_waited_for() {
+    for plan in [
+        None,
+        Some((None, 300)),
+        Some((Some(20), 600)),
+        Some((Some(800), 900)),
+    ] {
+        for first in STOPS {
+            for second in STOPS {
+                let mut world = world_with_jobs(1, 2, vec![wide_persistent(), wide_persistent()]);
+                let unread = host_of(&world, 2);
+                cut_next(&mut world, &unread);
+                stop_owner(&mut world, first);
+                // Fills the other executor.
+                world.submit(job(3, "urgent", vec![step(1, 1_000, LONG_MS)]));
+                world.run(2_300);
+                if let Some((carried_out_after, result_after)) = plan {
+                    plan_commits(&mut world, carried_out_after, result_after);
+                }
+                world.cut.clear();
+                world.submit(job(4, "urgent", vec![step(1, 1_000, LONG_MS)]));
+                time_to_run(&mut world, 4, 1);
+                assert_eq!(host_of(&world, 4), unread);
+                world.commit_plans.clear();
+                world.add_executor("other", "pool", "r9", capacity());
+                cut_next(&mut world, &unread);
+                stop_owner(&mut world, second);
+                world.run(MAX_LEASE_WAIT_MS);
+                world.cut.clear();
+                world.run(MAX_START_MS);
+                assert_sound(&world);
+            }
+        }
+    }
+}
+
+/// An executor loses its connection once more after it was read.
+#[test]
+fn an_executor_that_is_lost_again_holds_up_what_it_ran_last() {
+    let (mut world, host, unread) = world_with_two(1);
+    cut_next(&mut world, &unread);
+    world.hand_over();
+    world.run(1_500);
+    world.cut.clear();
+    world.run(2_000);
+    world.submit(job(3, "urgent", vec![step(3, 1_000, LONG_MS)]));
+    world.run(500);
+    set_unreachable(&mut world, &unread, true);
+    world.run(2_000);
+    fail_runs(&mut world, &host);
+    world.replace_owner();
+    assert_runs_soon(&mut world, 1);
+    assert_recovers(&mut world, &[1, 2]);
+    assert_runs_within(&mut world, 3, 3, MAX_START_MS);
+}
+
+#[test]
+fn an_occurrence_that_falls_due_after_a_planned_stop_does_not_wait() {
+    let mut world = world_with_jobs(1, 3, vec![wide_persistent()]);
+    let unread = host_of(&world, 1);
+    let mut repeated = job(2, "urgent", vec![step(1, 1_000, 300)]);
+    repeated.spec.schedule = Some(Schedule {
+        count: 2,
+        start_unix_ms: UNIX_START_MS + world.now + 100,
+        interval_ms: 1_200,
+    });
+    world.submit(repeated);
+    world.run(800);
+    assert_eq!(runs(&world, 2), 0);
+    cut_next(&mut world, &unread);
+    world.hand_over();
+    world.run(2_500);
+    assert_eq!(
+        world.job_status(JobId(2)),
+        Some(JobStatus::Completed),
+        "{:#?}",
+        tail(&world)
+    );
+    assert_sound(&world);
+}
+
 /// Returns what an earlier version would read and write of a record.
 fn as_earlier_version(waits: &LeaseWaits) -> LeaseWaits {
     let fields = (waits.token, waits.waited.clone());
