Test two older faults around unread executors

An owner that cannot decode the roster writes one of the executors that it knows; if it stops within the leases, the next owner does not wait for the others and starts their tasks twice. A gang of which the new owner adopts one member and loses the other is not stopped and started anew.

--- a/tests/handover.rs
+++ b/tests/handover.rs
@@ -892,6 +892,42 @@
     assert_sound(&world);
 }
 
+/// The owner that could not read the roster has written a new one, which does not name the executor.
+#[test]
+fn an_executor_of_a_roster_that_was_not_readable_is_waited_for_by_the_next_owner_too() {
+    for stop in STOPS {
+        let mut world = world_with_jobs(1, 3, vec![wide_persistent()]);
+        let host = host_of(&world, 1);
+        world.set_listed(&host, false);
+        cut_next(&mut world, &host);
+        world.records.roster.clear();
+        world.roster_unreadable = true;
+        world.replace_owner();
+        world.run(1_000);
+        world.roster_unreadable = world.records.roster.is_empty();
+        stop_owner(&mut world, stop);
+        world.run(GIVE_UP_MS);
+        assert_sound(&world);
+    }
+}
+
+/// One member runs on, the other was on the unread executor: all start anew after its lease.
+#[test]
+fn a_gang_that_lost_a_member_with_an_unread_executor_starts_anew() {
+    for stop in STOPS {
+        let gang = StepSpec {
+            gang: true,
+            ..step(2, WIDE_MILLI, LONG_MS)
+        };
+        let mut world = world_with_jobs(1, 5, vec![gang]);
+        let unread = host_of(&world, 1);
+        cut_next(&mut world, &unread);
+        stop_owner(&mut world, stop);
+        world.run(MAX_LEASE_WAIT_MS);
+        assert_runs_within(&mut world, 1, 2, MAX_START_MS);
+    }
+}
+
 /// Returns what an earlier version would read and write of a record.
 fn as_earlier_version(waits: &LeaseWaits) -> LeaseWaits {
     let fields = (waits.token, waits.waited.clone());
