Keep the first step of a test off the unread executor

The step's dependency ran on the unread executor itself, so that the second step had to wait. It now does not fit there; the bound is the same.

--- a/tests/handover.rs
+++ b/tests/handover.rs
@@ -353,7 +353,7 @@
     assert_recovers(&mut world, &[1, 2]);
 }
 
-/// A step whose dependency was done before the planned stop has never run.
+/// The step's dependency runs on an executor that is read.
 #[test]
 fn a_step_that_never_ran_does_not_wait_for_an_unread_executor() {
     let mut world = world_with_jobs(1, 3, vec![wide_persistent()]);
@@ -362,7 +362,7 @@
         depends_on: vec![0],
         ..step(1, 1_000, LONG_MS)
     };
-    world.submit(job(2, "patient", vec![step(1, 1_000, 600), second]));
+    world.submit(job(2, "patient", vec![step(1, 2_000, 600), second]));
     world.run(400);
     assert_eq!(runs(&world, 2), 1);
     cut_next(&mut world, &unread);
