Repeat lost stops and a failed write within a hand-over

A stop without a reply was not sent again while an owner handed over, so that one lost reply cost the whole time for stops, and the record was tried once. Stops are repeated as in a round, the record is written again until 0.7 s have passed, and the hand-over ends after 1.6 s, so that the owner key is released before a stopped process exits (2.5 s).

--- a/src/entry/membership.rs
+++ b/src/entry/membership.rs
@@ -48,8 +48,9 @@
 /// power failure all nodes are back within about 0.3 s.
 const MIN_OWNER_TIME_MS: Millis = 500;
 
-/// Time for a planned hand-over of ownership; ends before the platform kills a stopped process.
-const HAND_OVER_TIMEOUT: Duration = Duration::from_millis(2_100);
+/// Maximum time of a planned hand-over of ownership: leaves time to release it before a stopped process
+/// ends.
+const HAND_OVER_TIMEOUT: Duration = Duration::from_millis(1_600);
 
 /// Time that a node which stepped down waits for other nodes before it claims again.
 const STEP_DOWN_DELAY: Duration = Duration::from_secs(1);
--- a/src/fleet/cell_hand_over.rs
+++ b/src/fleet/cell_hand_over.rs
@@ -16,8 +16,8 @@
     std::collections::HashMap,
 };
 
-/// Maximum time for these stops, in ms.
-const MAX_SETTLE_MS: Millis = 1_000;
+/// Maximum time for these stops, and for another attempt to write the record, in ms.
+const MAX_SETTLE_MS: Millis = 700;
 
 /// Time in which the next owner reads the executors, in ms: what exits earlier is stopped by this one.
 const TAKEOVER_MS: Millis = 1_500;
@@ -28,7 +28,9 @@
     began_at: Millis,
     /// Runs that were stopped as their executors are about to exit.
     stopped: usize,
-    /// The commit of the record. No start and no renewal is sent once it is under way.
+    /// Whether the record was written, successfully or not: no start and no renewal is sent any more.
+    frozen: bool,
+    /// The commit of the record, while it is under way.
     commit: Option<CallId>,
 }
 
@@ -43,6 +45,7 @@
         self.hand_over = Some(HandOver {
             began_at: now.mono,
             stopped,
+            frozen: false,
             commit: None,
         });
     }
@@ -56,7 +59,8 @@
             return;
         }
         let overdue = now.mono >= hand_over.began_at + MAX_SETTLE_MS;
-        if !overdue && self.is_stopping_departing() {
+        if !hand_over.frozen && !overdue && self.is_stopping_departing() {
+            self.resend_stops(now);
             self.send_commits(now);
             self.send_renewals(now);
             return;
@@ -75,6 +79,7 @@
         self.log(FleetEvent::OwnerStopping, detail);
         let call = self.next_call();
         self.hand_over = Some(HandOver {
+            frozen: true,
             commit: Some(call),
             ..hand_over
         });
@@ -82,17 +87,24 @@
         self.effects.push(CellEffect::Commit { call, writes });
     }
 
-    /// Ends the hand-over once the outcome of its commit is known: this owner stops either way.
+    /// Ends the hand-over once its record is durable or cannot be written in time.
     pub(super) fn on_hand_over_written(&mut self, call: CallId, ok: bool, now: Now) {
         let Some(hand_over) = self.hand_over.filter(|h| h.commit == Some(call)) else {
             return;
         };
+        let after_ms = now.mono.saturating_sub(hand_over.began_at);
         if !ok {
-            let after_ms = now.mono.saturating_sub(hand_over.began_at);
             let detail = format!("hand-over not confirmed; after_ms={after_ms}");
             self.log(FleetEvent::CommitFailed, detail);
         }
-        self.effects.push(CellEffect::HandedOver);
+        if ok || after_ms >= MAX_SETTLE_MS {
+            self.effects.push(CellEffect::HandedOver);
+        } else {
+            self.hand_over = Some(HandOver {
+                commit: None,
+                ..hand_over
+            });
+        }
     }
 
     /// Returns the record of all executors, on which this owner grants no lease from now on.
--- a/standins/src/cell_world.rs
+++ b/standins/src/cell_world.rs
@@ -48,7 +48,7 @@
 const EVACUATION_MS: Millis = 5_000;
 
 /// Time after which an owner that hands over is stopped, in ms.
-const MAX_HAND_OVER_MS: Millis = 2_100;
+const MAX_HAND_OVER_MS: Millis = 1_600;
 
 /// Max delay of a late command, in ms.
 const MAX_LATE_MS: Millis = 12_000;
