Keep a roster that could not be decoded until its leases have expired

An owner that could not decode the roster replaced it at once by one of the executors that it knew. The next owner, within the lease, did not wait for an executor that only the first roster named, and started its task twice.

The roster is not written while this owner itself waits for the executors of one that it could not read.

--- a/src/fleet/cell_jobs.rs
+++ b/src/fleet/cell_jobs.rs
@@ -9,7 +9,7 @@
         fleet::{
             Cell, CellEffect, CommitBatch, Executor, FleetEvent, Job, JobEnd, JobId, JobProgress,
             JobRecord, Now, ProgressFormat, RecordChange, Roster, RosterEntry, StoreWrite,
-            Submission, commit_queue::MAX_RECORD_WEIGHT,
+            Submission, cell::UNREADABLE_ROSTER, commit_queue::MAX_RECORD_WEIGHT,
         },
     },
     std::sync::Arc,
@@ -220,6 +220,8 @@
 
     /// Sends the next commits as far as the queue permits.
     pub(super) fn send_commits(&mut self, now: Now) {
+        // The next owner must not take this one's roster for that of the executors not yet waited for.
+        self.commit_queue.roster_held = self.unread.contains(UNREADABLE_ROSTER);
         self.commit_queue.waits.dirty |= self.earlier_leases.needs_write(now.mono);
         loop {
             let call = self.next_call();
--- a/src/fleet/cell_runs.rs
+++ b/src/fleet/cell_runs.rs
@@ -331,6 +331,9 @@
                     RunStage::StartSent if in_roster && !over_capacity => {
                         starts.push((id.clone(), *task));
                     }
+                    RunStage::StopSent if run.stage_since + STOP_RETRY_MS <= now.mono => {
+                        stops.push((id.clone(), *task));
+                    }
                     _ => {}
                 }
             }
@@ -341,22 +344,6 @@
         for (id, task) in stops {
             self.stop_run(&id, task, now);
         }
-        self.resend_stops(now);
-    }
-
-    /// Sends unanswered stop commands again, to responsive executors.
-    pub(super) fn resend_stops(&mut self, now: Now) {
-        let mut stops = Vec::new();
-        for (id, executor) in self.executors.iter().filter(|(_, e)| e.is_responsive()) {
-            let runs = executor.runs.iter();
-            let unanswered =
-                runs.filter(|(_, r)| r.stage == RunStage::StopSent && r.call.is_none());
-            let due = unanswered.filter(|(_, r)| r.stage_since + STOP_RETRY_MS <= now.mono);
-            stops.extend(due.map(|(task, _)| (id.clone(), *task)));
-        }
-        for (id, task) in stops {
-            self.stop_run(&id, task, now);
-        }
     }
 
     /// Handles a run that certainly no longer runs but whose end was not reported; the caller has
--- a/src/fleet/commit_queue.rs
+++ b/src/fleet/commit_queue.rs
@@ -44,6 +44,11 @@
 }
 
 impl SingleWrite {
+    /// Returns whether a commit under way writes it.
+    pub fn is_in_flight(self) -> bool {
+        self.in_flight
+    }
+
     /// Returns whether the next commit may write it: two writes under way could take effect in
     /// either order.
     fn is_due(self) -> bool {
@@ -138,6 +143,8 @@
     /// Earliest next commit, in ms on the owner's monotonic clock.
     next_commit_at: Millis,
     pub roster: SingleWrite,
+    /// Whether the roster must stay as it is in the store.
+    pub roster_held: bool,
     /// Waits for the leases of earlier owners.
     pub waits: SingleWrite,
 }
@@ -182,7 +189,8 @@
         if self.in_flight.len() >= max_in_flight || now < self.next_commit_at {
             return None;
         }
-        let mut singles = usize::from(self.roster.is_due()) + usize::from(self.waits.is_due());
+        let roster_due = self.roster.is_due() && !self.roster_held;
+        let mut singles = usize::from(roster_due) + usize::from(self.waits.is_due());
         let alone = self.next_refused(now);
         let mut free_entries = MAX_COMMIT_ENTRIES - singles;
         let mut jobs = BTreeMap::new();
@@ -213,7 +221,7 @@
         }
         let batch = CommitBatch {
             jobs: jobs.keys().copied().collect(),
-            roster: singles > 0 && self.roster.take(),
+            roster: singles > 0 && roster_due && self.roster.take(),
             waits: singles > 0 && self.waits.take(),
         };
         self.in_flight.push(InFlight {
