Restart a gang of which a new owner found only some members

A gang with a member on an executor that a new owner could never read stayed as it was: the members left ran on alone, and no other run of the gang began. Each other way to lose a member stops the gang as a whole.

When the takeover ends, with every executor read or its leases expired, gangs that are partly active are stopped, and start anew.

--- a/src/fleet/cell.rs
+++ b/src/fleet/cell.rs
@@ -376,7 +376,7 @@
     fn tick(&mut self, now: Now) {
         self.give_up_unreachable(now);
         self.log_takeover_wait(now);
-        self.log_takeover_end(now);
+        self.end_takeover(now);
         self.drop_finished_jobs();
         self.drop_closed_suspects();
         self.unlist_missing(now);
--- a/src/fleet/cell_takeover.rs
+++ b/src/fleet/cell_takeover.rs
@@ -5,8 +5,8 @@
 use crate::{
     core::Millis,
     fleet::{
-        BlockReason, Cell, Executor, ExecutorId, FleetEvent, Job, Now, Run, RunStage,
-        cell::list_ids,
+        BlockReason, Cell, Executor, ExecutorId, FleetEvent, Job, Now, Run, RunStage, Session,
+        Step, TaskId, cell::list_ids,
     },
 };
 
@@ -37,8 +37,17 @@
         }
     }
 
-    /// Logs the end of the takeover, once nothing is left that this owner has not read.
-    pub(super) fn log_takeover_end(&mut self, now: Now) {
+    /// Returns whether an executor of the roster may still reply to the first renewal.
+    pub(super) fn is_opening_roster(&self) -> bool {
+        self.unread.ids().any(|id| {
+            let executor = self.executors.get(id);
+            executor.is_some_and(|e| e.session == Session::Opening && e.failed_calls == 0)
+        })
+    }
+
+    /// Ends the takeover once nothing is left that this owner has not read: gangs of which only some
+    /// members were found can't become complete and start anew.
+    pub(super) fn end_takeover(&mut self, now: Now) {
         if !self.unread.is_empty() || self.takeover_ended {
             return;
         }
@@ -51,8 +60,35 @@
             }
         }
         let after_ms = now.mono.saturating_sub(self.took_over_at);
-        let detail = format!("after_ms={after_ms} jobs={jobs}");
+        let gangs = self.partial_gangs();
+        let detail = format!(
+            "after_ms={after_ms} jobs={jobs} partial_gangs={}",
+            gangs.len()
+        );
         self.log(FleetEvent::TakeoverEnded, detail);
+        for member in gangs {
+            self.stop_gang(&member, now);
+        }
+    }
+
+    /// Lists a running member of each gang of an earlier owner of which others neither run nor are done.
+    fn partial_gangs(&self) -> Vec<TaskId> {
+        let recovered = self
+            .jobs
+            .values()
+            .filter(|j| j.recovered && j.end.is_none());
+        let steps = recovered.flat_map(|j| j.steps.iter().map(move |(key, step)| (j, key, step)));
+        let member = |(job, key, step): (&Job, &(u32, u16), &Step)| {
+            let gang = job.spec(key.1).is_some_and(|s| s.gang);
+            let active = step.active_tasks().count();
+            let partial = gang && active > 0 && active < step.count as usize;
+            let (index, _) = step.active_tasks().next().filter(|_| partial)?;
+            Some(TaskId {
+                step: job.step_id(*key),
+                index,
+            })
+        };
+        steps.filter_map(member).collect()
     }
 
     /// Logs which jobs wait for unread executors.
