Hand over after the normal plan, and place beside unread executors with care

- An executor that was opened with a cut list of ends counted with what the earlier owner had named, without the runs of this one: a second start was possible after the next change.
Now it counts as not known.
- Ends that are not acknowledged on executors about to exit are waited for in the hand-over, and another write of the same record too.
Until the record is written, rounds go on as usual.
A refused write is repeated after 0.2 s.
- Right after a claim most room is not known, so nothing is preempted or reserved until the executors have replied to the first renewal, and a step preempts for the tasks that may start only.
- An executor leaves the roster once its ends are acknowledged; by the durability of whole jobs it could leave and enter it again and again.

--- a/src/fleet/cell.rs
+++ b/src/fleet/cell.rs
@@ -12,6 +12,7 @@
             Evacuations, Executor, ExecutorId, ExecutorInfo, FencingToken, FleetConfig, FleetEvent,
             INCARNATIONS_PER_OWNER, Job, JobEnd, JobId, QueueRule, RecoveredState, RosterEntry,
             StepId, TaskId, UnreadExecutors, UpkeepPlan,
+            cell_capacity::tenant_needs,
             cell_hand_over::{HandOver, possible_runs_by_id},
             cell_jobs::JobOrigin,
             cell_takeover::WAIT_LOG_INTERVAL_MS,
@@ -181,7 +182,7 @@
 
 impl Cell {
     /// Creates the cell of a new owner from what the store holds. All executors of the roster
-    /// are unreconciled at first; recovered jobs may have runs there.
+    /// are unread at first; recovered jobs may have runs there.
     pub fn new(
         token: FencingToken,
         bounds: CellBounds,
@@ -247,16 +248,16 @@
         for (id, record, progress) in recovered.jobs {
             cell.add_recovered(id, record, progress.as_ref(), now);
         }
+        let jobs = &cell.jobs;
+        cell.unread.set_needs(|tasks| tenant_needs(jobs, tasks));
         for id in recovered.cancelled {
             cell.cancel(id, now);
         }
         cell.on_evacuations(&Arc::new(recovered.evacuations), now);
         let (jobs, executors) = (cell.jobs.len(), list_ids(cell.unread.ids()));
-        let known = cell.unread.iter().filter(|(_, tasks)| tasks.is_some());
-        let detail = format!(
-            "token={token} jobs={jobs} with_known_runs={} executors={executors}",
-            known.count()
-        );
+        let known = cell.unread.known_count();
+        let detail =
+            format!("token={token} jobs={jobs} with_known_runs={known} executors={executors}");
         cell.log(FleetEvent::TakeoverRead, detail);
         cell
     }
--- a/src/fleet/cell_capacity.rs
+++ b/src/fleet/cell_capacity.rs
@@ -7,9 +7,15 @@
 use {
     crate::{
         core::Resources,
-        fleet::{Cell, ExecutorId, ExecutorInfo, Now, StepId},
+        fleet::{
+            Cell, ExecutorId, ExecutorInfo, Job, JobId, Now, StepId, TaskId,
+            unread_executors::TenantNeeds,
+        },
+    },
+    std::{
+        collections::{BTreeMap, HashMap},
+        sync::Arc,
     },
-    std::{collections::HashMap, sync::Arc},
 };
 
 /// A schedulable executor and its free capacity.
@@ -55,11 +61,9 @@
 #[derive(Debug, Default)]
 pub(super) struct CapacitySnapshot {
     pools: HashMap<Arc<str>, PoolCapacity>,
-    /// Sum of the maximum capacities of unread executors whose possible runs are not known: upper bound
-    /// of what runs there. One whose capacity is unknown counts as the largest executor.
+    /// Sum of the maximum capacities of unread executors for which the needs of the possible runs are not
+    /// known: upper bound of what runs there. One whose capacity is unknown counts as the largest executor.
     pub unread_capacity: Resources,
-    /// What the possible runs on the other unread executors need, by tenant.
-    pub unread_needs: HashMap<Arc<str>, Resources>,
 }
 
 impl CapacitySnapshot {
@@ -148,37 +152,33 @@
             });
             pool.max_free.max_assign(&free);
         }
-        self.add_unread(&mut snapshot);
-        snapshot
-    }
-
-    /// Adds what may run on the executors that this owner has not read.
-    fn add_unread(&self, snapshot: &mut CapacitySnapshot) {
         let mut largest = Resources::default();
         let executors = self.executors.values();
         executors.for_each(|e| largest.max_assign(&e.max_capacity));
-        for (id, tasks) in self.unread.iter() {
-            let Some(executor) = self.executors.get(id) else {
-                continue;
-            };
-            let specs = tasks.and_then(|t| t.iter().map(|t| self.lookup_step(&t.step)).collect());
-            let specs: Option<Vec<_>> = specs;
-            if let Some(specs) = specs {
-                for (job, spec, _) in specs {
-                    if let Some(tenant) = &job.submission.tenant {
-                        let needs = snapshot.unread_needs.entry(tenant.clone()).or_default();
-                        needs.add(&spec.allocation());
-                    }
-                }
-                continue;
+        for id in self.unread.without_needs() {
+            if let Some(executor) = self.executors.get(id) {
+                let known = executor.max_capacity != Resources::default();
+                let capacity = if known {
+                    &executor.max_capacity
+                } else {
+                    &largest
+                };
+                snapshot.unread_capacity.add(capacity);
             }
-            let known = executor.max_capacity != Resources::default();
-            let capacity = if known {
-                &executor.max_capacity
-            } else {
-                &largest
-            };
-            snapshot.unread_capacity.add(capacity);
+        }
+        snapshot
+    }
+}
+
+/// Sums what tasks need by the tenants of their jobs; `None` if a task is not known.
+pub(super) fn tenant_needs(jobs: &BTreeMap<JobId, Job>, tasks: &[TaskId]) -> Option<TenantNeeds> {
+    let mut needs: BTreeMap<Arc<str>, Resources> = BTreeMap::new();
+    for task in tasks {
+        let job = jobs.get(&task.step.job)?;
+        let need = job.spec(task.step.step)?.allocation();
+        if let Some(tenant) = &job.submission.tenant {
+            needs.entry(tenant.clone()).or_default().add(&need);
         }
     }
+    Some(needs.into_iter().collect())
 }
--- a/src/fleet/cell_departures.rs
+++ b/src/fleet/cell_departures.rs
@@ -96,15 +96,12 @@
         self.stop_exiting_within(policy::exit_lead_ms(self.bounds.kill_grace_ms), now);
     }
 
-    /// Stops the runs that will not end before their executor exits, where it may exit within `lead_ms`;
-    /// returns their number. A gang is stopped as a whole, unless it is persistent.
-    pub(super) fn stop_exiting_within(&mut self, lead_ms: Millis, now: Now) -> usize {
-        let exiting = |(id, e): (&ExecutorId, &Executor)| {
-            let soon = e.time_left(now.mono).is_some_and(|ms| ms <= lead_ms);
-            (e.is_departing() && soon).then(|| id.clone())
-        };
-        let exiting: Vec<ExecutorId> = self.executors.iter().filter_map(exiting).collect();
-        let mut stopped = 0;
+    /// Stops the runs that will not end before their executor exits, where it may exit within `lead_ms`. A
+    /// gang is stopped as a whole, unless it is persistent.
+    pub(super) fn stop_exiting_within(&mut self, lead_ms: Millis, now: Now) {
+        let exiting = self.executors.iter();
+        let exiting = exiting.filter(|(_, e)| e.may_exit_within(lead_ms, now.mono));
+        let exiting: Vec<ExecutorId> = exiting.map(|(id, _)| id.clone()).collect();
         for id in exiting {
             for task in self.unfinishable_runs(&id, now) {
                 // Stopped with another member before, in this round.
@@ -116,10 +113,8 @@
                     Some((true, false)) => self.stop_gang(&task, now),
                     _ => self.stop_run(&id, task, now),
                 }
-                stopped += 1;
             }
         }
-        stopped
     }
 
     /// Takes the executors that drain and on which nothing is left out of the roster.
@@ -140,9 +135,9 @@
         let Some(executor) = self.executors.get(id) else {
             return;
         };
-        let commits = &self.commit_queue;
         let empty = !executor.may_run_tasks()
-            && executor.has_no_open_ends(|job| commits.is_durable(job))
+            && !executor.has_unread_ends
+            && executor.unacked.is_empty()
             && !self.unread.contains(id);
         // Only what an executor itself lists shows that it is empty.
         let may_retire = executor.retired || executor.is_responsive();
@@ -224,10 +219,15 @@
 
 impl Executor {
     /// Returns whether it drains and replies, so that its runs can be stopped in order.
-    pub(super) fn is_departing(&self) -> bool {
+    fn is_departing(&self) -> bool {
         self.info.draining && self.is_responsive()
     }
 
+    /// Returns whether it may exit within `lead_ms` and replies until then.
+    pub(super) fn may_exit_within(&self, lead_ms: Millis, now: Millis) -> bool {
+        self.is_departing() && self.time_left(now).is_some_and(|ms| ms <= lead_ms)
+    }
+
     /// Returns the minimum time until it exits, in ms; `None` if it announced none.
     fn time_left(&self, now: Millis) -> Option<Millis> {
         self.exits_at.map(|at| at.saturating_sub(now))
--- a/src/fleet/cell_hand_over.rs
+++ b/src/fleet/cell_hand_over.rs
@@ -1,9 +1,9 @@
 //! Hand-over of the cell at a planned stop of its owner, and what an owner leaves to the next one about
 //! executors on which it grants no lease.
 //!
-//! An owner that stops as planned starts nothing more, and stops the runs on executors that are about to
-//! exit, so that it reads their ends. Then it renews no lease any more and writes one record of what may
-//! run on each executor, so that the next owner waits only for runs that it cannot read.
+//! An owner that stops as planned first stops the runs on executors that are about to exit, so that it
+//! reads their ends. Then it starts nothing and renews no lease any more, and writes one record of what
+//! may run on each executor, so that the next owner waits only for runs that it cannot read.
 
 use {
     crate::{
@@ -22,64 +22,73 @@
 /// Time in which the next owner reads the executors, in ms: what exits earlier is stopped by this one.
 const TAKEOVER_MS: Millis = 1_500;
 
+/// Time between attempts to write the record, in ms.
+const RETRY_MS: Millis = 200;
+
 /// A hand-over under way.
 #[derive(Clone, Copy, Debug)]
 pub(super) struct HandOver {
     began_at: Millis,
-    /// Runs that were stopped as their executors are about to exit.
-    stopped: usize,
     /// Whether the record was written, successfully or not: no start and no renewal is sent any more.
-    frozen: bool,
+    recorded: bool,
     /// The commit of the record, while it is under way.
     commit: Option<CallId>,
+    /// Earliest next attempt to write it, in ms on the owner's monotonic clock.
+    not_before: Millis,
 }
 
 impl Cell {
     /// Begins to hand over to the next owner.
     pub(super) fn begin_hand_over(&mut self, now: Now) {
-        if self.hand_over.is_some() {
-            return;
-        }
-        let lead_ms = TAKEOVER_MS + policy::exit_lead_ms(self.bounds.kill_grace_ms);
-        let stopped = self.stop_exiting_within(lead_ms, now);
-        self.hand_over = Some(HandOver {
+        self.hand_over.get_or_insert(HandOver {
             began_at: now.mono,
-            stopped,
-            frozen: false,
+            recorded: false,
             commit: None,
+            not_before: now.mono,
         });
     }
 
-    /// Brings a hand-over on: renews until the stops have ended, then writes the record.
-    pub(super) fn plan_hand_over(&mut self, now: Now) {
+    /// Returns whether no start and no renewal may be sent any more.
+    pub(super) fn has_recorded_hand_over(&self) -> bool {
+        self.hand_over.is_some_and(|h| h.recorded)
+    }
+
+    /// Brings a hand-over on, if one has begun: stops what is about to be lost, then writes the record.
+    /// Returns whether the cell must plan nothing else.
+    pub(super) fn plan_hand_over(&mut self, now: Now) -> bool {
         let Some(hand_over) = self.hand_over else {
-            return;
+            return false;
         };
-        if hand_over.commit.is_some() {
-            return;
+        if !hand_over.recorded {
+            let lead_ms = TAKEOVER_MS + policy::exit_lead_ms(self.bounds.kill_grace_ms);
+            self.stop_exiting_within(lead_ms, now);
+            let overdue = now.mono >= hand_over.began_at + MAX_SETTLE_MS;
+            let settled =
+                !self.commit_queue.waits.is_in_flight() && !self.awaits_exit(lead_ms, now);
+            if !settled && !overdue {
+                return false;
+            }
         }
-        let overdue = now.mono >= hand_over.began_at + MAX_SETTLE_MS;
-        if !hand_over.frozen && !overdue && self.is_stopping_departing() {
-            self.resend_stops(now);
-            self.send_commits(now);
-            self.send_renewals(now);
-            return;
+        if hand_over.commit.is_none() && hand_over.not_before <= now.mono {
+            self.write_hand_over(hand_over, now);
         }
+        true
+    }
+
+    fn write_hand_over(&mut self, hand_over: HandOver, now: Now) {
         let waits = self.hand_over_record(now);
         let unknown = waits.possible_runs.iter().filter(|r| r.is_none()).count();
         let runs: usize = waits.possible_runs.iter().flatten().map(Vec::len).sum();
         let detail = format!(
-            "handed over: executors={} unknown={unknown} runs={runs} stopped={} max_bytes={} \
-             after_ms={}",
+            "handed over: executors={} unknown={unknown} runs={runs} max_bytes={} after_ms={}",
             waits.waited.len(),
-            hand_over.stopped,
             waits.max_bytes(),
             now.mono.saturating_sub(hand_over.began_at)
         );
         self.log(FleetEvent::OwnerStopping, detail);
         let call = self.next_call();
         self.hand_over = Some(HandOver {
-            frozen: true,
+            recorded: true,
             commit: Some(call),
             ..hand_over
         });
@@ -102,6 +111,7 @@
         } else {
             self.hand_over = Some(HandOver {
                 commit: None,
+                not_before: now.mono + RETRY_MS,
                 ..hand_over
             });
         }
@@ -139,23 +149,27 @@
     /// Lists the tasks that may run on an executor, or whose ends there are not durable; `None` if they are
     /// not known.
     fn possible_runs(&self, id: &ExecutorId) -> Option<Vec<TaskId>> {
-        if self.unread.contains(id) {
-            return self.unread.tasks_on(id).map(<[TaskId]>::to_vec);
-        }
         let Some(executor) = self.executors.get(id) else {
             return Some(Vec::new());
         };
-        if executor.session == Session::Opening && self.unread.contains(UNREADABLE_ROSTER) {
-            return None;
+        if executor.session != Session::Opening {
+            return executor.possible_runs(|job| self.commit_queue.is_durable(job));
+        }
+        match self.unread.tasks_on(id) {
+            Some(tasks) => Some(tasks.to_vec()),
+            None if self.unread.contains(id) || self.unread.contains(UNREADABLE_ROSTER) => None,
+            None => Some(Vec::new()),
         }
-        executor.possible_runs(|job| self.commit_queue.is_durable(job))
     }
 
-    /// Returns whether runs are being stopped on executors that drain.
-    fn is_stopping_departing(&self) -> bool {
-        let departing = self.executors.values().filter(|e| e.is_departing());
-        let mut runs = departing.flat_map(|e| e.runs.values());
-        runs.any(Run::is_stopping)
+    /// Returns whether runs are being stopped, or ends are not acknowledged, on executors that may exit
+    /// within `lead_ms`.
+    fn awaits_exit(&self, lead_ms: Millis, now: Now) -> bool {
+        let mut exiting = self
+            .executors
+            .values()
+            .filter(|e| e.may_exit_within(lead_ms, now.mono));
+        exiting.any(|e| !e.unacked.is_empty() || e.runs.values().any(Run::is_stopping))
     }
 }
 
--- a/src/fleet/cell_plan.rs
+++ b/src/fleet/cell_plan.rs
@@ -42,10 +42,10 @@
 
 impl Cell {
     /// Starts tasks, requests advice, commits records and renews leases as far as they are due;
-    /// call after a batch of events, and only while no other node can own the cell. In a hand-over it only brings that on.
+    /// call after a batch of events, and only while no other node can own the cell.
     pub fn plan(&mut self, now: Now) {
-        if self.hand_over.is_some() {
-            return self.plan_hand_over(now);
+        if self.plan_hand_over(now) {
+            return;
         }
         if self.next_round_due().is_some_and(|due| due <= now.mono) {
             self.needs_placement = false;
@@ -57,10 +57,10 @@
         self.send_renewals(now);
     }
 
-    /// Returns the earliest time of the next round; `None` if there is nothing to place, and during a
-    /// hand-over.
+    /// Returns the earliest time of the next round; `None` if there is nothing to place, and once the
+    /// hand-over is recorded.
     pub fn next_round_due(&self) -> Option<Millis> {
-        (self.needs_placement && self.hand_over.is_none()).then_some(self.next_round_at)
+        (self.needs_placement && !self.has_recorded_hand_over()).then_some(self.next_round_at)
     }
 
     /// Places waiting tasks in the order of their rank, and requests missing advice.
@@ -95,7 +95,9 @@
                 unadvised.push(candidate.step);
             }
             let lacks_capacity = reason.is_some_and(BlockReason::lacks_capacity);
-            if lacks_capacity && candidate.rank.timeliness == Timeliness::InTime {
+            // Most of the room is not known before the executors have replied for the first time.
+            let opening = self.is_opening_roster();
+            if lacks_capacity && !opening && candidate.rank.timeliness == Timeliness::InTime {
                 let reserved = self.reserve(candidate.step, &mut snapshot, now);
                 self.preempt(candidate, &snapshot, now);
                 self.preempt_for_gang(candidate, &reserved, now);
@@ -150,28 +152,21 @@
         now: Now,
     ) -> Option<BlockReason> {
         let (job, spec, step) = self.lookup_step(&id)?;
-        let mut unread = BTreeSet::new();
-        if job.recovered && !spec.allow_duplicates {
-            // In any pool: the queue may have had another one when the task was started.
-            if self.unread.may_run_any() {
-                return Some(BlockReason::Takeover);
-            }
-            unread = self.unread.named_of_step(&id);
+        // In any pool: the queue may have had another one when the task was started.
+        if job.recovered && !spec.allow_duplicates && self.unread.may_run_any() {
+            return Some(BlockReason::Takeover);
         }
         let spec = spec.clone();
         if spec.gang {
             let waiting = step.count_startable(now.mono);
             return match () {
                 () if waiting == 0 => Some(BlockReason::Pause),
-                () if !unread.is_empty() => Some(BlockReason::Takeover),
+                () if !self.held_tasks(&id).is_empty() => Some(BlockReason::Takeover),
                 () if waiting < step.count => Some(BlockReason::Members),
                 () => self.place_whole_gang(id, &spec, snapshot, now),
             };
         }
-        let mut waiting = step.startable(now.mono, MAX_STEP_STARTS + unread.len());
-        let startable = waiting.len();
-        waiting.retain(|index| !unread.contains(index));
-        let held = waiting.len() < startable;
+        let (waiting, held) = self.placeable_tasks(&id, MAX_STEP_STARTS, now);
         if waiting.is_empty() {
             let reason = if held {
                 BlockReason::Takeover
@@ -180,7 +175,6 @@
             };
             return Some(reason);
         }
-        waiting.truncate(MAX_STEP_STARTS);
         let has_more = waiting.len() == MAX_STEP_STARTS;
         let (waiting, suspects) = self.split_suspects(id, waiting);
         let blocked = self.place_each(id, &spec, &waiting, snapshot, now);
@@ -190,6 +184,31 @@
         blocked.or(held.then_some(BlockReason::Takeover))
     }
 
+    /// Lists the tasks of a step that may run on executors which this owner has not read, by index.
+    fn held_tasks(&self, id: &StepId) -> BTreeSet<u32> {
+        match self.lookup_step(id) {
+            Some((job, spec, _)) if job.recovered && !spec.allow_duplicates => {
+                self.unread.named_of_step(id)
+            }
+            _ => BTreeSet::new(),
+        }
+    }
+
+    /// Lists at most `max` tasks of a step that may start now, and returns whether others would but for
+    /// executors that this owner has not read.
+    pub(super) fn placeable_tasks(&self, id: &StepId, max: usize, now: Now) -> (Vec<u32>, bool) {
+        let Some((_, _, step)) = self.lookup_step(id) else {
+            return (Vec::new(), false);
+        };
+        let held = self.held_tasks(id);
+        let mut tasks = step.startable(now.mono, max + held.len());
+        let startable = tasks.len();
+        tasks.retain(|index| !held.contains(index));
+        let holds = tasks.len() < startable;
+        tasks.truncate(max);
+        (tasks, holds)
+    }
+
     /// Places a gang of which all members wait, if its suspect members may start.
     fn place_whole_gang(
         &mut self,
@@ -455,9 +474,7 @@
         };
         let mut used = self.tenant_usage.get(tenant).copied().unwrap_or_default();
         used.add(&snapshot.unread_capacity);
-        if let Some(needs) = snapshot.unread_needs.get(tenant) {
-            used.add(needs);
-        }
+        used.add(&self.unread.needs(tenant));
         rule.allows(&used, need)
     }
 
--- a/src/fleet/cell_preempt.rs
+++ b/src/fleet/cell_preempt.rs
@@ -23,12 +23,13 @@
         if candidate.rank.priority != PREEMPTING_PRIORITY {
             return;
         }
-        let Some((job, spec, step)) = self.lookup_step(&candidate.step) else {
+        let Some((job, spec, _)) = self.lookup_step(&candidate.step) else {
             return;
         };
         let rule = self.queue_rule(job);
         let need = spec.allocation();
-        let mut remaining = step.startable(now.mono, MAX_EXECUTORS_PER_STEP).len();
+        let (waiting, _) = self.placeable_tasks(&candidate.step, MAX_EXECUTORS_PER_STEP, now);
+        let mut remaining = waiting.len();
         let mut stops: Vec<(ExecutorId, TaskId)> = Vec::new();
         for entry in self.advised_executors(&candidate.step, snapshot) {
             if remaining == 0 {
--- a/src/fleet/unread_executors.rs
+++ b/src/fleet/unread_executors.rs
@@ -4,19 +4,38 @@
 //! the cell. Nothing here sends a command or reads a clock.
 
 use {
-    crate::fleet::{ExecutorId, StepId, TaskId},
-    std::collections::{BTreeMap, BTreeSet},
+    crate::{
+        core::Resources,
+        fleet::{ExecutorId, StepId, TaskId},
+    },
+    std::{
+        collections::{BTreeMap, BTreeSet, HashMap},
+        sync::Arc,
+    },
 };
 
+/// What the possible runs on an executor need, by tenant.
+pub type TenantNeeds = Vec<(Arc<str>, Resources)>;
+
+/// What is known of an executor that was not read.
+#[derive(Debug, Default)]
+struct Unread {
+    /// The tasks that may run there; `None`: not known, so any recovered task may.
+    tasks: Option<Vec<TaskId>>,
+    /// What they need; `None`: not known.
+    needs: Option<TenantNeeds>,
+}
+
 /// The unread executors of one owner.
 #[derive(Debug, Default)]
 pub struct UnreadExecutors {
-    /// The tasks that may run on each; `None`: not known, so any recovered task may.
-    executors: BTreeMap<ExecutorId, Option<Vec<TaskId>>>,
+    executors: BTreeMap<ExecutorId, Unread>,
     /// Number of executors for which they are not known.
     unknown_count: usize,
     /// For each task that is named, the number of executors that may run it.
     tasks: BTreeMap<TaskId, u32>,
+    /// Sum of the needs that are known, by tenant.
+    needs: HashMap<Arc<str>, Resources>,
 }
 
 impl UnreadExecutors {
@@ -31,15 +50,44 @@
             }
             None => self.unknown_count += 1,
         }
-        self.executors.insert(id, tasks);
+        let unread = Unread { tasks, needs: None };
+        self.executors.insert(id, unread);
+    }
+
+    /// Sets what the possible runs on each executor need, by their tasks; `needs_of` returns `None` where
+    /// a task is not known.
+    pub fn set_needs(&mut self, needs_of: impl Fn(&[TaskId]) -> Option<TenantNeeds>) {
+        self.needs.clear();
+        for unread in self.executors.values_mut() {
+            unread.needs = unread.tasks.as_deref().and_then(&needs_of);
+            for (tenant, need) in unread.needs.iter().flatten() {
+                self.needs.entry(tenant.clone()).or_default().add(need);
+            }
+        }
+    }
+
+    /// Returns what the possible runs of a tenant need on the executors for which that is known.
+    pub fn needs(&self, tenant: &str) -> Resources {
+        self.needs.get(tenant).copied().unwrap_or_default()
+    }
+
+    /// Lists the executors for which it is not known what the possible runs need.
+    pub fn without_needs(&self) -> impl Iterator<Item = &ExecutorId> {
+        let unknown = self.executors.iter().filter(|(_, u)| u.needs.is_none());
+        unknown.map(|(id, _)| id)
     }
 
     /// Removes an executor that was read or on which nothing of earlier owners is left.
     pub fn remove(&mut self, id: &str) {
-        let Some(tasks) = self.executors.remove(id) else {
+        let Some(unread) = self.executors.remove(id) else {
             return;
         };
-        let Some(tasks) = tasks else {
+        for (tenant, need) in unread.needs.iter().flatten() {
+            if let Some(sum) = self.needs.get_mut(tenant) {
+                *sum = sum.saturating_sub(need);
+            }
+        }
+        let Some(tasks) = unread.tasks else {
             self.unknown_count -= 1;
             return;
         };
@@ -79,15 +127,14 @@
         self.executors.keys()
     }
 
-    /// Lists the executors with the tasks that may run there, if they are known.
-    pub fn iter(&self) -> impl Iterator<Item = (&ExecutorId, Option<&[TaskId]>)> {
-        let executors = self.executors.iter();
-        executors.map(|(id, tasks)| (id, tasks.as_deref()))
+    /// Counts the executors of which it is known what may run there.
+    pub fn known_count(&self) -> usize {
+        self.executors.len() - self.unknown_count
     }
 
     /// Returns the tasks that may run on an executor; `None` if they are not known or it was read.
     pub fn tasks_on(&self, id: &str) -> Option<&[TaskId]> {
-        self.executors.get(id)?.as_deref()
+        self.executors.get(id)?.tasks.as_deref()
     }
 
     /// Returns whether any recovered task may run on one of them.
