Hand-over: count the runs of each executor that is not named

What may run on an executor that an earlier owner did not name is taken from this owner's own runs in every case, not from an assumption about sessions. Complete gangs are left out of the search for partial ones, and the check of open executors leaves the loop.

--- a/src/entry/committer.rs
+++ b/src/entry/committer.rs
@@ -2,9 +2,10 @@
 //!
 //! Every transaction is conditional on the last known revision of the epoch key, which contains the
 //! owner's fencing token; the cell must write no record without this, and never has the same record in
-//! two transactions under way. After a transaction with an unknown outcome no other is sent until the
-//! outcomes of all are known or unknown; the next one rewrites the epoch key. None that is
-//! outstanding can therefore take effect after it, and none after a newer owner has claimed.
+//! two transactions under way, but for what it leaves to the next owner: either order is safe there.
+//! After a transaction with an unknown outcome no other is sent until the outcomes of all are known or
+//! unknown; the next one rewrites the epoch key. None that is outstanding can therefore take effect
+//! after it, and none after a newer owner has claimed.
 
 use {
     crate::{
--- a/src/fleet/cell_hand_over.rs
+++ b/src/fleet/cell_hand_over.rs
@@ -152,14 +152,15 @@
         let Some(executor) = self.executors.get(id) else {
             return Some(Vec::new());
         };
-        if executor.session != Session::Opening {
-            return executor.possible_runs(|job| self.commit_queue.is_durable(job));
-        }
-        match self.unread.tasks_on(id) {
-            Some(tasks) => Some(tasks.to_vec()),
-            None if self.unread.contains(id) || self.unread.contains(UNREADABLE_ROSTER) => None,
-            None => Some(Vec::new()),
+        if executor.session == Session::Opening {
+            if let Some(tasks) = self.unread.tasks_on(id) {
+                return Some(tasks.to_vec());
+            }
+            if self.unread.contains(id) || self.unread.contains(UNREADABLE_ROSTER) {
+                return None;
+            }
         }
+        executor.possible_runs(|job| self.commit_queue.is_durable(job))
     }
 
     /// Returns whether runs are being stopped, or ends are not acknowledged, on executors that may exit
--- a/src/fleet/cell_plan.rs
+++ b/src/fleet/cell_plan.rs
@@ -76,6 +76,8 @@
         // Steps that differ in their occurrence only and found no room: the next ones find none either.
         let mut full = HashSet::new();
         self.round_starts = 0;
+        // Most of the room is not known before the executors have replied for the first time.
+        let opening = self.is_opening_roster();
         for candidate in &candidates {
             let kind = (candidate.step.job, candidate.step.step);
             if self.round_starts >= MAX_ROUND_STARTS {
@@ -95,8 +97,6 @@
                 unadvised.push(candidate.step);
             }
             let lacks_capacity = reason.is_some_and(BlockReason::lacks_capacity);
-            // Most of the room is not known before the executors have replied for the first time.
-            let opening = self.is_opening_roster();
             if lacks_capacity && !opening && candidate.rank.timeliness == Timeliness::InTime {
                 let reserved = self.reserve(candidate.step, &mut snapshot, now);
                 self.preempt(candidate, &snapshot, now);
--- a/src/fleet/cell_takeover.rs
+++ b/src/fleet/cell_takeover.rs
@@ -79,7 +79,7 @@
             .filter(|j| j.recovered && j.end.is_none());
         let steps = recovered.flat_map(|j| j.steps.iter().map(move |(key, step)| (j, key, step)));
         let member = |(job, key, step): (&Job, &(u32, u16), &Step)| {
-            let gang = job.spec(key.1).is_some_and(|s| s.gang);
+            let gang = job.spec(key.1).is_some_and(|s| s.gang) && !step.is_complete();
             let active = step.active_tasks().count();
             let partial = gang && active > 0 && active < step.count as usize;
             let (index, _) = step.active_tasks().next().filter(|_| partial)?;
