Soak: stop owners as planned while executors leave, and judge the gaps

No kind of fault of the soak combined the two: drained executors announced no time of exit, their entry stayed like that of a crashed one, and persistent tasks were few, never ended by themselves and were looked at only after the faults.

Change: executors that drain state `remainingMs`, exit by themselves and leave the list. Two kinds of faults, both beside a series of such exits and changes of the configuration: "terminate-owner" stops the owner twice while some executors exit, "terminate-all" stops all nodes in turn. Persistent tasks fail at times; `--persistent` sets how many jobs have them. The judge reports LOST for a persistent task that has not run for 5 s (a lease longer if its end was not read) while half of its pool was free for 3 s of these, with planned work only, since 24 s before. Each report has the longest gap. SIGTERM no longer kills a node that another series has started again.

The new kinds take their weight from "terminate", so that all other draws of a seed stay until the first of them. Kinds that a test selects keep theirs.

--- a/examples/soak.rs
+++ b/examples/soak.rs
@@ -18,6 +18,7 @@
 const HELP: &str = "\
 Usage: soak [--seeds FIRST..LAST] [--seconds N] [--nodes N] [--executors N] [--parallel N]
             [--only KIND,...] [--keep DIR] [--daemon FILE] [--upgrade-from FILE] [--large PERCENT]
+            [--persistent PERCENT]
 
   --seeds FIRST..LAST  seeds, the last one included (1..1)
   --seconds N          time with faults (40)
@@ -29,6 +30,7 @@
   --daemon FILE        the daemon (beside the folder of this program)
   --upgrade-from FILE  daemon of an earlier version; its nodes are replaced one by one
   --large PERCENT      part of the jobs with thousands of tasks (0)
+  --persistent PERCENT part of the other jobs whose tasks last (5)
 ";
 
 type SoakError = Box<dyn Error + Send + Sync>;
@@ -46,6 +48,7 @@
     daemon: PathBuf,
     upgrade_from: Option<PathBuf>,
     large_percent: u32,
+    persistent_percent: u32,
 }
 
 impl Options {
@@ -75,6 +78,7 @@
             daemon: daemon.or(beside).unwrap_or_default(),
             upgrade_from: args.opt_value_from_str("--upgrade-from")?,
             large_percent: args.opt_value_from_str("--large")?.unwrap_or(0),
+            persistent_percent: args.opt_value_from_str("--persistent")?.unwrap_or(5),
         };
         if !options.daemon.is_file() {
             return Err("no daemon; build it first: cargo build --release".into());
@@ -131,7 +135,8 @@
             .nodes(options.nodes)
             .executors(options.executors)
             .fault_time(Duration::from_secs(options.seconds))
-            .large_percent(options.large_percent);
+            .large_percent(options.large_percent)
+            .persistent_percent(options.persistent_percent);
         if let Some(daemon) = &options.upgrade_from {
             soak = soak.upgrade_from(daemon);
         }
--- a/standins/src/platform_executor.rs
+++ b/standins/src/platform_executor.rs
@@ -23,9 +23,15 @@
 /// CPU of each task, in thousandths of a core.
 pub const TASK_CPU: u32 = 1_000;
 
+/// Tasks that an executor runs at once.
+pub const SLOTS: usize = (EXECUTOR_CPU / TASK_CPU) as usize;
+
 /// Part of the runs that fail, in percent; below what the queue's attempts allow.
 const FAILED_PERCENT: u32 = 3;
 
+/// Part of the runs of persistent tasks that fail, in percent.
+const FAILED_PERSISTENT_PERCENT: u32 = 30;
+
 /// Ends in one reply.
 const MAX_LISTED_ENDS: usize = 500;
 
@@ -60,7 +66,8 @@
     pub id: String,
     pub pool: String,
     pub zone: String,
-    pub draining: bool,
+    /// When it exits, if it has announced that: it drains until then.
+    pub exits_at: Option<Millis>,
     /// Nothing is answered or run before this time.
     pub down_until: Millis,
     /// Unix ms of the start of this life.
@@ -97,7 +104,7 @@
             id,
             pool: pool.to_owned(),
             zone: zone.to_owned(),
-            draining: false,
+            exits_at: None,
             down_until: now,
             born: crate::unix_ms(),
             life: journal.begin_life(),
@@ -130,21 +137,36 @@
         now >= self.down_until
     }
 
+    /// Returns how many more tasks it could run; none if it drains.
+    pub fn free_slots(&self) -> usize {
+        let used = self.running.len();
+        if self.exits_at.is_some() {
+            0
+        } else {
+            SLOTS.saturating_sub(used)
+        }
+    }
+
     /// Returns its entry in the store, with `address` as given.
-    pub fn entry(&self, address: &str) -> Value {
-        json!({
+    pub fn entry(&self, address: &str, now: Millis) -> Value {
+        let mut entry = json!({
             "service": self.pool,
             "address": address,
             "zone": self.zone,
             "version": "1",
             "slots": 4,
-            "state": if self.draining { "draining" } else { "ready" },
+            "state": "ready",
             "coldLeftMs": 0,
             "sequence": 1,
             "capacity": {"cpu": EXECUTOR_CPU, "memMb": 8_000, "gpu": 0},
             "labels": ["std", self.zone],
             "born": self.born,
-        })
+        });
+        if let Some(at) = self.exits_at {
+            entry["state"] = json!("draining");
+            entry["remainingMs"] = json!(at.saturating_sub(now));
+        }
+        entry
     }
 
     fn clock_ms(&self, now: Millis) -> Millis {
@@ -299,13 +321,21 @@
             return Some("room");
         };
         self.extend_lease(deadline, now);
-        let capacity = usize::try_from(EXECUTOR_CPU / TASK_CPU).unwrap_or(0);
-        if self.running.len() >= capacity {
+        if self.running.len() >= SLOTS {
             return Some("room");
         }
-        let fails = !step.persistent && self.rng.random_range(0..100) < FAILED_PERCENT;
+        let percent = if step.persistent {
+            FAILED_PERSISTENT_PERCENT
+        } else {
+            FAILED_PERCENT
+        };
+        let fails = self.rng.random_range(0..100) < percent;
         let run_ms = if step.persistent {
-            Millis::MAX / 2
+            if fails {
+                self.rng.random_range(1_000..20_000)
+            } else {
+                Millis::MAX / 2
+            }
         } else {
             step.run_ms * self.rng.random_range(90..=130) / 100 / if fails { 2 } else { 1 }
         };
@@ -315,6 +345,7 @@
             token: body["fencingToken"].as_u64().unwrap_or(0),
             node,
             executor: self.id.clone(),
+            pool: self.pool.clone(),
             life: self.life,
             began_at: now,
             ended: None,
--- a/standins/src/platform_faults.rs
+++ b/standins/src/platform_faults.rs
@@ -107,6 +107,8 @@
 #[derive(Clone, Debug)]
 pub struct FaultSpan {
     pub name: String,
+    /// Whether it is work that operators announce, such as a SIGTERM.
+    pub planned: bool,
     pub since: Millis,
     /// `None` while it is active.
     pub until: Option<Millis>,
@@ -146,16 +148,17 @@
 
     /// Adds a rule; returns its id.
     pub fn add(&self, rule: FaultRule, now: Millis) -> usize {
-        let id = self.begin(rule.name.clone(), now);
+        let id = self.begin(rule.name.clone(), false, now);
         lock(&self.inner).rules.push((id, rule));
         id
     }
 
     /// Records a fault that is no rule, such as a kill; returns its id.
-    pub fn begin(&self, name: impl Into<String>, now: Millis) -> usize {
+    pub fn begin(&self, name: impl Into<String>, planned: bool, now: Millis) -> usize {
         let mut inner = lock(&self.inner);
         inner.spans.push(FaultSpan {
             name: name.into(),
+            planned,
             since: now,
             until: None,
         });
--- a/standins/src/platform_host.rs
+++ b/standins/src/platform_host.rs
@@ -8,7 +8,7 @@
 use {
     crate::{
         lock,
-        platform_executor::{ExecutorOutcome, PlatformExecutor},
+        platform_executor::{ExecutorOutcome, PlatformExecutor, SLOTS},
         platform_faults::{Fate, Party, PlatformFaults},
         platform_store::PlatformStore,
         run_journal::RunJournal,
@@ -49,6 +49,9 @@
 /// Silence after which the entry of an executor is removed, in ms.
 const ENTRY_TTL_MS: Millis = 3 * HEARTBEAT_MS;
 
+/// Time between the exit of an executor and the start of its successor, in ms.
+const EXIT_DOWN_MS: Millis = 1_000;
+
 /// Time after which a connection without a reply is closed.
 const MAX_SILENCE: Duration = Duration::from_secs(20);
 
@@ -203,9 +206,24 @@
         executor.restart(id, now, now + down_ms, &self.journal);
     }
 
-    /// Announces that an executor drains, or takes that back.
-    pub fn drain_executor(&self, index: usize, draining: bool) {
-        lock(&self.executors[index]).draining = draining;
+    /// Announces that an executor drains and exits after this time; another one takes its place.
+    pub fn drain_executor(&self, index: usize, remaining_ms: Millis) {
+        let exits_at = self.now() + remaining_ms;
+        lock(&self.executors[index])
+            .exits_at
+            .get_or_insert(exits_at);
+    }
+
+    /// Ends an executor that drained; the store drops its entry unless a fault is between the two.
+    fn exit_executor(&self, index: usize, id: &str, now: Millis) {
+        self.restart_executor(index, EXIT_DOWN_MS, true);
+        self.ended[index].notify_waiters();
+        let from = Party::Executor(index);
+        if self.faults.decide(from, Party::Store, "", now).is_none() {
+            lock(&self.heartbeats).remove(id);
+            lock(&self.store).remove(&format!("servers/{id}"));
+            self.store_changed.notify_waiters();
+        }
     }
 
     /// Returns the address of the store for a node.
@@ -219,18 +237,30 @@
         if lock(&self.store).expire(now) {
             self.store_changed.notify_waiters();
         }
+        // Free and all slots by pool.
+        let mut slots: HashMap<String, (usize, usize)> = HashMap::new();
         for (index, executor) in self.executors.iter().enumerate() {
             let mut executor = lock(executor);
+            let (free, all) = slots.entry(executor.pool.clone()).or_default();
+            *all += SLOTS;
             if !executor.is_up(now) {
                 continue;
             }
             if executor.advance(now, &self.journal) {
                 self.ended[index].notify_waiters();
             }
-            let entry = executor.entry(&format!("executor-{index}"));
-            let id = executor.id.clone();
+            *free += executor.free_slots();
+            let entry = executor.entry(&format!("executor-{index}"), now);
+            let (id, exits_at) = (executor.id.clone(), executor.exits_at);
             drop(executor);
-            self.beat(index, &id, &entry, now);
+            if exits_at.is_some_and(|at| at <= now) {
+                self.exit_executor(index, &id, now);
+            } else {
+                self.beat(index, &id, &entry, now);
+            }
+        }
+        for (pool, (free, all)) in slots {
+            self.journal.record_room(&pool, 2 * free >= all, now);
         }
         let paused = lock(&self.store).is_paused();
         let mut beats = lock(&self.heartbeats);
--- a/standins/src/run_journal.rs
+++ b/standins/src/run_journal.rs
@@ -4,7 +4,7 @@
 //! The rules need no knowledge of the nodes.
 
 use {
-    crate::lock,
+    crate::{lock, platform_executor::MAX_LEASE_MS},
     dragonflyferry::core::Millis,
     std::{
         collections::{BTreeMap, HashMap},
@@ -13,6 +13,13 @@
     },
 };
 
+/// Time that a persistent task may wait to start again, in ms, before [`ROOM_MS`] count; also for the
+/// lease if the owner could not read the end. With [`ROOM_MS`] it is shorter than a lease.
+const RESTART_MS: Millis = 2_000;
+
+/// Time with room in which a persistent task must start, in ms.
+const ROOM_MS: Millis = 3_000;
+
 /// A step of a soak's job.
 #[derive(Clone, Debug)]
 pub struct StepPlan {
@@ -66,6 +73,7 @@
     pub token: u64,
     pub node: usize,
     pub executor: String,
+    pub pool: String,
     /// Index of the executor's life in the journal's calls.
     pub life: usize,
     pub began_at: Millis,
@@ -101,6 +109,23 @@
     count: u32,
 }
 
+/// A time without a run of a persistent task, after a run of it.
+#[derive(Clone, Debug)]
+pub struct Gap {
+    task: String,
+    /// Index of the run before.
+    last_run: usize,
+    since: Millis,
+    until: Millis,
+}
+
+impl Gap {
+    /// Returns its length, in ms.
+    pub fn length_ms(&self) -> Millis {
+        self.until - self.since
+    }
+}
+
 /// A broken rule.
 #[derive(Clone, Debug)]
 pub struct Violation {
@@ -128,6 +153,8 @@
     runs: Vec<RunRecord>,
     /// By life of an executor.
     calls: Vec<Vec<CallSpan>>,
+    /// When each pool began or ceased to have room.
+    room: HashMap<String, Vec<(Millis, bool)>>,
     violations: Vec<Violation>,
 }
 
@@ -187,6 +214,15 @@
         }
     }
 
+    /// Records whether a pool has room for more tasks.
+    pub fn record_room(&self, pool: &str, has_room: bool, at: Millis) {
+        let mut inner = lock(&self.inner);
+        let changes = inner.room.entry(pool.to_owned()).or_default();
+        if changes.last().is_none_or(|(_, last)| *last != has_room) {
+            changes.push((at, has_room));
+        }
+    }
+
     /// Records the start of a run; returns its index.
     pub fn begin_run(&self, run: RunRecord) -> usize {
         let mut inner = lock(&self.inner);
@@ -263,6 +299,78 @@
             .all(|task| runs(&task))
     }
 
+    /// Returns the gaps between the runs of persistent tasks of jobs that no client has cancelled; the
+    /// last ones end at `now`.
+    pub fn persistent_gaps(&self, now: Millis) -> Vec<Gap> {
+        let inner = lock(&self.inner);
+        let mut by_task: BTreeMap<&str, Vec<usize>> = BTreeMap::new();
+        for (i, run) in inner.runs.iter().enumerate() {
+            let job = split_task(&run.task).and_then(|(job, _)| inner.jobs.get(job));
+            if job.is_some_and(|j| j.is_persistent() && !j.cancelled) {
+                by_task.entry(&run.task).or_default().push(i);
+            }
+        }
+        let mut gaps = Vec::new();
+        for (task, runs) in by_task {
+            for (i, last_run) in runs.iter().enumerate() {
+                let next = runs.get(i + 1).map(|n| inner.runs[*n].began_at);
+                let until = next.unwrap_or(now);
+                if let Some((since, _)) = inner.runs[*last_run].ended
+                    && since < until
+                {
+                    gaps.push(Gap {
+                        task: task.to_owned(),
+                        last_run: *last_run,
+                        since,
+                        until,
+                    });
+                }
+            }
+        }
+        gaps
+    }
+
+    /// Returns the gaps that break rule LOST: longer than a task may wait, while its pool had room and the
+    /// time since its last run was calm.
+    pub fn judge_gaps(
+        &self,
+        gaps: &[Gap],
+        calm: impl Fn(Millis, Millis) -> bool,
+    ) -> Vec<Violation> {
+        let inner = lock(&self.inner);
+        let mut found = Vec::new();
+        for gap in gaps {
+            let run = &inner.runs[gap.last_run];
+            let lease_ms = if run.acked_at.is_none() {
+                MAX_LEASE_MS
+            } else {
+                0
+            };
+            let from = gap.since + lease_ms + RESTART_MS;
+            let Some(at) = inner.room_until(&run.pool, from, gap.until) else {
+                continue;
+            };
+            if calm(gap.since, at) {
+                let text = format!(
+                    "{} without a run for {} ms, since run={} owner={} executor={} ended={:?} acked={:?}",
+                    gap.task,
+                    gap.length_ms(),
+                    run.run,
+                    run.owner(),
+                    run.executor,
+                    run.ended,
+                    run.acked_at,
+                );
+                found.push(Violation {
+                    rule: "LOST",
+                    at,
+                    text,
+                });
+            }
+        }
+        found
+    }
+
     /// Returns all broken rules: those seen as they happened, runs of a task at the same time or
     /// after an acknowledged end, and starts before the end of the step before.
     pub fn judge(&self) -> Vec<Violation> {
@@ -327,6 +435,18 @@
         Some(format!("{} began before {open} was done", first.task))
     }
 
+    /// Returns the first time up to `until` at which a pool has had room for [`ROOM_MS`] since `from`.
+    fn room_until(&self, pool: &str, from: Millis, until: Millis) -> Option<Millis> {
+        let changes = self.room.get(pool)?;
+        let ends = changes.iter().skip(1).map(|(at, _)| *at);
+        let ends = ends.chain([Millis::MAX]);
+        let mut stretches = changes.iter().zip(ends).filter(|((_, room), _)| *room);
+        stretches.find_map(|((begin, _), end)| {
+            let at = from.max(*begin) + ROOM_MS;
+            (at <= end.min(until)).then_some(at)
+        })
+    }
+
     /// Describes two runs of a task, with times relative to the start of the second.
     fn describe(&self, first: &RunRecord, second: &RunRecord) -> String {
         let zero = second.began_at;
--- a/standins/src/soak.rs
+++ b/standins/src/soak.rs
@@ -6,9 +6,10 @@
 
 use {
     crate::{
+        platform_executor::MAX_LEASE_MS,
         platform_faults::{Fate, FaultRule, Party},
         platform_host::PlatformHost,
-        run_journal::Violation,
+        run_journal::{Gap, Violation},
         soak_clients::{HOST, QUEUES, SoakClient},
         soak_nodes::{SoakNodes, TERMINATION_GRACE_S},
     },
@@ -37,7 +38,7 @@
 const ZONES: [&str; 3] = ["z0", "z1", "z2"];
 
 /// Kinds of faults with their weights, in percent.
-pub const FAULTS: [(&str, u32); 19] = [
+pub const FAULTS: [(&str, u32); 21] = [
     ("compact", 2),
     ("cut-executors", 7),
     ("drain-executor", 4),
@@ -56,7 +57,9 @@
     ("slow-store", 3),
     ("split-nodes", 4),
     ("store-outage", 6),
-    ("terminate", 5),
+    ("terminate", 1),
+    ("terminate-all", 2),
+    ("terminate-owner", 2),
 ];
 
 /// Series of faults that run side by side.
@@ -71,6 +74,13 @@
 /// Time after the last effect of a fault in which all accepted jobs must complete, in ms.
 const FINISH_MS: Millis = 30_000;
 
+/// Shortest time between the announcement of an executor's exit and the exit, in ms.
+const DRAIN_MS: Millis = 2_000;
+
+/// Time after the end of an unplanned fault in which tasks may wait for its effects, in ms: calls that are
+/// carried out late, and then a lease.
+const SETTLE_MS: Millis = LATE_MS.end + 2 * MAX_LEASE_MS;
+
 /// Time before a broken rule whose faults are reported, in ms.
 const CAUSE_MS: Millis = 15_000;
 
@@ -91,6 +101,8 @@
     upgrade_from: Option<PathBuf>,
     /// Part of the jobs that are large, in percent.
     large_percent: u32,
+    /// Part of the other jobs whose tasks last, in percent.
+    persistent_percent: u32,
 }
 
 /// What a soak did and which rules were broken.
@@ -104,6 +116,8 @@
     pub runs: usize,
     pub owners: usize,
     pub faults: usize,
+    /// Longest time that a persistent task did not run after its first run, in ms.
+    pub longest_gap_ms: Millis,
     pub violations: Vec<Violation>,
 }
 
@@ -116,7 +130,7 @@
         write!(
             f,
             "seed={} jobs={} accepted={} cancelled={} completed={} runs={} owners={} faults={} \
-             broken={counts:?}",
+             longest_gap_ms={} broken={counts:?}",
             self.seed,
             self.jobs,
             self.accepted,
@@ -125,6 +139,7 @@
             self.runs,
             self.owners,
             self.faults,
+            self.longest_gap_ms,
         )
     }
 }
@@ -143,6 +158,7 @@
             faults: FAULTS.to_vec(),
             upgrade_from: None,
             large_percent: 0,
+            persistent_percent: 5,
         }
     }
 
@@ -161,6 +177,13 @@
         self
     }
 
+    /// Sets the part of the other jobs whose tasks last until they are cancelled, in percent.
+    #[must_use]
+    pub fn persistent_percent(mut self, percent: u32) -> Self {
+        self.persistent_percent = percent;
+        self
+    }
+
     /// Sets the number of nodes, at most 250.
     #[must_use]
     pub fn nodes(mut self, nodes: usize) -> Self {
@@ -212,6 +235,7 @@
             stage.nodes.start(node)?;
         }
         let client = stage.client().large_percent(self.large_percent);
+        let client = client.persistent_percent(self.persistent_percent);
         let stop = Arc::new(AtomicBool::new(false));
         // Half of the executors' capacity at the mean size of jobs.
         let per_second = f64::from(u32::try_from(self.executors).unwrap_or(24)) / 8.0;
@@ -325,7 +349,13 @@
 
     /// Records a fault that is no rule until the guard is dropped.
     fn begin(&self, name: impl Into<String>) -> FaultGuard<'_> {
-        let id = self.host.faults.begin(name, self.host.now());
+        let id = self.host.faults.begin(name, false, self.host.now());
+        FaultGuard(&self.host, id)
+    }
+
+    /// Records planned work until the guard is dropped.
+    fn begin_planned(&self, name: impl Into<String>) -> FaultGuard<'_> {
+        let id = self.host.faults.begin(name, true, self.host.now());
         FaultGuard(&self.host, id)
     }
 
@@ -400,6 +430,13 @@
             }
             "split-nodes" => self.split_nodes(owner, rng).await,
             "store-outage" => self.store_outage(rng).await,
+            "terminate-all" => {
+                tokio::join!(self.release(rng), self.terminate_all(down_ms));
+            }
+            "terminate-owner" => {
+                let stops = self.terminate_owners(down_ms, rng.random());
+                tokio::join!(self.release(rng), stops);
+            }
             _ => self.terminate(node, down_ms).await,
         }
     }
@@ -422,17 +459,61 @@
     }
 
     async fn terminate(&self, node: usize, down_ms: Millis) {
-        let _fault = self.begin(format!("SIGTERM node {node}"));
+        let _fault = self.begin_planned(format!("SIGTERM node {node}"));
+        let process = self.nodes.process_id(node);
         self.nodes.signal(node, Signal::TERM);
         let deadline = self.host.now() + TERMINATION_GRACE_S * 1_000;
-        while self.nodes.is_running(node) && self.host.now() < deadline {
+        // Another series of faults may have started the node again.
+        let is_running = || process.is_some() && self.nodes.process_id(node) == process;
+        while is_running() && self.host.now() < deadline {
             tokio::time::sleep(Duration::from_millis(20)).await;
         }
-        self.nodes.kill(node);
+        if is_running() {
+            self.nodes.kill(node);
+        }
         self.pause(down_ms).await;
         let _ = self.nodes.start(node);
     }
 
+    /// Stops all nodes one after another, each once the one before is back.
+    async fn terminate_all(&self, down_ms: Millis) {
+        for node in 0..self.nodes.count() {
+            if self.host.now() < self.faults_until {
+                self.terminate(node, down_ms / 10).await;
+            }
+        }
+    }
+
+    /// Stops the owner twice while some executors exit, so that often neither it nor the next owner
+    /// reads them any more.
+    async fn terminate_owners(&self, down_ms: Millis, seed: u64) {
+        let mut rng = SmallRng::seed_from_u64(seed);
+        for _ in 0..2 {
+            let notice_ms = DRAIN_MS + down_ms / 4;
+            for _ in 0..4 {
+                let index = rng.random_range(0..self.host.executor_count());
+                let remaining_ms = notice_ms + rng.random_range(0..300);
+                self.host.drain_executor(index, remaining_ms);
+            }
+            self.pause(notice_ms).await;
+            self.terminate(self.owner(), down_ms).await;
+        }
+    }
+
+    /// Executors announce their exit one after another and then exit, while the configuration changes.
+    async fn release(&self, rng: &mut SmallRng) {
+        let count = self.host.executor_count();
+        let first = rng.random_range(0..count);
+        let leaving = rng.random_range(4..=8);
+        let _fault = self.begin_planned(format!("{leaving} executors from {first} leave"));
+        for i in 0..leaving {
+            let remaining_ms = rng.random_range(DRAIN_MS..5_000);
+            self.host.drain_executor((first + i) % count, remaining_ms);
+            self.configure(POOLS[0]);
+            self.pause(rng.random_range(200..1_500)).await;
+        }
+    }
+
     async fn freeze(&self, node: usize, ms: Millis) {
         let _fault = self.begin(format!("SIGSTOP node {node}"));
         self.nodes.signal(node, Signal::STOP);
@@ -609,11 +690,10 @@
 
     async fn drain_executor(&self, rng: &mut SmallRng) {
         let index = rng.random_range(0..self.host.executor_count());
-        let name = format!("executor {index} drains");
-        let _fault = self.begin(name);
-        self.host.drain_executor(index, true);
-        self.pause(rng.random_range(2_000..6_000)).await;
-        self.host.restart_executor(index, 1_000, true);
+        let _fault = self.begin_planned(format!("executor {index} drains"));
+        let remaining_ms = rng.random_range(DRAIN_MS..6_000);
+        self.host.drain_executor(index, remaining_ms);
+        self.pause(remaining_ms).await;
     }
 
     /// Moves the first queue to the other pool and back; often the owner changes meanwhile, and the
@@ -714,7 +794,16 @@
 
     fn report(&self, seed: u64) -> SoakReport {
         let jobs = self.host.journal.jobs();
+        let gaps = self.host.journal.persistent_gaps(self.host.now());
+        let calm = |since: Millis, until| {
+            let spans = self
+                .host
+                .faults
+                .spans_between(since.saturating_sub(SETTLE_MS), until);
+            spans.iter().all(|s| s.planned)
+        };
         let mut violations = self.host.journal.judge();
+        violations.extend(self.host.journal.judge_gaps(&gaps, calm));
         for violation in &mut violations {
             let since = violation.at.saturating_sub(CAUSE_MS);
             for span in self.host.faults.spans_between(since, violation.at) {
@@ -735,6 +824,7 @@
             runs: self.host.journal.count_runs(),
             owners: self.host.claims().len(),
             faults: self.host.faults.count(),
+            longest_gap_ms: gaps.iter().map(Gap::length_ms).max().unwrap_or(0),
             violations,
         }
     }
--- a/standins/src/soak_clients.rs
+++ b/standins/src/soak_clients.rs
@@ -46,6 +46,8 @@
     started_at: Instant,
     /// Part of the jobs that are large, in percent.
     large_percent: u32,
+    /// Part of the other jobs whose tasks last, in percent.
+    persistent_percent: u32,
 }
 
 impl SoakClient {
@@ -58,6 +60,7 @@
             journal,
             started_at,
             large_percent: 0,
+            persistent_percent: 5,
         }
     }
 
@@ -68,6 +71,13 @@
         self
     }
 
+    /// Sets the part of the other jobs whose tasks last until they are cancelled, in percent.
+    #[must_use]
+    pub fn persistent_percent(mut self, percent: u32) -> Self {
+        self.persistent_percent = percent;
+        self
+    }
+
     fn now(&self) -> Millis {
         Millis::try_from(self.started_at.elapsed().as_millis()).unwrap_or(Millis::MAX)
     }
@@ -109,7 +119,7 @@
             let job = if large {
                 large_job(&mut rng)
             } else {
-                random_job(&mut rng)
+                random_job(self.persistent_percent, &mut rng)
             };
             let seed = rng.random();
             tokio::spawn(self.clone().follow(id, job, seed, stop.clone()));
@@ -212,8 +222,8 @@
     }
 }
 
-fn random_job(rng: &mut SmallRng) -> JobRecord {
-    let persistent = rng.random_range(0..100) < 5;
+fn random_job(persistent_percent: u32, rng: &mut SmallRng) -> JobRecord {
+    let persistent = rng.random_range(0..100) < persistent_percent;
     let step_count = if persistent {
         1
     } else {
--- a/standins/src/soak_nodes.rs
+++ b/standins/src/soak_nodes.rs
@@ -166,10 +166,11 @@
         }
     }
 
-    /// Returns whether a node runs.
-    pub fn is_running(&self, node: usize) -> bool {
+    /// Returns the process of a node if it runs.
+    pub fn process_id(&self, node: usize) -> Option<u32> {
         let mut child = lock(&self.children[node]);
-        child.as_mut().is_some_and(|c| !has_ended(c))
+        let child = child.as_mut()?;
+        (!has_ended(child)).then(|| child.id())
     }
 }
 
--- a/tests/odd_entries.rs
+++ b/tests/odd_entries.rs
@@ -295,7 +295,7 @@
             nodes.start(owner).expect("daemon");
         }
     }
-    assert!((0..2).all(|n| nodes.is_running(n)));
+    assert!((0..2).all(|n| nodes.process_id(n).is_some()));
     let log = std::fs::read_to_string(folder.join("node-0.log")).expect("log");
     assert!(
         log.contains("BadEntry") || log.contains("221"),
--- a/tests/soak.rs
+++ b/tests/soak.rs
@@ -16,6 +16,9 @@
 /// Executors from which nodes other than the owner send the commands.
 const LARGE_FLEET: usize = 120;
 
+/// Part of the jobs whose tasks last, in soaks that judge how long these do not run.
+const PERSISTENT_PERCENT: u32 = 40;
+
 /// Runs a soak with the given kinds of faults, or all if there are none; fails if it broke a rule.
 async fn soak(seed: u64, kinds: &[&str]) {
     run(seed, kinds, |soak| soak).await;
@@ -58,6 +61,15 @@
     run(4, &kinds, |soak| soak.executors(LARGE_FLEET)).await;
 }
 
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn tasks_go_on_while_owners_are_stopped_and_executors_leave() {
+    let kinds = ["terminate-all", "terminate-owner"];
+    run(5, &kinds, |soak| {
+        soak.persistent_percent(PERSISTENT_PERCENT)
+    })
+    .await;
+}
+
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn tasks_run_once_under_faults_of_all_kinds() {
     soak(2, &[]).await;
@@ -66,7 +78,6 @@
 /// Returns a journal with one job of one task and two runs of it, on two executors. The first runs
 /// from 100 to `first_ends` and ends as `ending`; the second starts at 300.
 fn two_runs(first_ends: u64, ending: RunEnding, allow_duplicates: bool) -> RunJournal {
-    let journal = RunJournal::default();
     let step = StepPlan {
         count: 1,
         run_ms: 100,
@@ -74,6 +85,15 @@
         allow_duplicates,
         persistent: false,
     };
+    let journal = runs_of(step, [100, 300]);
+    journal.end_run(0, first_ends, ending);
+    journal
+}
+
+/// Returns a journal with one job of this step and two runs of its first task, on two executors, that
+/// start at these times.
+fn runs_of(step: StepPlan, starts: [u64; 2]) -> RunJournal {
+    let journal = RunJournal::default();
     let job = JobRecord {
         queue: "main",
         steps: vec![step],
@@ -82,7 +102,7 @@
         completed_at: None,
     };
     journal.add_job("a", job);
-    for (run, began_at) in [(1, 100), (2, 300)] {
+    for (run, began_at) in (1..).zip(starts) {
         let life = journal.begin_life();
         journal.begin_run(RunRecord {
             task: "a.0.0.0".to_owned(),
@@ -90,6 +110,7 @@
             token: run << 20,
             node: 0,
             executor: format!("e{run}"),
+            pool: "a".to_owned(),
             life,
             began_at,
             ended: None,
@@ -97,7 +118,6 @@
             lapsed_unacked: false,
         });
     }
-    journal.end_run(0, first_ends, ending);
     journal
 }
 
@@ -131,3 +151,38 @@
     journal.record_completed("a", 400);
     assert_eq!(broken_rules(&journal), ["MIXED"]);
 }
+
+/// Returns the judged gaps of a persistent task that ended at 1,000, was acknowledged at once if `acked`,
+/// and started again at `next`; its pool had no room until `room_from`.
+fn judge_gap(next: u64, acked: bool, room_from: u64, calm_from: u64) -> Vec<&'static str> {
+    let step = StepPlan {
+        count: 1,
+        run_ms: 100,
+        after_previous: false,
+        allow_duplicates: false,
+        persistent: true,
+    };
+    let journal = runs_of(step, [100, next]);
+    journal.end_run(0, 1_000, RunEnding::Stopped);
+    if acked {
+        journal.ack_run(0, 1_000);
+    }
+    journal.record_room("a", false, 0);
+    journal.record_room("a", true, room_from);
+    let gaps = journal.persistent_gaps(20_000);
+    let found = journal.judge_gaps(&gaps, |since, _| since >= calm_from);
+    found.iter().map(|v| v.rule).collect()
+}
+
+#[test]
+fn the_judge_finds_a_persistent_task_that_does_not_start_again() {
+    assert_eq!(judge_gap(6_000, true, 0, 0), ["LOST"]);
+    assert!(judge_gap(5_999, true, 0, 0).is_empty());
+    // The end was not read: the task waits for the lease.
+    assert_eq!(judge_gap(12_000, false, 0, 0), ["LOST"]);
+    assert!(judge_gap(11_999, false, 0, 0).is_empty());
+    // Without room, or after a fault.
+    assert_eq!(judge_gap(8_000, true, 5_000, 0), ["LOST"]);
+    assert!(judge_gap(7_999, true, 5_000, 0).is_empty());
+    assert!(judge_gap(6_000, true, 0, 1_001).is_empty());
+}
