--- a/src/fleet/cell_departures.rs
+++ b/src/fleet/cell_departures.rs
@@ -52,13 +52,14 @@
             let Some((job, spec, _)) = self.lookup_step(&step) else {
                 continue;
             };
-            if job.recovered && snapshot.has_unreconciled {
-                continue;
-            }
+            let recovered = job.recovered;
             let (need, max_per_executor) = (spec.allocation(), spec.max_per_executor);
             let pool = self.queue_rule(job).pool.clone();
             let (ids, mut options) = self.placement_options(&step, snapshot, now);
             for (from, task) in tasks {
+                if recovered && self.unread.may_run(&task) {
+                    continue;
+                }
                 let Some(i) = policy::choose_spread(&need, options.iter().copied()) else {
                     unplaced.push(step);
                     break;
@@ -90,13 +91,20 @@
         }
     }
 
-    /// Stops the runs that will not end before their executor exits, shortly before it does. A gang is
-    /// stopped as a whole, unless it is persistent.
+    /// Stops the runs that will not end before their executor exits, shortly before it does.
     pub(super) fn stop_exiting(&mut self, now: Now) {
+        self.stop_exiting_within(policy::exit_lead_ms(self.bounds.kill_grace_ms), now);
+    }
+
+    /// Stops the runs that will not end before their executor exits, where it may exit within `lead_ms`;
+    /// returns their number. A gang is stopped as a whole, unless it is persistent.
+    pub(super) fn stop_exiting_within(&mut self, lead_ms: Millis, now: Now) -> usize {
         let exiting = |(id, e): (&ExecutorId, &Executor)| {
-            (e.is_departing() && self.must_stop_soon(id, now)).then(|| id.clone())
+            let soon = e.time_left(now.mono).is_some_and(|ms| ms <= lead_ms);
+            (e.is_departing() && soon).then(|| id.clone())
         };
         let exiting: Vec<ExecutorId> = self.executors.iter().filter_map(exiting).collect();
+        let mut stopped = 0;
         for id in exiting {
             for task in self.unfinishable_runs(&id, now) {
                 // Stopped with another member before, in this round.
@@ -108,8 +116,43 @@
                     Some((true, false)) => self.stop_gang(&task, now),
                     _ => self.stop_run(&id, task, now),
                 }
+                stopped += 1;
             }
         }
+        stopped
+    }
+
+    /// Takes the executors that drain and on which nothing is left out of the roster.
+    pub(super) fn retire_departing(&mut self) {
+        let draining = self
+            .executors
+            .iter()
+            .filter(|(_, e)| e.info.draining && !e.retired);
+        let draining: Vec<ExecutorId> = draining.map(|(id, _)| id.clone()).collect();
+        for id in draining {
+            self.review_retirement(&id);
+        }
+    }
+
+    /// Takes an executor out of the roster or puts it back, as it drains or not and anything may be left
+    /// there that the next owner must read.
+    pub(super) fn review_retirement(&mut self, id: &ExecutorId) {
+        let Some(executor) = self.executors.get(id) else {
+            return;
+        };
+        let commits = &self.commit_queue;
+        let empty = !executor.may_run_tasks()
+            && executor.has_no_open_ends(|job| commits.is_durable(job))
+            && !self.unread.contains(id);
+        // Only what an executor itself lists shows that it is empty.
+        let may_retire = executor.retired || executor.is_responsive();
+        let retired = executor.info.draining && empty && may_retire;
+        if retired != executor.retired {
+            self.commit_queue.roster.dirty = true;
+        }
+        if let Some(executor) = self.executors.get_mut(id) {
+            executor.retired = retired;
+        }
     }
 
     fn is_confirmed(&self, id: &ExecutorId, task: &TaskId) -> bool {
@@ -181,7 +224,7 @@
 
 impl Executor {
     /// Returns whether it drains and replies, so that its runs can be stopped in order.
-    fn is_departing(&self) -> bool {
+    pub(super) fn is_departing(&self) -> bool {
         self.info.draining && self.is_responsive()
     }
 
--- a/src/fleet/mod.rs
+++ b/src/fleet/mod.rs
@@ -26,6 +26,7 @@
 mod cell_evacuation;
 mod cell_executors;
 mod cell_explain;
+mod cell_hand_over;
 mod cell_health;
 mod cell_jobs;
 mod cell_load;
@@ -34,6 +35,7 @@
 mod cell_run_ends;
 mod cell_runs;
 mod cell_summary;
+mod cell_takeover;
 mod cell_upkeep;
 mod commit_queue;
 mod crash_watch;
@@ -50,6 +52,7 @@
 mod progress;
 mod records;
 mod run_log;
+mod unread_executors;
 mod wave;
 
 pub use {
@@ -82,6 +85,7 @@
         EpochRecord, JobEnd, JobRecord, LeaseWaits, NODE_PROTOCOL, NodeRecord, OwnerRecord, Roster,
         RosterEntry, Submission,
     },
+    unread_executors::UnreadExecutors,
     wave::{
         MachineId, MachineInfo, MachinePhase, MachineRefusal, MachineReply, MachineState,
         UpkeepTiming, WaveRecord, WaveRequest, WaveState,
