Soak: nothing answers at the address of an executor that exited

The successor of an executor that exited as announced answered at the old address with 421, which tells an owner at once that nothing runs there any more.

Change: calls for an executor that exited get no reply.

--- a/standins/src/platform_host.rs
+++ b/standins/src/platform_host.rs
@@ -27,7 +27,7 @@
     hyper_util::rt::TokioIo,
     serde_json::{Value, json},
     std::{
-        collections::HashMap,
+        collections::{HashMap, HashSet},
         io,
         net::SocketAddr,
         sync::{Arc, Mutex},
@@ -92,6 +92,9 @@
     store_changed: Notify,
     executors: Vec<Mutex<PlatformExecutor>>,
     ended: Vec<Notify>,
+    /// Executors that exited as announced. Their successors have other addresses, which the port of the
+    /// place stands for, so that nothing answers at theirs.
+    exited: Mutex<HashSet<String>>,
     heartbeats: Mutex<HashMap<String, Heartbeat>>,
     /// Ports by caller and callee.
     ports: Mutex<HashMap<(Party, Party), SocketAddr>>,
@@ -119,6 +122,7 @@
             store_changed: Notify::new(),
             ended: executors.iter().map(|_| Notify::new()).collect(),
             executors,
+            exited: Mutex::new(HashSet::new()),
             journal,
             heartbeats: Mutex::new(HashMap::new()),
             ports: Mutex::new(HashMap::new()),
@@ -216,6 +220,7 @@
 
     /// Ends an executor that drained; the store drops its entry unless a fault is between the two.
     fn exit_executor(&self, index: usize, id: &str, now: Millis) {
+        lock(&self.exited).insert(id.to_owned());
         self.restart_executor(index, EXIT_DOWN_MS, true);
         self.ended[index].notify_waiters();
         let from = Party::Executor(index);
@@ -442,13 +447,17 @@
     }
 
     async fn call_executor(&self, node: usize, index: usize, call: &Call) -> Reply {
+        let expected = call.expected.as_ref();
+        if expected.is_some_and(|id| lock(&self.exited).contains(id)) {
+            return None;
+        }
         let outcome = {
             let now = self.now();
             let mut executor = lock(&self.executors[index]);
             if !executor.is_up(now) {
                 return None;
             }
-            if call.expected.as_ref().is_some_and(|id| *id != executor.id) {
+            if expected.is_some_and(|id| *id != executor.id) {
                 return Some((421, json!({})));
             }
             executor.handle(&call.path, &call.body, node, now, &self.journal)
