--- a/tests/handover.rs
+++ b/tests/handover.rs
@@ -892,6 +892,38 @@
     assert_sound(&world);
 }
 
+/// The list of ends was cut, and none of them could be acknowledged.
+#[test]
+fn a_task_started_on_an_executor_that_was_read_in_part_is_waited_for() {
+    let mut world = world(1, 1);
+    let small = StepSpec {
+        need: Resources {
+            memory_mib: 1,
+            ..need(10)
+        },
+        ..step(512, 10, 700)
+    };
+    world.submit(job(1, "urgent", vec![small]));
+    world.run(400);
+    assert_eq!(runs(&world, 1), 512);
+    set_unreachable(&mut world, "e0", true);
+    world.hand_over();
+    world.run(550);
+    for _ in 0..40 {
+        plan_commits(&mut world, None, 100);
+    }
+    set_unreachable(&mut world, "e0", false);
+    world.submit(job(2, "urgent", vec![step(1, 1_000, LONG_MS)]));
+    world.run(700);
+    assert_eq!(host_of(&world, 2), "e0");
+    world.add_executor("other", "pool", "r9", capacity());
+    cut_next(&mut world, "e0");
+    world.commit_plans.clear();
+    world.hand_over();
+    world.run(GIVE_UP_MS);
+    assert_sound(&world);
+}
+
 /// The owner that could not read the roster has written a new one, which does not name the executor.
 #[test]
 fn an_executor_of_a_roster_that_was_not_readable_is_waited_for_by_the_next_owner_too() {
