--- a/src/entry/owner.rs
+++ b/src/entry/owner.rs
@@ -75,7 +75,9 @@
         call: CallId,
         result: Result<CommandReply, CommandError>,
     },
-    /// There is a newer owner, or this node gives up ownership.
+    /// This node gives up ownership as planned.
+    HandOver,
+    /// There is a newer owner, or a hand-over takes too long.
     StepDown,
 }
 
@@ -188,6 +190,8 @@
     shared.log_event(FleetEvent::OwnerClaimed, &format!("token={token}"));
     task.serve(&mut rx).await;
     shared.set_local_owner(None);
+    let known = task.cell.describe_stop(clock::now());
+    shared.log_event(FleetEvent::OwnerStopping, &format!("token={token} {known}"));
     shared.log_event(FleetEvent::OwnerLost, &format!("token={token}"));
     task.tasks.shutdown().await;
     Ok(())
@@ -330,6 +334,7 @@
                 };
                 self.cell.step(event, now);
             }
+            OwnerInput::HandOver => self.cell.step(CellEvent::HandOver, now),
             OwnerInput::StepDown => self.stepped_down = true,
         }
     }
@@ -442,7 +447,7 @@
                 let read = owner_watch::read_job(self.shared.clone(), self.tx.clone(), job);
                 self.tasks.spawn(read);
             }
-            CellEffect::StepDown => self.stepped_down = true,
+            CellEffect::HandedOver | CellEffect::StepDown => self.stepped_down = true,
         }
     }
 
