--- a/src/fleet/cell.rs
+++ b/src/fleet/cell.rs
@@ -100,7 +100,7 @@
 pub(super) const UNREADABLE_ROSTER: &str = "(roster not readable)";
 
 /// Ids that a log line names; the rest is counted.
-const MAX_LOGGED_IDS: usize = 20;
+pub(super) const MAX_LOGGED_IDS: usize = 20;
 
 /// Formats ids for a log line: their number and the first of them, without spaces.
 pub(super) fn list_ids<'a>(ids: impl IntoIterator<Item = &'a ExecutorId>) -> String {
--- a/src/fleet/cell_load.rs
+++ b/src/fleet/cell_load.rs
@@ -272,7 +272,7 @@
             version,
             ..LoadSummary::default()
         };
-        if self.unread.may_run_any() || !self.has_backlog(now.mono) {
+        if self.unread.has_unknown() || !self.has_backlog(now.mono) {
             return summary;
         }
         let outstanding = self.outstanding(now.mono);
--- a/src/fleet/cell_plan.rs
+++ b/src/fleet/cell_plan.rs
@@ -153,7 +153,7 @@
     ) -> Option<BlockReason> {
         let (job, spec, step) = self.lookup_step(&id)?;
         // In any pool: the queue may have had another one when the task was started.
-        if job.recovered && !spec.allow_duplicates && self.unread.may_run_any() {
+        if job.recovered && !spec.allow_duplicates && self.unread.has_unknown() {
             return Some(BlockReason::Takeover);
         }
         let spec = spec.clone();
--- a/src/fleet/cell_takeover.rs
+++ b/src/fleet/cell_takeover.rs
@@ -6,7 +6,8 @@
     core::Millis,
     fleet::{
         BlockReason, Cell, Executor, ExecutorId, FleetEvent, Job, Now, Run, RunStage, Session,
-        Step, TaskId, cell::list_ids,
+        Step, TaskId,
+        cell::{MAX_LOGGED_IDS, list_ids},
     },
 };
 
@@ -116,14 +117,15 @@
         let runs = || self.executors.values().flat_map(|e| e.runs.values());
         let in_doubt = |r: &&Run| matches!(r.stage, RunStage::StartSent | RunStage::StopSent);
         let draining = self.executors.iter().filter(|(_, e)| e.info.draining);
+        let draining_count = draining.clone().count();
         let describe = |(id, e): (&ExecutorId, &Executor)| {
             let left_ms = e.exits_at.map(|at| at.saturating_sub(now.mono));
             let left_ms = left_ms.map_or_else(|| "-".to_owned(), |ms| ms.to_string());
             format!("{id}/{}/{left_ms}", e.runs.len())
         };
-        let draining: Vec<String> = draining.map(describe).collect();
+        let draining: Vec<String> = draining.take(MAX_LOGGED_IDS).map(describe).collect();
         format!(
-            "executors={} unread={} runs={} unconfirmed={} draining={}",
+            "executors={} unread={} runs={} unconfirmed={} draining={draining_count}:{}",
             self.executors.len(),
             self.unread.len(),
             runs().count(),
--- a/src/fleet/records.rs
+++ b/src/fleet/records.rs
@@ -12,6 +12,12 @@
     std::sync::Arc,
 };
 
+/// Maximum size of an encoded integer, in bytes.
+const MAX_VARINT_BYTES: usize = 10;
+
+/// Maximum size of an encoded [`TaskId`], in bytes.
+const MAX_TASK_BYTES: usize = MAX_VARINT_BYTES + 5 + 3 + 5;
+
 /// A job as an entry node accepted it.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub struct Submission {
@@ -221,9 +227,3 @@
         3 * MAX_VARINT_BYTES + executors.sum::<usize>() + runs.sum::<usize>()
     }
 }
-
-/// Maximum size of an encoded integer, in bytes.
-const MAX_VARINT_BYTES: usize = 10;
-
-/// Maximum size of an encoded [`TaskId`], in bytes.
-const MAX_TASK_BYTES: usize = MAX_VARINT_BYTES + 5 + 3 + 5;
--- a/src/fleet/unread_executors.rs
+++ b/src/fleet/unread_executors.rs
@@ -137,14 +137,14 @@
         self.executors.get(id)?.tasks.as_deref()
     }
 
-    /// Returns whether any recovered task may run on one of them.
-    pub fn may_run_any(&self) -> bool {
+    /// Returns whether it is not known of one of them what may run there, so that any recovered task may.
+    pub fn has_unknown(&self) -> bool {
         self.unknown_count > 0
     }
 
     /// Returns whether a recovered task may run on one of them.
     pub fn may_run(&self, task: &TaskId) -> bool {
-        self.may_run_any() || self.tasks.contains_key(task)
+        self.has_unknown() || self.tasks.contains_key(task)
     }
 
     /// Lists the tasks of a step that are named for one of them, by index.
