Soak: a stall of the machine is a fault

Beside several builds (load 35) a soak of all kinds reported LOST for nine tasks 27 s after its last fault: the proofs of ownership of its nodes were 4 to 5 s old, and the owner changed eight times without any fault. The nodes share the machine with the simulated platform.

Change: a check of the platform that is 500 ms late is recorded as an unplanned fault, so the time after it is not calm. All other rules hold during it as before.

--- a/standins/src/platform_host.rs
+++ b/standins/src/platform_host.rs
@@ -43,6 +43,10 @@
 /// Time between checks of runs, leases and heartbeats.
 const TICK: Duration = Duration::from_millis(10);
 
+/// Delay of such a check, in ms, from which on it counts as a fault: the nodes share the machine and miss
+/// renewals of their store leases.
+const STALL_MS: Millis = 500;
+
 /// Interval at which executors report to the store, in ms.
 const HEARTBEAT_MS: Millis = 1_500;
 
@@ -133,9 +137,16 @@
         let weak = Arc::downgrade(&host);
         tokio::spawn(async move {
             let mut tick = tokio::time::interval(TICK);
+            let mut last_at = 0;
             loop {
                 tick.tick().await;
                 let Some(host) = weak.upgrade() else { return };
+                let now = host.now();
+                if now > last_at + STALL_MS {
+                    let stall = host.faults.begin("machine stalled", false, last_at);
+                    host.faults.end(stall, now);
+                }
+                last_at = now;
                 host.tick();
             }
         });
