--- a/src/fleet/cell_plan.rs
+++ b/src/fleet/cell_plan.rs
@@ -103,6 +103,7 @@
                 self.preempt_for_gang(candidate, &reserved, now);
             }
         }
+        self.clear_takeover_waits(&candidates);
         unadvised.extend(self.move_departing(&mut snapshot, now));
         self.stop_exiting(now);
         self.request_advice(&unadvised, &snapshot, now);
--- a/src/fleet/cell_takeover.rs
+++ b/src/fleet/cell_takeover.rs
@@ -1,14 +1,18 @@
 //! Takeover of a new owner: executors of the roster that it has not read, and what waits for them.
 //!
-//! Called in each tick of the cell.
+//! Called in each tick and round of the cell.
 
-use crate::{
-    core::Millis,
-    fleet::{
-        BlockReason, Cell, Executor, ExecutorId, FleetEvent, Job, Now, Run, RunStage, Session,
-        Step, TaskId,
-        cell::{MAX_LOGGED_IDS, list_ids},
+use {
+    crate::{
+        core::Millis,
+        fleet::{
+            BlockReason, Cell, Executor, ExecutorId, FleetEvent, Job, JobId, Now, Run, RunStage,
+            Session, Step, TaskId,
+            cell::{MAX_LOGGED_IDS, list_ids},
+            cell_plan::Candidate,
+        },
     },
+    std::collections::HashSet,
 };
 
 /// Interval of log lines of jobs that wait for unread executors, in ms.
@@ -92,6 +96,19 @@
         steps.filter_map(member).collect()
     }
 
+    /// Clears the reason of jobs that no longer wait, as all their tasks were found.
+    pub(super) fn clear_takeover_waits(&mut self, candidates: &[Candidate]) {
+        if self.takeover_ended {
+            return;
+        }
+        let waiting: HashSet<JobId> = candidates.iter().map(|c| c.step.job).collect();
+        for (id, job) in &mut self.jobs {
+            if job.blocked == Some(BlockReason::Takeover) && !waiting.contains(id) {
+                job.blocked = None;
+            }
+        }
+    }
+
     /// Logs which jobs wait for unread executors.
     pub(super) fn log_takeover_wait(&mut self, now: Now) {
         if self.unread.is_empty() || now.mono < self.next_wait_log_at {
