--- a/src/fleet/cell_hand_over.rs
+++ b/src/fleet/cell_hand_over.rs
@@ -16,7 +16,7 @@
     std::collections::HashMap,
 };
 
-/// Maximum time for these stops, and for another attempt to write the record, in ms.
+/// Maximum time for the stops on executors about to exit, and for attempts to write the record, in ms.
 const MAX_SETTLE_MS: Millis = 700;
 
 /// Time in which the next owner reads the executors, in ms: what exits earlier is stopped by this one.
--- a/src/fleet/event.rs
+++ b/src/fleet/event.rs
@@ -296,7 +296,7 @@
     },
     /// Live nodes that can call the advice service, this one included.
     AdviceNodes(Vec<Arc<str>>),
-    /// This owner stops as planned: it starts nothing more, and leaves what it knows to the next one.
+    /// This owner stops as planned, and leaves what it knows to the next one.
     HandOver,
     /// A command got its reply or failed.
     CommandResult {
