Test departures around a kill of the owner, failing

Three faults meet: a new owner counts an executor's remaining time from its claim or from the read of a whole list, though the entry was written up to a report interval earlier; a task whose run the new owner has found waits for an unread executor all the same; and nothing is known of what runs on an executor that drains when its owner is killed.

Simulated executors that drain now write their entry each 1.5 s, as on the platform, so that what a reader finds has an age; before, it was always exact, which hid the first fault. `kill_owner` leaves a time without an owner.

--- a/standins/src/cell_executor.rs
+++ b/standins/src/cell_executor.rs
@@ -28,6 +28,9 @@
 /// Time from the start of a persistent task until it works, in ms.
 const PERSISTENT_START_MS: Millis = 500;
 
+/// Interval at which an executor that drains writes its entry, in ms: the platform's `heartbeatMs`.
+pub const REPORT_INTERVAL_MS: Millis = 1_500;
+
 /// A run on an executor and when and how it will end.
 #[derive(Clone, Debug)]
 pub struct ExecutorRun {
@@ -54,6 +57,8 @@
     pub run_time_percent: Millis,
     /// When it exits, in ms of simulated time; it announced that it drains.
     pub exits_at: Option<Millis>,
+    /// When it last wrote its entry; the remaining time there is of then.
+    reported_at: Millis,
     /// Whether the platform includes it in the list of executors.
     pub listed: bool,
     pub running: BTreeMap<TaskId, ExecutorRun>,
@@ -104,6 +109,7 @@
             hung: false,
             run_time_percent: 100,
             exits_at: None,
+            reported_at: now,
             listed: true,
             running: BTreeMap::new(),
             ended: Vec::new(),
@@ -180,6 +186,18 @@
         self.exits_at = Some(now + remaining_ms);
         self.info.draining = true;
         self.info.min_remaining_ms = Some(remaining_ms);
+        self.reported_at = now;
+    }
+
+    /// Writes its entry again if it drains and that is due; returns whether it does.
+    pub fn report_if_due(&mut self, now: Millis) -> bool {
+        let due = self.listed && now >= self.reported_at + REPORT_INTERVAL_MS;
+        let Some(exits_at) = self.exits_at.filter(|at| due && *at > now) else {
+            return false;
+        };
+        self.info.min_remaining_ms = Some(exits_at - now);
+        self.reported_at = now;
+        true
     }
 
     /// Is ready again: it does not drain, and commands reach it.
--- a/standins/src/cell_world.rs
+++ b/standins/src/cell_world.rs
@@ -137,6 +137,10 @@
     /// How the next commits go, in order; the others go by `store_up` and `faults`.
     pub commit_plans: VecDeque<CommitPlan>,
     pub executors: BTreeMap<ExecutorId, CellExecutor>,
+    /// Whether the owner was killed: it handles no event until it is replaced.
+    owner_killed: bool,
+    /// While true, owners hear of no change of executors that drain or exit; [`Self::relist`] tells them.
+    pub watch_interrupted: bool,
     pub records: Records,
     /// Whether a takeover cannot decode the roster.
     pub roster_unreadable: bool,
@@ -206,6 +210,8 @@
             cut: HashSet::new(),
             commit_plans: VecDeque::new(),
             executors: BTreeMap::new(),
+            owner_killed: false,
+            watch_interrupted: false,
             records: Records::default(),
             roster_unreadable: false,
             refused_progress: HashSet::new(),
@@ -283,6 +289,13 @@
         self.step(CellEvent::Cancelled(job));
     }
 
+    /// Kills the owner; the next one takes over `ms` later.
+    pub fn kill_owner(&mut self, ms: Millis) {
+        self.owner_killed = true;
+        self.run(ms);
+        self.replace_owner();
+    }
+
     /// Replaces the owner by a new one that recovers its state from the store alone.
     pub fn replace_owner(&mut self) {
         self.add_owner();
@@ -325,6 +338,7 @@
             cell_now(self.now),
         );
         self.former.push(std::mem::replace(&mut self.cell, cell));
+        self.owner_killed = false;
         self.step(CellEvent::AdviceNodes(advice_nodes(self.nodes - 1)));
         let listed = self.executors.values().filter(|e| e.listed);
         let infos: Vec<_> = listed.map(|e| e.info.clone()).collect();
@@ -390,7 +404,7 @@
         };
         executor.drain(remaining_ms, self.now);
         let info = executor.info.clone();
-        self.step(CellEvent::Listed(info));
+        self.report(CellEvent::Listed(info));
     }
 
     /// Has an executor that drains or has exited report that it is ready.
@@ -481,7 +495,12 @@
         let exited = executors.filter_map(|e| e.exit_if_due(now).then(|| e.info.id.clone()));
         for id in exited.collect::<Vec<_>>() {
             self.log.push(format!("{now} exited {id}"));
-            self.step(CellEvent::Unlisted(id));
+            self.report(CellEvent::Unlisted(id));
+        }
+        let executors = self.executors.values_mut();
+        let reports = executors.filter_map(|e| e.report_if_due(now).then(|| e.info.clone()));
+        for info in reports.collect::<Vec<_>>() {
+            self.report(CellEvent::Listed(info));
         }
         if self.now.is_multiple_of(self.check_interval_ms) {
             self.check_invariants();
@@ -617,11 +636,21 @@
         thousandths > 0 && self.rng.random_range(0..1000) < thousandths
     }
 
+    /// Tells the owner of a change of the list, unless its watch is interrupted.
+    fn report(&mut self, event: CellEvent) {
+        if !self.watch_interrupted {
+            self.step(event);
+        }
+    }
+
     fn step(&mut self, event: CellEvent) {
         self.step_owner(self.cell.token, event);
     }
 
     fn step_owner(&mut self, token: u64, event: CellEvent) {
+        if self.owner_killed && token == self.cell.token {
+            return;
+        }
         let now = cell_now(self.now);
         let started_at = Instant::now();
         if let Some(cell) = self.owner_mut(token) {
@@ -632,6 +661,9 @@
     }
 
     fn plan(&mut self, token: u64) {
+        if self.owner_killed && token == self.cell.token {
+            return;
+        }
         let now = cell_now(self.now);
         let started_at = Instant::now();
         let sole_owner = token == self.cell.token;
--- a/standins/src/lib.rs
+++ b/standins/src/lib.rs
@@ -13,7 +13,7 @@
 //! `platform_executor` through the rules of `platform_faults`; `soak` runs the daemons of
 //! `soak_nodes` and the callers of `soak_clients` against it, and `run_journal` judges the runs.
 
-mod cell_executor;
+pub mod cell_executor;
 pub mod cell_sample;
 pub mod cell_world;
 pub mod chaos;
--- a/tests/departures.rs
+++ b/tests/departures.rs
@@ -7,6 +7,7 @@
     },
     standins::{
         CellWorld,
+        cell_executor::REPORT_INTERVAL_MS,
         cell_sample::{capacity, config, job, need, step, world, world_with_config},
     },
     std::{collections::BTreeMap, sync::Arc},
@@ -18,6 +19,12 @@
 /// Time that an executor announces before it exits, in ms.
 const NOTICE_MS: Millis = 5_000;
 
+/// Time from the last report of an executor to its exit, in ms: shorter than the interval of reports.
+const LAST_REPORT_MS: Millis = 1_400;
+
+/// Ages at which an owner reads that report, in ms.
+const REPORT_AGES_MS: [Millis; 4] = [100, 600, 850, 1_000];
+
 /// Returns a configuration whose patient queue needs advice that takes half a second.
 fn config_with_advice() -> FleetConfig {
     let mut config = config();
@@ -161,6 +168,44 @@
     assert_sound(&world);
 }
 
+/// Has the executor of a task that outlasts it announce its exit; its entry is written for the last time
+/// `LAST_REPORT_MS` before that.
+fn world_with_departure(announced: bool) -> CellWorld {
+    let mut world = world(1, 3);
+    world.submit(job(1, "patient", vec![step(1, 7_000, 60_000)]));
+    world.run(2_000);
+    let host = host_of(&world, 1);
+    world.watch_interrupted = !announced;
+    world.drain(&host, 2 * REPORT_INTERVAL_MS + LAST_REPORT_MS);
+    world
+}
+
+/// Guards against counting the remaining time of an entry from when a new owner reads it.
+#[test]
+fn a_run_is_stopped_in_time_though_a_new_owner_reads_an_old_announcement() {
+    for age_ms in REPORT_AGES_MS {
+        let mut world = world_with_departure(true);
+        world.run(2 * REPORT_INTERVAL_MS);
+        world.kill_owner(age_ms);
+        world.run(LAST_REPORT_MS - age_ms - 1);
+        assert!(was_stopped(&world), "{age_ms}: {:#?}", tail(&world));
+        assert_sound(&world);
+    }
+}
+
+/// The same for an owner whose watch of the list was interrupted.
+#[test]
+fn a_run_is_stopped_in_time_though_the_owner_reads_an_old_announcement_in_a_whole_list() {
+    for age_ms in REPORT_AGES_MS {
+        let mut world = world_with_departure(false);
+        world.run(2 * REPORT_INTERVAL_MS + age_ms);
+        world.relist();
+        world.run(LAST_REPORT_MS - age_ms - 1);
+        assert!(was_stopped(&world), "{age_ms}: {:#?}", tail(&world));
+        assert_sound(&world);
+    }
+}
+
 fn host_of(world: &CellWorld, id: u64) -> String {
     let runs_job = |t: &TaskId| t.step.job == JobId(id);
     let host = world
--- a/tests/handover.rs
+++ b/tests/handover.rs
@@ -25,6 +25,9 @@
 /// its tasks must have started, in ms.
 const MAX_LEASE_WAIT_MS: Millis = 7_000;
 
+/// Time in which a task that moves may not run, in ms.
+const MAX_MOVE_MS: Millis = 500;
+
 /// Longest simulated wait of a test for a start, in ms: longer than all leases.
 const GIVE_UP_MS: Millis = 20_000;
 
@@ -97,6 +100,16 @@
     world.now - from
 }
 
+/// Runs for `ms` and returns how long no task of a job ran.
+fn time_without_run(world: &mut CellWorld, id: u64, ms: Millis) -> Millis {
+    let mut idle_ms = 0;
+    for _ in 0..ms {
+        world.run(1);
+        idle_ms += Millis::from(runs(world, id) == 0);
+    }
+    idle_ms
+}
+
 /// Returns an executor that runs nothing of the given jobs.
 fn host_without(world: &CellWorld, jobs: &[u64]) -> String {
     let runs_none =
@@ -481,6 +494,58 @@
     }
 }
 
+/// The run of the task was found, so it cannot run on the unread executor too.
+#[test]
+fn a_task_whose_run_was_found_moves_though_an_executor_is_unread_after_a_kill() {
+    for drains_first in [false, true] {
+        let (mut world, host, unread) = world_with_two(1);
+        cut_next(&mut world, &unread);
+        if drains_first {
+            world.drain(&host, 5_000);
+            world.run(100);
+        }
+        world.replace_owner();
+        if !drains_first {
+            world.drain(&host, 5_000);
+        }
+        let took = time_without_run(&mut world, 1, 6_000);
+        assert!(took <= MAX_MOVE_MS, "{took} ms: {:#?}", tail(&world));
+        assert_recovers(&mut world, &[1, 2]);
+    }
+}
+
+/// The same for a run that ends as failed or is stopped after it was found.
+#[test]
+fn a_task_whose_run_was_found_starts_again_though_an_executor_is_unread_after_a_kill() {
+    for seed in 0..4 {
+        let (mut world, host, unread) = world_with_two(seed);
+        cut_next(&mut world, &unread);
+        world.replace_owner();
+        world.run(200);
+        fail_runs(&mut world, &host);
+        assert_runs_soon(&mut world, 1);
+        assert_recovers(&mut world, &[1, 2]);
+    }
+}
+
+/// An executor with runs exits by plan before the next owner reads it. What may run there was written
+/// when it began to drain.
+#[test]
+fn only_the_tasks_of_an_executor_that_drained_wait_if_the_owner_is_killed() {
+    for left_ms in [2_500, 1_000, 50] {
+        let steps = vec![step(1, WIDE_MILLI, LONG_MS), wide_persistent()];
+        let mut world = world_with_jobs(1, 4, steps);
+        let (leaving, host) = (host_of(&world, 1), host_of(&world, 2));
+        cut_next(&mut world, &leaving);
+        world.drain(&leaving, 5_000);
+        world.run(5_000 - left_ms);
+        world.replace_owner();
+        fail_runs(&mut world, &host);
+        assert_runs_soon(&mut world, 2);
+        assert_recovers(&mut world, &[1, 2]);
+    }
+}
+
 /// A start command of the earlier owner is carried out seconds after the claim.
 #[test]
 fn a_late_start_of_the_earlier_owner_causes_no_second_run() {
