Count an executor's remaining time from when its entry was written

Callers saw persistent tasks idle for 11 s: they ran on an executor that left by plan and were not stopped before it exited, so that the lease had to expire. An entry states the remaining time of its last write, up to a report interval (`heartbeatMs`) and the lag of the store ago.

Each reading of an entry now comes with the earliest time at which it may have been written: for a whole list a report interval and 200 ms before the call was sent, for a change the time at which the call before it was sent.

--- a/src/entry/mod.rs
+++ b/src/entry/mod.rs
@@ -50,7 +50,7 @@
     operator_api::{NodeStatus, router as operator_router},
     owner::{OwnerInput, OwnershipClaim},
     owner_link::{OwnerLink, reconnect_backoff, run as run_owner_link},
-    owner_watch::{watch_executors, watch_work},
+    owner_watch::{ListPosition, watch_executors, watch_work},
     pause_guard::PauseGuard,
     peer_message::PeerMessage,
     peer_server::run as run_peer_server,
--- a/src/entry/owner.rs
+++ b/src/entry/owner.rs
@@ -173,11 +173,16 @@
         tx.clone(),
     );
     task.tasks.spawn(commit);
+    let position = state.executors_position;
+    let written_after = owner_watch::list_written_after(&shared, position.sent_at);
     for info in state.executors {
-        task.cell.step(CellEvent::Listed(info), now);
+        let event = CellEvent::Listed {
+            info,
+            written_after,
+        };
+        task.cell.step(event, now);
     }
-    let executor_watch =
-        owner_watch::watch_executors(shared.clone(), tx.clone(), state.executors_revision);
+    let executor_watch = owner_watch::watch_executors(shared.clone(), tx.clone(), position);
     task.tasks.spawn(executor_watch);
     let work = owner_watch::watch_work(shared.clone(), tx.clone(), state.work_revision);
     task.tasks.spawn(work);
--- a/src/entry/owner_watch.rs
+++ b/src/entry/owner_watch.rs
@@ -3,8 +3,9 @@
 
 use {
     crate::{
+        core::Millis,
         entry::{
-            OwnerInput, Shared, store_keys as keys,
+            OwnerInput, Shared, clock, store_keys as keys,
             takeover::{READ_TIMEOUT, executor_or_log, ok_or_log},
         },
         fleet::{CellEvent, JobId, JobRecord},
@@ -40,39 +41,65 @@
 /// Time between a failed watch and the next attempt.
 const WATCH_RETRY_DELAY: Duration = Duration::from_millis(200);
 
+/// Time by which a report of an executor may be in the store later than its interval, in ms.
+const REPORT_LAG_MS: Millis = 200;
+
+/// A revision of the platform's list, from which a watch continues.
+#[derive(Clone, Copy, Debug)]
+pub struct ListPosition {
+    pub revision: u64,
+    /// When the call was sent whose reply named the revision, in ms since boot: later changes were
+    /// written after it.
+    pub sent_at: Millis,
+}
+
+/// Returns the earliest time at which an entry of a list may have been written that was read by a call
+/// sent at `sent_at`, in ms since boot. An executor that lives writes in each interval.
+pub(super) fn list_written_after(shared: &Shared, sent_at: Millis) -> Millis {
+    let max_age_ms = shared.settings.bounds.report_interval_ms + REPORT_LAG_MS;
+    sent_at.saturating_sub(max_age_ms)
+}
+
 /// Watches the platform's list of executors; lists all of them again after a failed watch, unless
 /// the store was only busy.
 pub async fn watch_executors(
     shared: Arc<Shared>,
     tx: mpsc::UnboundedSender<OwnerInput>,
-    mut revision: u64,
+    mut position: ListPosition,
 ) {
     let mut interval = tokio::time::interval(EXECUTOR_WATCH_INTERVAL);
     interval.set_missed_tick_behavior(MissedTickBehavior::Delay);
     loop {
         interval.tick().await;
+        let (after, sent_at) = (position.revision, clock::mono());
         let result = shared
-            .watch(EXECUTORS_PREFIX, revision, EXECUTOR_WATCH_WAIT, WATCH_GRACE)
+            .watch(EXECUTORS_PREFIX, after, EXECUTOR_WATCH_WAIT, WATCH_GRACE)
             .await;
         match result {
-            Ok((changes, next)) => {
-                revision = next;
+            Ok((changes, revision)) => {
                 for change in changes {
-                    on_executor_change(&shared, &tx, change);
+                    on_executor_change(&shared, &tx, change, position.sent_at);
                 }
+                position = ListPosition { revision, sent_at };
             }
             Err(StoreError::Busy) => tokio::time::sleep(WATCH_RETRY_DELAY).await,
             Err(_) => {
-                let Ok((items, next)) = shared.range(EXECUTORS_PREFIX, READ_TIMEOUT).await else {
+                let sent_at = clock::mono();
+                let list = shared.range(EXECUTORS_PREFIX, READ_TIMEOUT).await;
+                let Ok((items, revision)) = list else {
                     tokio::time::sleep(WATCH_RETRY_DELAY).await;
                     continue;
                 };
-                revision = next;
+                position = ListPosition { revision, sent_at };
                 let infos = items
                     .iter()
                     .filter_map(|i| executor_or_log(&shared, i))
                     .collect();
-                let _ = tx.send(OwnerInput::Cell(CellEvent::Relisted(infos)));
+                let event = CellEvent::Relisted {
+                    infos,
+                    written_after: list_written_after(&shared, sent_at),
+                };
+                let _ = tx.send(OwnerInput::Cell(event));
             }
         }
     }
@@ -82,9 +109,13 @@
     shared: &Shared,
     tx: &mpsc::UnboundedSender<OwnerInput>,
     change: StoreChange,
+    written_after: Millis,
 ) {
     let event = match change {
-        StoreChange::Set(item) => executor_or_log(shared, &item).map(CellEvent::Listed),
+        StoreChange::Set(item) => executor_or_log(shared, &item).map(|info| CellEvent::Listed {
+            info,
+            written_after,
+        }),
         StoreChange::Removed(key) => {
             let id = key.strip_prefix(EXECUTORS_PREFIX).unwrap_or(&key);
             Some(CellEvent::Unlisted(Arc::from(id)))
--- a/src/entry/takeover.rs
+++ b/src/entry/takeover.rs
@@ -4,7 +4,7 @@
 
 use {
     crate::{
-        entry::{EntryError, Shared, config_watch, store_keys as keys},
+        entry::{EntryError, ListPosition, Shared, clock, config_watch, store_keys as keys},
         fleet::{Evacuations, ExecutorInfo, FleetEvent, JobId, JobRecord, RecoveredState},
         platform::{
             EVACUATIONS_PREFIX, EXECUTORS_PREFIX, StoreError, StoreItem, executor_from_entry,
@@ -22,12 +22,13 @@
     pub recovered: RecoveredState,
     pub work_revision: u64,
     pub executors: Vec<ExecutorInfo>,
-    pub executors_revision: u64,
+    pub executors_position: ListPosition,
 }
 
 /// Reads jobs, progress, roster and executors. The claim was written before, so no earlier owner
 /// can change them any more.
 pub(super) async fn load(shared: &Shared) -> Result<TakeoverState, StoreError> {
+    let sent_at = clock::mono();
     let (work, progress, roster, waits, executor_items, evacuations) = tokio::try_join!(
         read_twice(|| shared.range(keys::WORK_PREFIX, READ_TIMEOUT)),
         read_twice(|| shared.range(keys::PROGRESS_PREFIX, READ_TIMEOUT)),
@@ -38,7 +39,7 @@
     )?;
     let (work, work_revision) = work;
     let (progress, _) = progress;
-    let (executor_items, executors_revision) = executor_items;
+    let (executor_items, revision) = executor_items;
     let mut progress_items: HashMap<JobId, StoreItem> = HashMap::new();
     for item in progress {
         if let Ok(id) = item.key.trim_start_matches(keys::PROGRESS_PREFIX).parse() {
@@ -80,7 +81,7 @@
         recovered,
         work_revision,
         executors,
-        executors_revision,
+        executors_position: ListPosition { revision, sent_at },
     })
 }
 
--- a/src/fleet/cell.rs
+++ b/src/fleet/cell.rs
@@ -282,9 +282,15 @@
             }
             CellEvent::Evacuations(evacuations) => self.on_evacuations(&evacuations, now),
             CellEvent::Upkeep(plan) => self.on_upkeep(plan, now),
-            CellEvent::Listed(info) => self.on_listed(info, now),
+            CellEvent::Listed {
+                info,
+                written_after,
+            } => self.on_listed(info, written_after, now),
             CellEvent::Unlisted(id) => self.on_unlisted(&id),
-            CellEvent::Relisted(infos) => self.on_relisted(infos, now),
+            CellEvent::Relisted {
+                infos,
+                written_after,
+            } => self.on_relisted(infos, written_after, now),
             CellEvent::Submitted(submission) => {
                 // Stored after this owner's claim, so no earlier owner has started it.
                 self.add_job(*submission, None, JobOrigin::Accepted, now);
--- a/src/fleet/cell_departures.rs
+++ b/src/fleet/cell_departures.rs
@@ -17,16 +17,12 @@
 
 impl Cell {
     /// Takes in whether an executor drains and when it exits; called before its entry is replaced.
-    pub(super) fn on_drain_state(&mut self, info: &ExecutorInfo, now: Now) {
+    pub(super) fn on_drain_state(&mut self, info: &ExecutorInfo, written_after: Millis, now: Now) {
         let Some(executor) = self.executors.get_mut(&info.id) else {
             return;
         };
         let begins = info.draining && !executor.info.draining;
-        executor.exits_at = match (info.draining, executor.exits_at, exit_time(info, now)) {
-            (false, ..) => None,
-            (true, Some(earlier), Some(at)) => Some(earlier.min(at)),
-            (true, earlier, at) => earlier.or(at),
-        };
+        executor.exits_at = exit_time(executor.exits_at, info, written_after, now);
         if !begins {
             return;
         }
@@ -34,8 +30,10 @@
         let tasks: Vec<TaskId> = executor.runs.keys().copied().collect();
         let persistent = tasks.iter().filter(|t| self.is_persistent(t)).count();
         let detail = format!(
-            "executor={} runs={runs} persistent={persistent} min_remaining_ms={:?}",
-            info.id, info.min_remaining_ms
+            "executor={} runs={runs} persistent={persistent} min_remaining_ms={:?} max_age_ms={}",
+            info.id,
+            info.min_remaining_ms,
+            now.mono.saturating_sub(written_after)
         );
         self.log(FleetEvent::ExecutorDraining, detail);
     }
@@ -210,11 +208,19 @@
     }
 }
 
-/// Returns when an executor exits at the earliest, on the owner's monotonic clock; `None` if its entry
-/// does not state it.
-pub(super) fn exit_time(info: &ExecutorInfo, now: Now) -> Option<Millis> {
-    let remaining_ms = info.min_remaining_ms.filter(|_| info.draining);
-    remaining_ms.map(|ms| now.mono.saturating_add(ms))
+/// Returns when an executor exits at the earliest, on the owner's monotonic clock; `None` unless it
+/// drains and has stated that. `known` is what its earlier entries say.
+pub(super) fn exit_time(
+    known: Option<Millis>,
+    info: &ExecutorInfo,
+    written_after: Millis,
+    now: Now,
+) -> Option<Millis> {
+    match (info.draining, info.min_remaining_ms) {
+        (false, _) => None,
+        (true, None) => known,
+        (true, Some(ms)) => Some(policy::earliest_exit(known, ms, written_after, now.mono)),
+    }
 }
 
 impl Executor {
--- a/src/fleet/cell_executors.rs
+++ b/src/fleet/cell_executors.rs
@@ -60,10 +60,10 @@
         self.executors.insert(entry.id.clone(), executor);
     }
 
-    /// Adds or updates an executor that the platform lists.
-    pub(super) fn on_listed(&mut self, info: ExecutorInfo, now: Now) {
+    /// Adds or updates an executor that the platform lists; its entry was written after `written_after`.
+    pub(super) fn on_listed(&mut self, info: ExecutorInfo, written_after: Millis, now: Now) {
         let id = info.id.clone();
-        self.on_drain_state(&info, now);
+        self.on_drain_state(&info, written_after, now);
         if let Some(known) = self.executors.get_mut(&id) {
             if matches!((known.started_unix_ms, info.started_unix_ms), (Some(a), Some(b)) if a < b)
             {
@@ -84,7 +84,7 @@
             self.review_retirement(&id);
             return;
         }
-        let exits_at = exit_time(&info, now);
+        let exits_at = exit_time(None, &info, written_after, now);
         self.on_address_reused(&info, now);
         let mut executor = Executor::new(info, true, now.mono);
         executor.exits_at = exits_at;
@@ -104,10 +104,15 @@
 
     /// Handles the whole list. The entry of an executor that is responsive but not listed may
     /// have expired in an outage of the store: it counts as listed for [`RELIST_GRACE_MS`].
-    pub(super) fn on_relisted(&mut self, infos: Vec<ExecutorInfo>, now: Now) {
+    pub(super) fn on_relisted(
+        &mut self,
+        infos: Vec<ExecutorInfo>,
+        written_after: Millis,
+        now: Now,
+    ) {
         let listed_ids: HashSet<ExecutorId> = infos.iter().map(|i| i.id.clone()).collect();
         for info in infos {
-            self.on_listed(info, now);
+            self.on_listed(info, written_after, now);
         }
         for (id, executor) in &mut self.executors {
             if !listed_ids.contains(id) {
--- a/src/fleet/event.rs
+++ b/src/fleet/event.rs
@@ -279,11 +279,19 @@
     /// Executors that get no new tasks, because of maintenance, in place of earlier ones.
     Upkeep(UpkeepPlan),
     /// An executor's entry in the platform's list was added or changed.
-    Listed(ExecutorInfo),
+    Listed {
+        info: ExecutorInfo,
+        /// Earliest time at which the entry may have been written, in ms on the owner's monotonic clock.
+        written_after: Millis,
+    },
     /// An executor's entry was removed from the platform's list.
     Unlisted(ExecutorId),
     /// The full list, read after a gap in which removals may have been missed.
-    Relisted(Vec<ExecutorInfo>),
+    Relisted {
+        infos: Vec<ExecutorInfo>,
+        /// Earliest time at which any of its entries may have been written, as above.
+        written_after: Millis,
+    },
     /// A job was accepted and stored.
     Submitted(Box<Submission>),
     /// A caller cancelled a job.
--- a/src/fleet/policy/mod.rs
+++ b/src/fleet/policy/mod.rs
@@ -30,7 +30,7 @@
         CrashVerdict, MAX_HOLD_MS, START_WATCH_MS, SuspectPlace, choose_suspect_place,
         judge_crashes, max_held,
     },
-    departure::exit_lead_ms,
+    departure::{earliest_exit, exit_lead_ms},
     dispatch::{Dispatcher, choose_dispatcher},
     order::{
         EXPIRED_TIMES, Rank, Timeliness, WaitingJob, assumed_remaining_ms, effective_priority,
--- a/src/platform/settings.rs
+++ b/src/platform/settings.rs
@@ -64,6 +64,8 @@
     pub max_lease_ms: u64,
     /// Maximum time that an executor takes to kill a run, also once its lease has expired.
     pub kill_grace_ms: u64,
+    /// Interval at which an executor writes its entry in the list.
+    pub report_interval_ms: u64,
     /// Time from SIGTERM to SIGKILL.
     pub termination_grace_ms: u64,
     /// How long the state of an ended job stays available.
@@ -112,6 +114,8 @@
     listen: WireListen,
     platform: WirePlatform,
     advice: Option<SocketAddr>,
+    #[serde(rename = "heartbeatMs")]
+    heartbeat_ms: Option<u64>,
     #[serde(default)]
     zones: BTreeMap<Arc<str>, toml::Value>,
     #[serde(default)]
@@ -204,6 +208,7 @@
 /// Defaults for bounds that the settings do not state, with the figures of the present sites.
 const DEFAULT_MAX_LEASE_MS: u64 = 6_000;
 const DEFAULT_KILL_GRACE_MS: u64 = 1_000;
+const DEFAULT_REPORT_INTERVAL_MS: u64 = 1_500;
 const DEFAULT_TERMINATION_GRACE_S: f64 = 6.0;
 const DEFAULT_ENDED_RETENTION_S: f64 = 120.0;
 const DEFAULT_REVOCATION_GRACE_MS: u64 = 5_000;
@@ -258,6 +263,7 @@
             bounds: Bounds {
                 max_lease_ms: bounds.hold_max_ms.unwrap_or(DEFAULT_MAX_LEASE_MS),
                 kill_grace_ms: bounds.kill_grace_ms.unwrap_or(DEFAULT_KILL_GRACE_MS),
+                report_interval_ms: wire.heartbeat_ms.unwrap_or(DEFAULT_REPORT_INTERVAL_MS),
                 termination_grace_ms: saturating_u64(to_ms(
                     bounds.grace_s.unwrap_or(DEFAULT_TERMINATION_GRACE_S),
                 )),
--- a/standins/src/cell_world.rs
+++ b/standins/src/cell_world.rs
@@ -4,7 +4,7 @@
 //! The scheduler's guarantees are checked on what the executors ran, never on the cell's state.
 
 use {
-    crate::cell_executor::{CellExecutor, CommandOutcome},
+    crate::cell_executor::{CellExecutor, CommandOutcome, REPORT_INTERVAL_MS},
     dragonflyferry::{
         core::{CallId, Millis, Resources},
         fleet::{
@@ -271,7 +271,7 @@
         };
         let executor = CellExecutor::new(info.clone(), self.now);
         self.executors.insert(info.id.clone(), executor);
-        self.step(CellEvent::Listed(info));
+        self.step(self.listed(info));
         self.step(CellEvent::AdviceNodes(advice_nodes(self.nodes)));
     }
 
@@ -343,7 +343,10 @@
         let listed = self.executors.values().filter(|e| e.listed);
         let infos: Vec<_> = listed.map(|e| e.info.clone()).collect();
         for info in infos {
-            self.step(CellEvent::Listed(info));
+            self.step(CellEvent::Listed {
+                info,
+                written_after: self.list_written_after(),
+            });
         }
     }
 
@@ -391,7 +394,7 @@
         executor.listed = listed;
         let info = executor.info.clone();
         self.step(if listed {
-            CellEvent::Listed(info)
+            self.listed(info)
         } else {
             CellEvent::Unlisted(info.id)
         });
@@ -404,7 +407,7 @@
         };
         executor.drain(remaining_ms, self.now);
         let info = executor.info.clone();
-        self.report(CellEvent::Listed(info));
+        self.report(self.listed(info));
     }
 
     /// Has an executor that drains or has exited report that it is ready.
@@ -438,7 +441,10 @@
     pub fn relist(&mut self) {
         let listed = self.executors.values().filter(|e| e.listed);
         let infos = listed.map(|e| e.info.clone()).collect();
-        self.step(CellEvent::Relisted(infos));
+        self.step(CellEvent::Relisted {
+            infos,
+            written_after: self.list_written_after(),
+        });
     }
 
     /// Returns the status of a job as callers see it; `None` if the cell does not know the job.
@@ -500,7 +506,7 @@
         let executors = self.executors.values_mut();
         let reports = executors.filter_map(|e| e.report_if_due(now).then(|| e.info.clone()));
         for info in reports.collect::<Vec<_>>() {
-            self.report(CellEvent::Listed(info));
+            self.report(self.listed(info));
         }
         if self.now.is_multiple_of(self.check_interval_ms) {
             self.check_invariants();
@@ -517,7 +523,10 @@
             Pending::List(id) => {
                 let listed = self.executors.get(&id).filter(|e| e.listed);
                 if let Some(info) = listed.map(|e| e.info.clone()) {
-                    self.step(CellEvent::Listed(info));
+                    self.step(CellEvent::Listed {
+                        info,
+                        written_after: self.list_written_after(),
+                    });
                 }
             }
             Pending::Write(writes, revision, raises) if revision == self.revision => {
@@ -636,6 +645,19 @@
         thousandths > 0 && self.rng.random_range(0..1000) < thousandths
     }
 
+    /// Returns the event of an entry that is written now.
+    fn listed(&self, info: ExecutorInfo) -> CellEvent {
+        CellEvent::Listed {
+            info,
+            written_after: self.now,
+        }
+    }
+
+    /// Returns the earliest time at which an entry of a whole list may have been written.
+    fn list_written_after(&self) -> Millis {
+        self.now.saturating_sub(REPORT_INTERVAL_MS)
+    }
+
     /// Tells the owner of a change of the list, unless its watch is interrupted.
     fn report(&mut self, event: CellEvent) {
         if !self.watch_interrupted {
--- a/tests/departures.rs
+++ b/tests/departures.rs
@@ -3,7 +3,7 @@
 use {
     dragonflyferry::{
         core::Millis,
-        fleet::{AdviceRule, FleetConfig, JobId, StepSpec, TaskId},
+        fleet::{AdviceRule, FleetConfig, JobId, StepSpec, TaskId, policy},
     },
     standins::{
         CellWorld,
@@ -206,6 +206,20 @@
     }
 }
 
+/// An entry bounds the exit from both sides; of several the tightest bounds hold.
+#[test]
+fn the_exit_is_never_expected_later_than_an_entry_says() {
+    let read = |known, remaining_ms, written_after, read_at| {
+        policy::earliest_exit(known, remaining_ms, written_after, read_at)
+    };
+    assert_eq!(read(None, 5_000, 8_300, 10_000), 13_300);
+    assert_eq!(read(Some(13_300), 4_000, 10_400, 10_500), 14_400);
+    assert_eq!(read(Some(14_400), 4_000, 8_800, 10_500), 14_400);
+    assert_eq!(read(Some(14_400), 500, 10_400, 10_500), 11_000);
+    assert_eq!(read(None, u64::MAX, 8_300, 10_000), u64::MAX);
+    assert_eq!(read(None, 5_000, 12_000, 10_000), 15_000);
+}
+
 fn host_of(world: &CellWorld, id: u64) -> String {
     let runs_job = |t: &TaskId| t.step.job == JobId(id);
     let host = world
--- a/tests/executor_watch.rs
+++ b/tests/executor_watch.rs
@@ -4,7 +4,7 @@
     axum::{Json, Router, extract::State, routing::get},
     base64::{Engine, engine::general_purpose::STANDARD},
     dragonflyferry::{
-        entry::{EventLog, OwnerInput, Shared, watch_executors},
+        entry::{EventLog, ListPosition, OwnerInput, Shared, watch_executors},
         fleet::CellEvent,
         platform::NodeSettings,
     },
@@ -38,6 +38,12 @@
     Json(json!({"events": [event], "storeRevision": revision}))
 }
 
+/// Position before all changes.
+const FROM_START: ListPosition = ListPosition {
+    revision: 1,
+    sent_at: 0,
+};
+
 /// Guards against a call to the store for each heartbeat of each executor.
 #[tokio::test]
 async fn heartbeats_of_hundreds_of_executors_are_read_together() {
@@ -54,13 +60,13 @@
     let shared = Arc::new(Shared::new(settings, Arc::from("owner"), log));
 
     let (tx, mut rx) = mpsc::unbounded_channel();
-    tokio::spawn(watch_executors(shared, tx, 1));
+    tokio::spawn(watch_executors(shared, tx, FROM_START));
     tokio::time::sleep(Duration::from_secs(2)).await;
     let calls = calls.load(Ordering::Relaxed);
     assert!((5..=22).contains(&calls), "{calls} calls in 2 s");
     let input = rx.recv().await.expect("a change");
     assert!(
-        matches!(input, OwnerInput::Cell(CellEvent::Listed(_))),
+        matches!(input, OwnerInput::Cell(CellEvent::Listed { .. })),
         "{input:?}"
     );
 }
--- a/tests/silent_channels.rs
+++ b/tests/silent_channels.rs
@@ -4,8 +4,8 @@
 use {
     dragonflyferry::{
         entry::{
-            EventLog, OwnerInput, PeerMessage, Shared, run_config_watch, run_owner_link,
-            watch_executors, watch_members, watch_work,
+            EventLog, ListPosition, OwnerInput, PeerMessage, Shared, run_config_watch,
+            run_owner_link, watch_executors, watch_members, watch_work,
         },
         fleet::{CellEvent, ExecutorInfo, JobId, OwnerRecord},
         platform::NodeSettings,
@@ -90,6 +90,12 @@
     panic!("the watch has ended");
 }
 
+/// Position before all changes.
+const FROM_START: ListPosition = ListPosition {
+    revision: 1,
+    sent_at: 0,
+};
+
 /// Guards against starts of tasks of a job whose cancellation the owner learns of too late.
 #[tokio::test]
 async fn a_cancellation_is_learned_in_time_although_the_watch_is_silent() {
@@ -114,7 +120,7 @@
     let times = in_each_phase(async |phase| {
         let scene = Scene::start();
         let (tx, mut rx) = mpsc::unbounded_channel();
-        tokio::spawn(watch_executors(scene.shared.clone(), tx, 1));
+        tokio::spawn(watch_executors(scene.shared.clone(), tx, FROM_START));
         tokio::time::sleep(phase).await;
         scene.silence();
         let entry = json!({
@@ -124,8 +130,8 @@
         scene.host.put("servers/e0", entry.to_string().as_bytes());
         let drains = |info: &ExecutorInfo| &*info.id == "e0" && info.draining;
         receive(&mut rx, |input| match input {
-            OwnerInput::Cell(CellEvent::Listed(info)) => drains(info),
-            OwnerInput::Cell(CellEvent::Relisted(infos)) => infos.iter().any(drains),
+            OwnerInput::Cell(CellEvent::Listed { info, .. }) => drains(info),
+            OwnerInput::Cell(CellEvent::Relisted { infos, .. }) => infos.iter().any(drains),
             _ => false,
         })
         .await;
--- a/tests/succession.rs
+++ b/tests/succession.rs
@@ -119,7 +119,7 @@
 
     /// Opens an executor and lets it into the roster.
     fn open(&mut self, id: &str, address: &str) {
-        self.step(CellEvent::Listed(info(id, address, 1)));
+        self.step(listed(info(id, address, 1)));
         let (call, ..) = self.take_renewal(id).expect("first renewal");
         self.renewed(id, call, lists(1, 1_000, vec![], vec![]));
         self.advance(60);
@@ -149,6 +149,13 @@
     }
 }
 
+fn listed(info: ExecutorInfo) -> CellEvent {
+    CellEvent::Listed {
+        info,
+        written_after: 0,
+    }
+}
+
 fn lists(
     born: u64,
     clock_ms: Millis,
@@ -224,7 +231,7 @@
         unix: UNIX,
     };
     let mut owner = Bare::new(2, recovered, now);
-    owner.step(CellEvent::Listed(info("e0", "a:1", 1)));
+    owner.step(listed(info("e0", "a:1", 1)));
     let (call, ..) = owner.take_renewal("e0").expect("renewal");
     let end = EndedRow {
         seq: 1,
@@ -260,7 +267,7 @@
     // The renewal to the old address stays without a reply.
     let (late, address, _) = owner.take_renewal("e0").expect("renewal");
     assert_eq!(&*address, "a:1");
-    owner.step(CellEvent::Listed(info("e0", "b:1", 2)));
+    owner.step(listed(info("e0", "b:1", 2)));
     owner.advance(60);
     owner.commit();
     let submission = job(1, "urgent", vec![step(1, 1_000, 60_000)]);
@@ -585,7 +592,7 @@
     owner.reply("e0", renewal, Err(CommandError::Unknown));
     owner.reply("e0", call, Err(CommandError::Unknown));
     // It restarts at another address; no commit succeeds from now on.
-    owner.step(CellEvent::Listed(info("e0", "b:1", 2)));
+    owner.step(listed(info("e0", "b:1", 2)));
     // The renewal that followed the first at once went to the earlier address.
     let (renewal, address, _) = owner.take_renewal("e0").expect("renewal");
     assert_eq!(&*address, "a:1");
@@ -640,7 +647,7 @@
     let (call, ..) = owner.take_start("e0").expect("start");
     let mut draining = info("e0", "a:1", 1);
     draining.draining = true;
-    owner.step(CellEvent::Listed(draining));
+    owner.step(listed(draining));
     owner.reply("e0", call, Err(CommandError::Unknown));
     owner.advance(1_000);
     assert!(owner.take_start("e0").is_none(), "{:#?}", owner.log());
