Place tasks whose run was found though an executor is unread

A task without duplicates has one run at a time, and an owner reads a run only after earlier owners are fenced on its executor. So a task whose run was found there, or that this owner started, runs on no unread executor: it is marked as located and waits for none. A gang waits only if a member is not located.

--- a/src/fleet/cell_departures.rs
+++ b/src/fleet/cell_departures.rs
@@ -50,14 +50,10 @@
             let Some((job, spec, _)) = self.lookup_step(&step) else {
                 continue;
             };
-            let recovered = job.recovered;
             let (need, max_per_executor) = (spec.allocation(), spec.max_per_executor);
             let pool = self.queue_rule(job).pool.clone();
             let (ids, mut options) = self.placement_options(&step, snapshot, now);
             for (from, task) in tasks {
-                if recovered && self.unread.may_run(&task) {
-                    continue;
-                }
                 let Some(i) = policy::choose_spread(&need, options.iter().copied()) else {
                     unplaced.push(step);
                     break;
--- a/src/fleet/cell_plan.rs
+++ b/src/fleet/cell_plan.rs
@@ -152,17 +152,13 @@
         snapshot: &mut CapacitySnapshot,
         now: Now,
     ) -> Option<BlockReason> {
-        let (job, spec, step) = self.lookup_step(&id)?;
-        // In any pool: the queue may have had another one when the task was started.
-        if job.recovered && !spec.allow_duplicates && self.unread.has_unknown() {
-            return Some(BlockReason::Takeover);
-        }
+        let (_, spec, step) = self.lookup_step(&id)?;
         let spec = spec.clone();
         if spec.gang {
             let waiting = step.count_startable(now.mono);
             return match () {
                 () if waiting == 0 => Some(BlockReason::Pause),
-                () if !self.held_tasks(&id).is_empty() => Some(BlockReason::Takeover),
+                () if self.holds_gang(&id) => Some(BlockReason::Takeover),
                 () if waiting < step.count => Some(BlockReason::Members),
                 () => self.place_whole_gang(id, &spec, snapshot, now),
             };
@@ -185,23 +181,47 @@
         blocked.or(held.then_some(BlockReason::Takeover))
     }
 
-    /// Lists the tasks of a step that may run on executors which this owner has not read, by index.
-    fn held_tasks(&self, id: &StepId) -> BTreeSet<u32> {
-        match self.lookup_step(id) {
-            Some((job, spec, _)) if job.recovered && !spec.allow_duplicates => {
-                self.unread.named_of_step(id)
-            }
-            _ => BTreeSet::new(),
+    /// Returns whether a task of a step that was not located may run on an executor which this owner has
+    /// not read. In any pool: the queue may have had another one when the task was started.
+    fn may_run_unread(&self, job: &Job, spec: &StepSpec) -> bool {
+        job.recovered && !spec.allow_duplicates && !self.unread.is_empty()
+    }
+
+    /// Lists the tasks of a step that are named as possible runs of executors which this owner has not
+    /// read, by index.
+    fn held_tasks(&self, id: &StepId, step: &Step) -> BTreeSet<u32> {
+        let mut named = self.unread.named_of_step(id);
+        named.retain(|index| !step.is_located(*index));
+        named
+    }
+
+    /// Returns whether a member of a gang may run on an executor that this owner has not read.
+    fn holds_gang(&self, id: &StepId) -> bool {
+        let Some((job, spec, step)) = self.lookup_step(id) else {
+            return false;
+        };
+        match () {
+            () if !self.may_run_unread(job, spec) => false,
+            () if self.unread.has_unknown() => !step.is_fully_located(),
+            () => !self.held_tasks(id, step).is_empty(),
         }
     }
 
     /// Lists at most `max` tasks of a step that may start now, and returns whether others would but for
     /// executors that this owner has not read.
     pub(super) fn placeable_tasks(&self, id: &StepId, max: usize, now: Now) -> (Vec<u32>, bool) {
-        let Some((_, _, step)) = self.lookup_step(id) else {
+        let Some((job, spec, step)) = self.lookup_step(id) else {
             return (Vec::new(), false);
         };
-        let held = self.held_tasks(id);
+        if !self.may_run_unread(job, spec) {
+            return (step.startable(now.mono, max), false);
+        }
+        if self.unread.has_unknown() {
+            let located = step.located_startable(now.mono, max);
+            let holds = located.len() < max && !step.is_fully_located();
+            return (located, holds);
+        }
+        let held = self.held_tasks(id, step);
         let mut tasks = step.startable(now.mono, max + held.len());
         let startable = tasks.len();
         tasks.retain(|index| !held.contains(index));
--- a/src/fleet/cell_runs.rs
+++ b/src/fleet/cell_runs.rs
@@ -151,6 +151,7 @@
         step.last_start_at = started_at;
         if let Some(t) = step.task_mut(task.index) {
             t.active_on.push(id.clone());
+            t.located = true;
             t.last_run_number = t.last_run_number.max(number);
         }
     }
--- a/src/fleet/job.rs
+++ b/src/fleet/job.rs
@@ -40,6 +40,9 @@
     pub failed_on: Vec<ExecutorId>,
     /// Earliest next start, in ms on the owner's monotonic clock.
     pub not_before: Millis,
+    /// Whether this owner started it or found it running. A task has one run at a time, so it runs on
+    /// no executor that this owner has not read.
+    pub located: bool,
 }
 
 impl Task {
@@ -157,6 +160,24 @@
         self.is_open(index) && self.tasks.get(&index).is_none_or(|t| t.may_start(now))
     }
 
+    /// Lists the first `max` tasks that may start now and were located before.
+    pub fn located_startable(&self, now: Millis, max: usize) -> Vec<u32> {
+        let open = self.open_tasks();
+        let startable = open.filter(|(_, t)| t.located && t.may_start(now));
+        startable.map(|(index, _)| *index).take(max).collect()
+    }
+
+    /// Returns whether a task was located: started by this owner or found running.
+    pub fn is_located(&self, index: u32) -> bool {
+        self.tasks.get(&index).is_some_and(|t| t.located)
+    }
+
+    /// Returns whether all tasks that are not done were located.
+    pub fn is_fully_located(&self) -> bool {
+        let located = self.open_tasks().filter(|(_, t)| t.located).count();
+        self.count_open_without(located) == 0
+    }
+
     /// Lists the tasks that are or may be running, in order.
     pub fn active_tasks(&self) -> impl Iterator<Item = (u32, &Task)> {
         let tasks = self.tasks.iter().map(|(i, t)| (*i, t));
--- a/src/fleet/unread_executors.rs
+++ b/src/fleet/unread_executors.rs
@@ -142,11 +142,6 @@
         self.unknown_count > 0
     }
 
-    /// Returns whether a recovered task may run on one of them.
-    pub fn may_run(&self, task: &TaskId) -> bool {
-        self.has_unknown() || self.tasks.contains_key(task)
-    }
-
     /// Lists the tasks of a step that are named for one of them, by index.
     pub fn named_of_step(&self, step: &StepId) -> BTreeSet<u32> {
         let task = |index| TaskId { step: *step, index };
