Record what may run on executors that drain

At the target size some executor is always leaving.

An executor that drains gets no starts, so what may run there when it begins to drain is an upper bound for as long as it drains, through any crash. `c/waits` names it in a new last field, which earlier versions ignore. If the executor is ready again, nothing starts there until a record without it is durable.

--- a/src/fleet/cell.rs
+++ b/src/fleet/cell.rs
@@ -10,10 +10,10 @@
         fleet::{
             AdviceSlots, CellEffect, CellEvent, CommitQueue, CrashWatch, EarlierLeases,
             Evacuations, Executor, ExecutorId, ExecutorInfo, FencingToken, FleetConfig, FleetEvent,
-            INCARNATIONS_PER_OWNER, Job, JobEnd, JobId, QueueRule, RecoveredState, RosterEntry,
-            StepId, TaskId, UnreadExecutors, UpkeepPlan,
+            INCARNATIONS_PER_OWNER, Job, JobEnd, JobId, LeaseWaits, LeavingExecutors, QueueRule,
+            RecoveredState, RosterEntry, StepId, TaskId, UnreadExecutors, UpkeepPlan,
             cell_capacity::tenant_needs,
-            cell_hand_over::{HandOver, possible_runs_by_id},
+            cell_hand_over::HandOver,
             cell_jobs::JobOrigin,
             cell_takeover::WAIT_LOG_INTERVAL_MS,
             job::RUN_NUMBERS_PER_OWNER,
@@ -145,6 +145,8 @@
     pub(super) job_reads: HashSet<JobId>,
     /// Leases that earlier owners granted on executors which were not opened since.
     pub earlier_leases: EarlierLeases,
+    /// Executors that drain and that the record in the store names.
+    pub(super) leaving: LeavingExecutors,
     /// Sum of the needs of the tracked runs of each tenant, on all executors.
     pub tenant_usage: HashMap<Arc<str>, Resources>,
     /// Token bucket of each tenant's job rate: thousandths of a job, and when refilled.
@@ -192,7 +194,9 @@
     ) -> Self {
         let roster_ids: Vec<ExecutorId> = recovered.roster.iter().map(|e| e.id.clone()).collect();
         let left = recovered.lease_waits.filter(|w| w.token + 1 == token);
-        let mut possible_runs = left.as_ref().map_or_else(HashMap::new, possible_runs_by_id);
+        let mut possible_runs = left
+            .as_ref()
+            .map_or_else(HashMap::new, LeaseWaits::known_runs);
         let mut cell = Self {
             token,
             bounds,
@@ -217,6 +221,7 @@
                 policy::earlier_runs_end_after(bounds.max_lease_ms, bounds.kill_grace_ms),
                 now.mono,
             ),
+            leaving: LeavingExecutors::default(),
             tenant_usage: HashMap::new(),
             rate_buckets: HashMap::new(),
             commit_queue: CommitQueue::default(),
@@ -388,6 +393,7 @@
         self.drop_closed_suspects();
         self.unlist_missing(now);
         self.retire_departing();
+        self.review_leaving();
         self.expire_leases(now);
         self.add_due_occurrences(now);
         self.expire_advice_calls(now);
--- a/src/fleet/cell_capacity.rs
+++ b/src/fleet/cell_capacity.rs
@@ -129,6 +129,7 @@
             if !executor.is_schedulable(now.mono)
                 || !self.in_roster(info)
                 || !self.roster_covers(info)
+                || !self.leaving.may_start(&info.id)
                 || self.is_evacuated(info)
                 || self.is_in_upkeep(&info.id)
             {
--- a/src/fleet/cell_departures.rs
+++ b/src/fleet/cell_departures.rs
@@ -97,20 +97,33 @@
         let exiting = exiting.filter(|(_, e)| e.may_exit_within(lead_ms, now.mono));
         let exiting: Vec<ExecutorId> = exiting.map(|(id, _)| id.clone()).collect();
         for id in exiting {
-            for task in self.unfinishable_runs(&id, now) {
+            let tasks = self.unfinishable_runs(&id, now);
+            self.log_exiting(&id, &tasks, now);
+            for task in tasks {
                 // Stopped with another member before, in this round.
                 if !self.is_confirmed(&id, &task) {
                     continue;
                 }
-                match self.step_spec(&task).map(|s| (s.gang, s.persistent)) {
-                    Some((true, true)) => {}
-                    Some((true, false)) => self.stop_gang(&task, now),
-                    _ => self.stop_run(&id, task, now),
+                if self.step_spec(&task).is_some_and(|s| s.gang) {
+                    self.stop_gang(&task, now);
+                } else {
+                    self.stop_run(&id, task, now);
                 }
             }
         }
     }
 
+    /// Logs the runs of an executor that are stopped because it exits.
+    fn log_exiting(&mut self, id: &ExecutorId, tasks: &[TaskId], now: Now) {
+        let executor = self.executors.get(id);
+        let left_ms = executor.and_then(|e| e.time_left(now.mono));
+        if let (Some(left_ms), Some(first)) = (left_ms, tasks.first()) {
+            let runs = tasks.len();
+            let detail = format!("executor={id} runs={runs} first={first} left_ms={left_ms}");
+            self.log(FleetEvent::ExitingRunsStopped, detail);
+        }
+    }
+
     /// Takes the executors that drain and on which nothing is left out of the roster.
     pub(super) fn retire_departing(&mut self) {
         let draining = self
@@ -149,7 +162,8 @@
         run.is_some_and(|r| r.stage == RunStage::Confirmed)
     }
 
-    /// Lists the confirmed runs of an executor that probably do not end before it exits.
+    /// Lists the confirmed runs of an executor that probably do not end before it exits, without those of
+    /// persistent gangs.
     fn unfinishable_runs(&self, id: &ExecutorId, now: Now) -> Vec<TaskId> {
         let Some(executor) = self.executors.get(id) else {
             return Vec::new();
@@ -157,7 +171,9 @@
         let time_left = executor.time_left(now.mono).unwrap_or(Millis::MAX);
         let unfinishable = |(task, run): (&TaskId, &Run)| {
             let ends = self.remaining_run_ms(task, run, now)? <= time_left;
-            (run.stage == RunStage::Confirmed && !ends).then_some(*task)
+            let spec = self.step_spec(task);
+            let stays = spec.is_some_and(|s| s.gang && s.persistent);
+            (!stays && run.stage == RunStage::Confirmed && !ends).then_some(*task)
         };
         let mut tasks: Vec<TaskId> = executor.runs.iter().filter_map(unfinishable).collect();
         tasks.sort_unstable();
--- a/src/fleet/cell_hand_over.rs
+++ b/src/fleet/cell_hand_over.rs
@@ -5,15 +5,12 @@
 //! reads their ends. Then it starts nothing and renews no lease any more, and writes one record of what
 //! may run on each executor, so that the next owner waits only for runs that it cannot read.
 
-use {
-    crate::{
-        core::{CallId, Millis},
-        fleet::{
-            Cell, CellEffect, ExecutorId, FleetEvent, LeaseWaits, Now, Run, StoreWrite, TaskId,
-            cell::UNREADABLE_ROSTER, executor::Session, policy,
-        },
+use crate::{
+    core::{CallId, Millis},
+    fleet::{
+        Cell, CellEffect, ExecutorId, FleetEvent, LeaseWaits, Now, Run, StoreWrite, TaskId,
+        cell::UNREADABLE_ROSTER, executor::Session, policy,
     },
-    std::collections::HashMap,
 };
 
 /// Maximum time for the stops on executors about to exit, and for attempts to write the record, in ms.
@@ -135,17 +132,38 @@
         let mut earlier = std::mem::take(&mut self.earlier_leases);
         let mut waits = earlier.write(self.token, |id| self.possible_runs(id), now.mono);
         self.earlier_leases = earlier;
+        waits.leaving = self.leaving_runs();
         while waits.max_bytes() > self.bounds.max_value_bytes {
             let runs = waits.possible_runs.iter_mut();
             let longest = runs.max_by_key(|r| r.as_ref().map_or(0, Vec::len));
             match longest {
                 Some(longest) if longest.is_some() => *longest = None,
-                _ => break,
+                _ if waits.leaving.pop().is_none() => break,
+                _ => {}
             }
         }
+        let leaving = waits.leaving.iter().map(|(id, _)| id.clone());
+        self.leaving.on_sent(leaving.collect());
         waits
     }
 
+    /// Has the record written if it does not name the executors that drain, or names others.
+    pub(super) fn review_leaving(&mut self) {
+        let leaving = self.leaving_runs().into_iter().map(|(id, _)| id);
+        self.commit_queue.waits.dirty |= self.leaving.needs_write(&leaving.collect());
+    }
+
+    /// Lists the executors that drain and on which leases go on, with the tasks that may run there;
+    /// without those of which they are not known.
+    fn leaving_runs(&self) -> Vec<(ExecutorId, Vec<TaskId>)> {
+        let draining = self.executors.iter();
+        let draining = draining.filter(|(id, e)| {
+            e.info.draining && !e.retired && !self.earlier_leases.is_unreachable(id)
+        });
+        let runs = draining.filter_map(|(id, _)| Some((id.clone(), self.possible_runs(id)?)));
+        runs.collect()
+    }
+
     /// Lists the tasks that may run on an executor, or whose ends there are not durable; `None` if they are
     /// not known.
     fn possible_runs(&self, id: &ExecutorId) -> Option<Vec<TaskId>> {
@@ -173,10 +191,3 @@
         exiting.any(|e| !e.unacked.is_empty() || e.runs.values().any(Run::is_stopping))
     }
 }
-
-/// Returns the tasks that may run on each executor for which an earlier owner knew them.
-pub(super) fn possible_runs_by_id(waits: &LeaseWaits) -> HashMap<ExecutorId, Vec<TaskId>> {
-    let named = waits.waited.iter().zip(&waits.possible_runs);
-    let known = named.filter_map(|((id, _), tasks)| Some((id.clone(), tasks.clone()?)));
-    known.collect()
-}
--- a/src/fleet/cell_jobs.rs
+++ b/src/fleet/cell_jobs.rs
@@ -352,6 +352,7 @@
         };
         if batch.waits {
             self.earlier_leases.on_written(ok);
+            self.leaving.on_written(ok);
             self.needs_placement |= ok;
         }
         if !ok {
--- a/src/fleet/earlier_leases.rs
+++ b/src/fleet/earlier_leases.rs
@@ -84,6 +84,11 @@
         }
     }
 
+    /// Returns whether no lease is granted on an executor until it is opened.
+    pub fn is_unreachable(&self, id: &ExecutorId) -> bool {
+        self.unreachable.contains_key(id)
+    }
+
     /// Returns whether a lease may be granted on an executor.
     pub fn may_grant(&self, id: &ExecutorId) -> bool {
         !self.stored.contains(id)
@@ -121,6 +126,7 @@
             token,
             waited,
             possible_runs,
+            leaving: Vec::new(),
         }
     }
 
--- a/src/fleet/event.rs
+++ b/src/fleet/event.rs
@@ -438,11 +438,12 @@
     TakeoverWait,
     OwnerStopping,
     TakeoverEnded,
+    ExitingRunsStopped,
 }
 
 impl FleetEvent {
     /// All events, in the order of their numbers.
-    pub const ALL: [Self; 48] = [
+    pub const ALL: [Self; 49] = [
         Self::NodeStarted,
         Self::NodeStopping,
         Self::SettingsReloaded,
@@ -491,6 +492,7 @@
         Self::TakeoverWait,
         Self::OwnerStopping,
         Self::TakeoverEnded,
+        Self::ExitingRunsStopped,
     ];
 
     /// Returns the event with this catalogue number; `None` if there is none.
--- a/src/fleet/mod.rs
+++ b/src/fleet/mod.rs
@@ -48,6 +48,7 @@
 mod index_set;
 mod job;
 mod job_spec;
+mod leaving_executors;
 pub mod policy;
 mod progress;
 mod records;
@@ -80,6 +81,7 @@
     index_set::IndexSet,
     job::{Job, Step, Task},
     job_spec::{JobSpec, Schedule, StepSpec},
+    leaving_executors::LeavingExecutors,
     progress::{CrashedTask, JobProgress, ProgressFormat, StepProgress, TaskProgress},
     records::{
         EpochRecord, JobEnd, JobRecord, LeaseWaits, NODE_PROTOCOL, NodeRecord, OwnerRecord, Roster,
--- a/src/fleet/records.rs
+++ b/src/fleet/records.rs
@@ -9,7 +9,7 @@
         fleet::{JobId, JobSpec, ProgressFormat, QueueRule, TaskId},
     },
     serde::{Deserialize, Serialize},
-    std::sync::Arc,
+    std::{collections::HashMap, sync::Arc},
 };
 
 /// Maximum size of an encoded integer, in bytes.
@@ -196,6 +196,10 @@
     /// earlier versions end before it.
     #[serde(skip)]
     pub possible_runs: Vec<Option<Vec<TaskId>>>,
+    /// Executors that drain, on which leases go on and nothing starts, and the tasks that may run there.
+    /// Records of earlier versions end before it.
+    #[serde(skip)]
+    pub leaving: Vec<(Arc<str>, Vec<TaskId>)>,
 }
 
 impl LeaseWaits {
@@ -203,18 +207,32 @@
     pub fn encode(&self) -> postcard::Result<Vec<u8>> {
         let mut record = postcard::to_stdvec(self)?;
         record.extend(postcard::to_stdvec(&self.possible_runs)?);
+        record.extend(postcard::to_stdvec(&self.leaving)?);
         Ok(record)
     }
 
     /// Decodes a record, also one of an earlier version.
     pub fn decode(record: &[u8]) -> postcard::Result<Self> {
         let (mut waits, rest): (Self, _) = postcard::take_from_bytes(record)?;
+        if rest.is_empty() {
+            return Ok(waits);
+        }
+        let (possible_runs, rest) = postcard::take_from_bytes(rest)?;
+        waits.possible_runs = possible_runs;
         if !rest.is_empty() {
-            waits.possible_runs = postcard::from_bytes(rest)?;
+            waits.leaving = postcard::from_bytes(rest)?;
         }
         Ok(waits)
     }
 
+    /// Returns the tasks that may run on each executor for which the writer knew them.
+    pub fn known_runs(&self) -> HashMap<Arc<str>, Vec<TaskId>> {
+        let leaving = self.leaving.iter().cloned();
+        let named = self.waited.iter().zip(&self.possible_runs);
+        let waited = named.filter_map(|((id, _), tasks)| Some((id.clone(), tasks.clone()?)));
+        leaving.chain(waited).collect()
+    }
+
     /// Bounds the size of its encoding from above, in bytes, without encoding it.
     pub fn max_bytes(&self) -> usize {
         let executors = self
@@ -224,6 +242,12 @@
         let runs = self.possible_runs.iter();
         let runs =
             runs.map(|r| 1 + MAX_VARINT_BYTES + r.as_ref().map_or(0, Vec::len) * MAX_TASK_BYTES);
-        3 * MAX_VARINT_BYTES + executors.sum::<usize>() + runs.sum::<usize>()
+        let leaving = self.leaving.iter();
+        let leaving =
+            leaving.map(|(id, r)| 2 * MAX_VARINT_BYTES + id.len() + r.len() * MAX_TASK_BYTES);
+        4 * MAX_VARINT_BYTES
+            + executors.sum::<usize>()
+            + runs.sum::<usize>()
+            + leaving.sum::<usize>()
     }
 }
--- a/tests/handover.rs
+++ b/tests/handover.rs
@@ -15,7 +15,7 @@
         cell_sample::{capacity, config, job, need, step, world, world_with_config},
         cell_world::BOUNDS,
     },
-    std::{collections::HashMap, sync::Arc},
+    std::{collections::HashMap, ops::Range, sync::Arc},
 };
 
 /// Time in which a task must start after a claim if no executor may still run it, in ms.
@@ -673,10 +673,20 @@
     }
 }
 
-/// Fills the only other executor, drains `e0` and makes it ready again after `ready_after`; its work
-/// since then must count when the owner ends `stop_after` after the start of a task there.
+/// Drains `e0` and makes it ready again after `ready_after`; its work since then must count when the
+/// owner ends `stop_after` after the start of a task there.
 fn use_drained_again(ready_after: Millis, stop_after: Millis, restarts: bool, stop: Stop) {
-    let mut world = world(1, 1);
+    let world = world(1, 1);
+    use_leaving_again(world, ready_after, stop_after, restarts, stop);
+}
+
+fn use_leaving_again(
+    mut world: CellWorld,
+    ready_after: Millis,
+    stop_after: Millis,
+    restarts: bool,
+    stop: Stop,
+) {
     world.drain("e0", 60_000);
     world.run(ready_after);
     if restarts {
@@ -687,6 +697,7 @@
     world.submit(job(2, "urgent", vec![step(1, 1_000, 300)]));
     time_to_run(&mut world, 1, 1);
     world.run(stop_after);
+    world.commit_plans.clear();
     world.add_executor("other", "pool", "r9", capacity());
     cut_next(&mut world, "e0");
     stop_owner(&mut world, stop);
@@ -695,6 +706,72 @@
     assert_eq!(runs(&world, 1), 1, "{:#?}", tail(&world));
 }
 
+/// Returns a world whose executor has a run when it begins to drain, so that the store names it.
+fn world_with_busy_executor() -> CellWorld {
+    let mut world = world(1, 1);
+    world.submit(job(3, "urgent", vec![step(1, 500, LONG_MS)]));
+    world.run(500);
+    world
+}
+
+#[test]
+fn new_work_on_an_executor_that_was_leaving_is_waited_for() {
+    for ready_after in [5, 60, 200, 1_500] {
+        for stop_after in [0, 10, 400] {
+            for stop in STOPS {
+                for restarts in [false, true] {
+                    let world = world_with_busy_executor();
+                    use_leaving_again(world, ready_after, stop_after, restarts, stop);
+                }
+            }
+        }
+    }
+}
+
+/// The same with commits that are late or have no reply, or both.
+#[test]
+fn new_work_on_an_executor_that_was_leaving_is_waited_for_though_commits_fail() {
+    for (carried_out_after, result_after) in [(None, 600), (Some(20), 600), (Some(900), 1_000)] {
+        for ready_after in [20, 200, 700, 2_500] {
+            for stop_after in [0, 300, 1_200] {
+                let mut world = world_with_busy_executor();
+                plan_commits(&mut world, carried_out_after, result_after);
+                use_leaving_again(world, ready_after, stop_after, false, Stop::Killed);
+            }
+        }
+    }
+}
+
+/// A run whose start had no reply when its executor began to drain may be there.
+#[test]
+fn a_late_start_on_a_leaving_executor_is_waited_for() {
+    for seed in 0..8 {
+        let mut world = world(seed, 2);
+        world.submit(job(
+            1,
+            "urgent",
+            vec![step(1, 500, LONG_MS), step(1, 500, LONG_MS)],
+        ));
+        world.run(500);
+        world.faults.late_commands = 1_000;
+        world.submit(job(2, "urgent", vec![step(4, 1_000, LONG_MS)]));
+        world.run(100);
+        world.faults.late_commands = 0;
+        for name in ["e0", "e1"] {
+            world.drain(name, 60_000);
+            cut_next(&mut world, name);
+        }
+        world.run(300 * seed);
+        for name in ["f0", "f1"] {
+            world.add_executor(name, "pool", "r9", capacity());
+        }
+        world.kill_owner(300);
+        world.run(GIVE_UP_MS);
+        assert_sound(&world);
+        assert_eq!(runs(&world, 2), 4, "{:#?}", tail(&world));
+    }
+}
+
 #[test]
 fn the_work_of_an_executor_that_drained_and_is_ready_again_is_waited_for() {
     for ready_after in [5, 60, 200, 1_500] {
@@ -1082,6 +1159,25 @@
     postcard::from_bytes(&record).expect("waits")
 }
 
+/// The fields that versions before know come first, and they ignore the rest.
+#[test]
+fn an_earlier_version_reads_a_record_that_names_leaving_executors() {
+    let mut world = world_with_busy_executor();
+    world.drain("e0", 60_000);
+    world.run(300);
+    let waits = world.records.lease_waits.clone().expect("record");
+    assert_eq!(waits.leaving.len(), 1);
+    let record = waits.encode().expect("record");
+    assert!(record.len() <= waits.max_bytes());
+    assert_eq!(LeaseWaits::decode(&record).expect("waits"), waits);
+    type Waited = Vec<(Arc<str>, Millis)>;
+    let ((token, waited), rest): ((u64, Waited), _) =
+        postcard::take_from_bytes(&record).expect("fields");
+    assert_eq!((token, waited), (waits.token, waits.waited));
+    let runs: Vec<Option<Vec<TaskId>>> = postcard::from_bytes(rest).expect("runs");
+    assert_eq!(runs, waits.possible_runs);
+}
+
 /// The owner between is of an earlier version: it writes no record, or one without the runs.
 #[test]
 fn what_an_owner_before_the_last_one_knew_is_not_used() {
@@ -1122,6 +1218,8 @@
     next_executor: u32,
     next_job: u64,
     crashes: u32,
+    /// Whether owners end by a kill, with a time without an owner.
+    kills: bool,
 }
 
 /// Persistent jobs of the schedule, and tasks of each.
@@ -1148,6 +1246,7 @@
             next_executor: 0,
             next_job: PERSISTENT_JOBS + 1,
             crashes: 0,
+            kills: false,
         }
     }
 
@@ -1225,6 +1324,7 @@
         let name = self.draw();
         let ms = self.rng.random_range(100..8_000);
         match self.rng.random_range(0..20) {
+            0..=2 if self.kills => self.world.kill_owner(ms / 4),
             0..=2 => self.world.hand_over(),
             3 => self.world.replace_owner(),
             4..=6 => self.drain(),
@@ -1257,8 +1357,18 @@
 
 #[test]
 fn a_random_schedule_of_stops_and_departures_breaks_nothing() {
-    for seed in 0..20 {
+    run_schedules(0..20, false);
+}
+
+#[test]
+fn a_random_schedule_of_kills_and_departures_breaks_nothing() {
+    run_schedules(100..120, true);
+}
+
+fn run_schedules(seeds: Range<u64>, kills: bool) {
+    for seed in seeds {
         let mut schedule = RandomSchedule::new(seed);
+        schedule.kills = kills;
         schedule.run(25_000);
         let world = &schedule.world;
         assert_eq!(
