--- a/standins/src/cell_world.rs
+++ b/standins/src/cell_world.rs
@@ -125,6 +125,10 @@
 
 /// One cell and the simulated platform around it.
 #[derive(Debug)]
+#[expect(
+    clippy::struct_excessive_bools,
+    reason = "independent facts, each documented"
+)]
 pub struct CellWorld {
     /// The present owner.
     pub cell: Cell,
@@ -137,8 +141,8 @@
     /// How the next commits go, in order; the others go by `store_up` and `faults`.
     pub commit_plans: VecDeque<CommitPlan>,
     pub executors: BTreeMap<ExecutorId, CellExecutor>,
-    /// Whether the owner was killed: it handles no event until it is replaced.
-    owner_killed: bool,
+    /// Fencing token of the last owner that was killed: it handles no event.
+    killed: u64,
     /// While true, owners hear of no change of executors that drain or exit; [`Self::relist`] tells them.
     pub watch_interrupted: bool,
     pub records: Records,
@@ -210,7 +214,7 @@
             cut: HashSet::new(),
             commit_plans: VecDeque::new(),
             executors: BTreeMap::new(),
-            owner_killed: false,
+            killed: 0,
             watch_interrupted: false,
             records: Records::default(),
             roster_unreadable: false,
@@ -291,7 +295,7 @@
 
     /// Kills the owner; the next one takes over `ms` later.
     pub fn kill_owner(&mut self, ms: Millis) {
-        self.owner_killed = true;
+        self.killed = self.cell.token;
         self.run(ms);
         self.replace_owner();
     }
@@ -338,7 +342,6 @@
             cell_now(self.now),
         );
         self.former.push(std::mem::replace(&mut self.cell, cell));
-        self.owner_killed = false;
         self.step(CellEvent::AdviceNodes(advice_nodes(self.nodes - 1)));
         let listed = self.executors.values().filter(|e| e.listed);
         let infos: Vec<_> = listed.map(|e| e.info.clone()).collect();
@@ -670,7 +673,7 @@
     }
 
     fn step_owner(&mut self, token: u64, event: CellEvent) {
-        if self.owner_killed && token == self.cell.token {
+        if token == self.killed {
             return;
         }
         let now = cell_now(self.now);
@@ -683,7 +686,7 @@
     }
 
     fn plan(&mut self, token: u64) {
-        if self.owner_killed && token == self.cell.token {
+        if token == self.killed {
             return;
         }
         let now = cell_now(self.now);
--- a/tests/handover.rs
+++ b/tests/handover.rs
@@ -1170,10 +1170,9 @@
     let record = waits.encode().expect("record");
     assert!(record.len() <= waits.max_bytes());
     assert_eq!(LeaseWaits::decode(&record).expect("waits"), waits);
-    type Waited = Vec<(Arc<str>, Millis)>;
-    let ((token, waited), rest): ((u64, Waited), _) =
+    let (fields, rest): ((u64, Vec<(Arc<str>, Millis)>), _) =
         postcard::take_from_bytes(&record).expect("fields");
-    assert_eq!((token, waited), (waits.token, waits.waited));
+    assert_eq!(fields, (waits.token, waits.waited));
     let runs: Vec<Option<Vec<TaskId>>> = postcard::from_bytes(rest).expect("runs");
     assert_eq!(runs, waits.possible_runs);
 }
