Test the values that are counted late; round an executor's clock down

Each relative value that is read after a delay or by another process now has a test that names the harmful side of its error: clock readings and lease ends, waits of earlier leases, proofs of ownership, the age of the configuration, reports of store successes, occurrences under a time of day that goes back, ends recovered by a new owner, tickets that expired on their way, and waves under an owner with another time of day.

One of them failed: the estimate of a clock that is 2% slow was up to 1 ms ahead, as its lag was rounded down, although it is documented as never ahead. Callers saw nothing: leases are held to have expired only 1 ms later. The lag is rounded up now. Before, the property fails with a reading that took no time and 1 ms since (lag 20, elapsed 1).

--- a/src/fleet/executor.rs
+++ b/src/fleet/executor.rs
@@ -319,7 +319,8 @@
     pub fn estimate_clock(&self, now: Millis) -> Option<Millis> {
         let reading = self.clock?;
         let elapsed = now.saturating_sub(reading.at);
-        Some(reading.clock_ms + elapsed - elapsed * MAX_CLOCK_LAG_MILLI / 1000)
+        let lag_ms = (elapsed * MAX_CLOCK_LAG_MILLI).div_ceil(1000);
+        Some(reading.clock_ms + elapsed - lag_ms)
     }
 
     /// Returns whether the first end that is not acknowledged can be: its job is known, and durable
--- a/src/fleet/mod.rs
+++ b/src/fleet/mod.rs
@@ -72,7 +72,7 @@
         ExecutorCommand, ExecutorInfo, FleetEvent, RecoveredState, RenewCommand, RenewReply,
         RunEnd, RunLoss, RunningRow, SkippedRows, StartCommand, StoreWrite,
     },
-    executor::{Executor, Run, RunStage, Session},
+    executor::{ClockReading, Executor, Run, RunStage, Session},
     fleet_config::{AdviceRule, FleetConfig, QueueRule, TenantRule},
     ids::{
         ExecutorId, FencingToken, INCARNATIONS_PER_OWNER, JobId, ParseIdError, RunNumber, StepId,
--- /dev/null
+++ b/tests/relative_times.rs
@@ -0,0 +1,216 @@
+//! Tests of times that are relative when they are written or sent and are counted later, by another
+//! process or after a delay: each guards against an error to the harmful side.
+
+use {
+    dragonflyferry::{
+        core::Millis,
+        entry::{EventLog, Shared},
+        fleet::{
+            Cell, CellEffect, CellEvent, ClockReading, EarlierLeases, Executor, ExecutorId,
+            ExecutorInfo, FleetConfig, Job, JobEnd, JobId, JobRecord, LeaseWaits, Now,
+            RecoveredState, Schedule, StoreWrite, Submission,
+            policy::{OwnershipProof, earlier_runs_end_after},
+        },
+        platform::{NodeSettings, executor_from_entry},
+    },
+    proptest::prelude::*,
+    rustix::time::{ClockId, clock_gettime},
+    serde_json::{Value, json},
+    slog::{Discard, Logger, o},
+    standins::{
+        cell_sample::{config, job, step},
+        cell_world::BOUNDS,
+    },
+    std::{
+        path::Path,
+        sync::{Arc, atomic::AtomicU64},
+    },
+};
+
+/// Time of day at which the simulation starts.
+const UNIX_START_MS: Millis = 1_700_000_000_000;
+
+/// Time at which the owner takes over.
+const NOW: Now = Now {
+    mono: 500_000,
+    unix: UNIX_START_MS,
+};
+
+fn later(ms: Millis) -> Now {
+    Now {
+        mono: NOW.mono + ms,
+        unix: NOW.unix + ms,
+    }
+}
+
+fn entry(cold_left_ms: &Value) -> ExecutorInfo {
+    let entry = json!({
+        "service": "pool", "address": "10.0.0.1:80", "zone": "z0", "version": "1", "slots": 8,
+        "state": "ready", "coldLeftMs": cold_left_ms, "sequence": 1, "born": 1_000,
+        "capacity": {"cpu": 1_000, "memMb": 1_000, "gpu": 0}, "labels": [],
+    });
+    executor_from_entry("servers/e0", entry.to_string().as_bytes()).expect("an executor")
+}
+
+/// Guards against a use of `coldLeftMs`, of which nobody knows when it was written.
+#[test]
+fn the_rest_of_a_cold_start_is_not_counted() {
+    assert_eq!(entry(&json!(0)), entry(&json!(60_000)));
+}
+
+proptest! {
+    /// Guards against a lease end ahead of the executor's clock, and against leases that are held to
+    /// have expired too early: the reading is old when it arrives, and the clock may be slow.
+    #[test]
+    fn a_clock_reading_that_arrives_late_is_never_ahead_of_the_clock(
+        start in 0u64..1_000_000,
+        lag_milli in prop_oneof![Just(20), 0u64..=20],
+        delay in prop_oneof![Just(0), 0u64..10_000],
+        elapsed in 0u64..20_000,
+        lease in 0u64..10_000,
+    ) {
+        // In thousandths of a ms, from the moment of the reading on.
+        let clock_micro = |ms: Millis| start * 1_000 + ms * (1_000 - lag_milli);
+        let mut executor = Executor::new(entry(&json!(0)), true, 0);
+        executor.clock = Some(ClockReading {
+            clock_ms: start,
+            at: delay,
+        });
+        let now = delay + elapsed;
+        let estimate = executor.estimate_clock(now).expect("a reading");
+        prop_assert!(estimate * 1_000 <= clock_micro(now), "{estimate} at {now}");
+        executor.max_lease_end_ms = start + lease;
+        if executor.leases_expired(now, BOUNDS.kill_grace_ms) {
+            prop_assert!(clock_micro(now) > (start + lease + BOUNDS.kill_grace_ms) * 1_000);
+        }
+    }
+
+    /// Guards against a wait that ends before the lease, as its record was read long after it was written.
+    #[test]
+    fn a_recorded_wait_that_is_read_late_is_too_long_and_never_too_short(
+        waited in 0u64..10_000,
+        lag in 0u64..10_000,
+        writer_clock in 0u64..100_000,
+        reader_clock in 0u64..100_000,
+    ) {
+        let full = earlier_runs_end_after(BOUNDS.max_lease_ms, BOUNDS.kill_grace_ms);
+        let roster: [ExecutorId; 1] = [Arc::from("e0")];
+        let mut writer = EarlierLeases::new(&roster, None, full, writer_clock);
+        let waits = writer.write(1, |_| None, writer_clock + waited);
+        let stored = waits.encode().expect("record");
+        let read = LeaseWaits::decode(&stored).expect("record");
+        let next = EarlierLeases::new(&roster, Some(read), full, reader_clock);
+        let rest = next.expired_at(&roster[0]).saturating_sub(reader_clock);
+        prop_assert!(rest >= full.saturating_sub(waited + lag));
+        prop_assert!(rest <= full.saturating_sub(waited));
+    }
+
+    /// Guards against an owner that sends commands after its store lease has ended: the store counts from
+    /// the arrival of the renewal, the owner from when it was sent.
+    #[test]
+    fn a_proof_of_ownership_ends_before_the_lease_whatever_the_delays(
+        transit in 0u64..2_000,
+        ttl_ms in 0u64..5_000,
+        age in 0u64..10_000,
+    ) {
+        let sent_at = 1_000;
+        let proof = OwnershipProof { sent_at, ttl_ms };
+        let lease_ends_at = sent_at + transit + ttl_ms;
+        let now = sent_at + age;
+        prop_assert!(!proof.is_sole_owner(now) || now < lease_ends_at);
+    }
+}
+
+fn now_ms() -> Millis {
+    let t = clock_gettime(ClockId::Boottime);
+    u64::try_from(t.tv_sec).expect("time") * 1_000
+        + u64::try_from(t.tv_nsec).expect("time") / 1_000_000
+}
+
+fn node() -> Shared {
+    let sample = concat!(env!("CARGO_MANIFEST_DIR"), "/tests/samples/node.toml");
+    let settings = NodeSettings::read(Path::new(sample)).expect("settings");
+    let log = EventLog::new(Logger::root(Discard, o!()), Arc::new(AtomicU64::new(0)));
+    let node = Shared::new(settings, Arc::from("n"), log);
+    node.config.send_replace(Some(Arc::new(config())));
+    node
+}
+
+/// Guards against a revoked key that is accepted for as long as a read of the configuration took.
+#[test]
+fn the_age_of_a_configuration_counts_from_when_its_read_was_sent() {
+    let node = node();
+    let now = now_ms();
+    let grace_ms = node.settings.bounds.revocation_grace_ms;
+    node.record_config_confirmed(now.saturating_sub(grace_ms));
+    assert!(node.fresh_config().is_none());
+    node.record_config_confirmed(now);
+    assert!(node.fresh_config().is_some());
+    node.record_config_confirmed(now.saturating_sub(grace_ms));
+    assert!(node.fresh_config().is_some());
+}
+
+/// Guards against an old success of another node that is taken for one after this node's failure.
+#[test]
+fn a_success_at_the_store_counts_from_when_it_was_and_not_from_its_report() {
+    let node = node();
+    node.record_store_failure();
+    node.record_peer_health(500);
+    assert!(!node.another_node_serves());
+}
+
+fn scheduled() -> Submission {
+    let mut submission = job(1, "urgent", vec![step(1, 1_000, 100)]);
+    submission.spec.schedule = Some(Schedule {
+        count: 10,
+        start_unix_ms: NOW.unix,
+        interval_ms: 1_000,
+    });
+    submission
+}
+
+/// Guards against a second run of an occurrence on an owner whose time of day goes back.
+#[test]
+fn a_time_of_day_that_goes_back_adds_no_occurrence_again() {
+    let mut job = Job::new(scheduled(), None, NOW.unix - 1);
+    assert!(!job.add_due_occurrences(NOW.unix - 1));
+    assert!(job.add_due_occurrences(NOW.unix + 2_500));
+    assert_eq!(job.occurrences, 3);
+    assert!(!job.add_due_occurrences(NOW.unix - 60_000));
+    assert!(!job.add_due_occurrences(NOW.unix + 2_999));
+    assert!(job.add_due_occurrences(NOW.unix + 3_000));
+    assert_eq!(job.occurrences, 4);
+}
+
+fn recover(config: FleetConfig, jobs: Vec<(JobId, JobRecord)>) -> Cell {
+    let jobs = jobs.into_iter().map(|(id, record)| (id, record, None));
+    let recovered = RecoveredState {
+        jobs: jobs.collect(),
+        ..RecoveredState::default()
+    };
+    Cell::new(2, BOUNDS, Arc::new(config), recovered, NOW)
+}
+
+/// Guards against a caller that is told that its job does not exist, as the owners changed.
+#[test]
+fn an_end_is_kept_for_its_retention_whatever_the_clock_of_the_node_that_wrote_it() {
+    for ended_unix_ms in [0, NOW.unix, NOW.unix + 3_600_000] {
+        let record = JobRecord::Ended {
+            end: JobEnd::Completed,
+            queue: Arc::from("urgent"),
+            tenant: None,
+            ended_unix_ms,
+        };
+        let mut cell = recover(config(), vec![(JobId(1), record)]);
+        cell.step(CellEvent::Tick, later(BOUNDS.ended_retention_ms));
+        assert!(cell.job_status(JobId(1)).is_some());
+        cell.step(CellEvent::Tick, later(BOUNDS.ended_retention_ms + 1));
+        cell.plan(later(BOUNDS.ended_retention_ms + 1));
+        assert!(cell.job_status(JobId(1)).is_none());
+        let deletes = |e: &CellEffect| {
+            matches!(e, CellEffect::Commit { writes, .. }
+                if writes.contains(&StoreWrite::Delete { job: JobId(1) }))
+        };
+        assert!(cell.take_effects().iter().any(deletes));
+    }
+}
--- a/tests/succession.rs
+++ b/tests/succession.rs
@@ -4,10 +4,11 @@
     dragonflyferry::{
         core::{CallId, Millis, Resources},
         fleet::{
-            Cell, CellEffect, CellEvent, CommandError, CommandReply, EndedRow, ExecutorCommand,
-            ExecutorId, ExecutorInfo, FleetConfig, JobId, JobRecord, Now, RecoveredState,
-            RenewCommand, RenewReply, RosterEntry, RunEnd, RunningRow, Schedule, SkippedRows,
-            StartCommand, StepId, Submission, TaskId, TenantRule,
+            AdviceRule, AdvisedExecutor, Cell, CellEffect, CellEvent, CommandError, CommandReply,
+            EndedRow, ExecutorCommand, ExecutorId, ExecutorInfo, FleetConfig, JobId, JobRecord,
+            Now, QueueRule, RecoveredState, RenewCommand, RenewReply, RosterEntry, RunEnd,
+            RunningRow, Schedule, SkippedRows, StartCommand, StepId, Submission, TaskId,
+            TenantRule,
         },
     },
     standins::{
@@ -105,6 +106,29 @@
         })
     }
 
+    /// Takes the latest call for advice.
+    fn take_advice_call(&mut self) -> Option<CallId> {
+        let is_call = |e: &CellEffect| matches!(e, CellEffect::RequestAdvice { .. });
+        let found = self.effects.iter().rposition(is_call)?;
+        match self.effects.remove(found) {
+            CellEffect::RequestAdvice { call, .. } => Some(call),
+            _ => None,
+        }
+    }
+
+    /// Advises the executor `e0`.
+    fn advised(&mut self, call: CallId, ticket: &str) {
+        let advised = AdvisedExecutor {
+            executor: Arc::from("e0"),
+            ticket: Arc::from(ticket),
+        };
+        self.step(CellEvent::AdviceResult {
+            call,
+            advised: Some(vec![advised]),
+            valid_ms: 2_000,
+        });
+    }
+
     fn reply(&mut self, id: &str, call: CallId, result: Result<CommandReply, CommandError>) {
         self.step(CellEvent::CommandResult {
             call,
@@ -652,3 +676,46 @@
     owner.advance(1_000);
     assert!(owner.take_start("e0").is_none(), "{:#?}", owner.log());
 }
+
+/// Guards against a task that waits for ever, or that starts again and again under a ticket which is no
+/// longer valid: the reply with it was late, and the validity is counted from its arrival.
+#[test]
+fn a_ticket_that_expired_on_its_way_costs_one_refused_start() {
+    let mut config = config();
+    let advice = AdviceRule {
+        call_cost_us: 50_000,
+        executor_cost_us: 1_000,
+        valid_ms: 2_000,
+    };
+    let queues = config.queues.iter().map(|q| {
+        Arc::new(QueueRule {
+            advice: Some(advice),
+            ..QueueRule::clone(q)
+        })
+    });
+    config.queues = queues.collect();
+    config.version = 2;
+    let now = Now {
+        mono: 50_000,
+        unix: UNIX,
+    };
+    let mut owner = Bare::new(2, RecoveredState::default(), now);
+    owner.step(CellEvent::Config(Arc::new(config)));
+    owner.step(CellEvent::AdviceNodes(vec![Arc::from("n")]));
+    owner.open("e0", "a:1");
+    owner.advance(100);
+    let submission = job(1, "urgent", vec![step(1, 1_000, 5_000)]);
+    owner.step(CellEvent::Submitted(Box::new(submission)));
+    let call = owner.take_advice_call().expect("a call");
+    owner.advance(2_400);
+    owner.advised(call, "old");
+    let (call, _, start) = owner.take_start("e0").expect("a start");
+    assert_eq!(start.ticket.as_deref(), Some("old"));
+    owner.reply("e0", call, Err(CommandError::BadTicket));
+    owner.advance(1_000);
+    assert!(owner.take_start("e0").is_none());
+    let call = owner.take_advice_call().expect("another call");
+    owner.advised(call, "new");
+    let (_, _, start) = owner.take_start("e0").expect("a start");
+    assert_eq!(start.ticket.as_deref(), Some("new"));
+}
--- a/tests/upkeep.rs
+++ b/tests/upkeep.rs
@@ -218,6 +218,54 @@
     assert!(!wave.all_begun());
 }
 
+/// Guards against more machines down than the cap permits under a new owner whose time of day differs,
+/// and against a wave that a time of day which is behind holds up for longer than it is.
+#[test]
+fn a_new_owner_with_another_time_of_day_keeps_the_cap() {
+    let mut first = wave(2, 1, 60_000);
+    list(&mut first, 0, &[]);
+    first.mark_called(&id("m0"));
+    first.on_reply(&id("m0"), MachineReply::Begun, at(10));
+    let shifted = |ms: Millis, shift: i64| Now {
+        unix: at(ms).unix.saturating_add_signed(shift),
+        ..at(ms)
+    };
+    for shift in [-3_000, 0, 600_000] {
+        let mut wave = WaveState::resume(first.record.clone(), TIMING, shifted(20, shift));
+        let mut listed = |ms, state| {
+            let machines = [("m0", state, "e0"), ("m1", MachineState::Up, "e1")];
+            let machines = machines.map(|(name, state, executor)| {
+                let info = MachineInfo {
+                    id: id(name),
+                    state,
+                    executor: Some(Arc::from(executor)),
+                };
+                (id(name), info)
+            });
+            wave.on_listed(&machines.into_iter().collect(), shifted(ms, shift));
+            next_machines(&wave, &idle(&["m1"]), shifted(ms, shift))
+        };
+        for ms in [20, 1_000, 5_009] {
+            assert!(listed(ms, MachineState::Upkeep).is_empty(), "{shift}");
+        }
+        let behind = u64::try_from(-shift.min(0)).expect("positive");
+        assert_eq!(listed(5_010 + behind, MachineState::Up), [id("m1")]);
+    }
+}
+
+/// Guards against machines that begin too late, as a request that was changed is taken for a new one.
+#[test]
+fn the_time_of_a_changed_request_counts_from_the_first() {
+    let mut wave = wave(2, 1, 60_000);
+    let before = wave.latest_start_unix_ms();
+    let request = WaveRequest {
+        within_ms: 50_000,
+        ..wave.record.request.clone()
+    };
+    assert!(wave.update_request(request, at(30_000).unix));
+    assert_eq!(wave.latest_start_unix_ms(), before - 10_000);
+}
+
 /// Guards against a call without a reply that is forgotten, repeated without a pause, or that keeps its
 /// place under the cap although the machine was never touched.
 #[test]
