Hold a located task again once it has failed

A task that fails now waits for the unread executors again; persistent tasks have no such limit and are not affected.

--- a/src/fleet/cell_departures.rs
+++ b/src/fleet/cell_departures.rs
@@ -22,7 +22,13 @@
             return;
         };
         let begins = info.draining && !executor.info.draining;
-        executor.exits_at = exit_time(executor.exits_at, info, written_after, now);
+        // The same entry, read again, was not written since.
+        let is_same = !begins
+            && executor.info.started_unix_ms == info.started_unix_ms
+            && executor.info.min_remaining_ms == info.min_remaining_ms;
+        if !(is_same && info.draining) {
+            executor.exits_at = exit_time(executor.exits_at, info, written_after, now);
+        }
         if !begins {
             return;
         }
--- a/src/fleet/cell_hand_over.rs
+++ b/src/fleet/cell_hand_over.rs
@@ -124,6 +124,7 @@
         for id in self.roster.keys().chain(self.roster_sent.keys()) {
             self.earlier_leases.add_silent(id, now.mono, now.mono);
         }
+        self.earlier_leases.require_write();
         self.lease_waits(now)
     }
 
--- a/src/fleet/cell_run_ends.rs
+++ b/src/fleet/cell_run_ends.rs
@@ -187,6 +187,8 @@
         }
         t.failed_runs.push(row.run);
         t.failed_on.push(id.clone());
+        // Executors that were not read may list failures of earlier runs.
+        t.located = false;
         let failures = u32::try_from(t.failed_runs.len()).unwrap_or(u32::MAX);
         if failures >= max_attempts {
             self.end_job(job, JobEnd::Failed, now);
--- a/src/fleet/earlier_leases.rs
+++ b/src/fleet/earlier_leases.rs
@@ -108,19 +108,26 @@
         tasks_on: impl Fn(&ExecutorId) -> Option<Vec<TaskId>>,
         now: Millis,
     ) -> LeaseWaits {
+        let full_wait_ms = self.full_wait_ms;
         let wait = |(id, since): (&ExecutorId, &i64)| {
             let waited_ms = (now.cast_signed() - since).max(0).cast_unsigned();
-            (id.clone(), waited_ms.min(self.full_wait_ms))
+            (id.clone(), waited_ms.min(full_wait_ms))
         };
-        let waited: Vec<_> = self.unreachable.iter().map(wait).collect();
-        self.sent = self.unreachable.keys().cloned().collect();
+        // A write for another reason names no more executors: most of them reply soon.
+        let due = now >= self.next_write_at;
+        let named = self.unreachable.iter();
+        let named = named.filter(|(id, _)| due || self.stored.contains(*id));
+        let waited: Vec<_> = named.map(wait).collect();
+        self.sent = waited.iter().map(|(id, _)| id.clone()).collect();
         self.stored.extend(self.sent.iter().cloned());
         let complete = waited.iter().all(|(_, ms)| *ms == self.full_wait_ms);
-        self.next_write_at = if complete {
-            Millis::MAX
-        } else {
-            now + WRITE_INTERVAL_MS
-        };
+        if due {
+            self.next_write_at = if complete {
+                Millis::MAX
+            } else {
+                now + WRITE_INTERVAL_MS
+            };
+        }
         let possible_runs = waited.iter().map(|(id, _)| tasks_on(id)).collect();
         LeaseWaits {
             token,
@@ -130,6 +137,11 @@
         }
     }
 
+    /// Has the next write name all executors.
+    pub fn require_write(&mut self) {
+        self.next_write_at = 0;
+    }
+
     /// Handles the result of the last write. A failed one may have taken effect.
     pub fn on_written(&mut self, ok: bool) {
         let sent = std::mem::take(&mut self.sent);
--- a/src/fleet/job.rs
+++ b/src/fleet/job.rs
@@ -40,8 +40,8 @@
     pub failed_on: Vec<ExecutorId>,
     /// Earliest next start, in ms on the owner's monotonic clock.
     pub not_before: Millis,
-    /// Whether this owner started it or found it running. A task has one run at a time, so it runs on
-    /// no executor that this owner has not read.
+    /// Whether this owner started it or found it running, and it has not failed since. A task has one run at a
+    /// time, so it runs on no executor that this owner has not read.
     pub located: bool,
 }
 
--- a/tests/handover.rs
+++ b/tests/handover.rs
@@ -1391,3 +1391,109 @@
         }
     }
 }
+
+/// A failed run whose end is listed only by an executor that the next owner has not read counts against
+/// the attempts, also if the next run of the task was found.
+#[test]
+fn a_failure_that_only_an_unread_executor_lists_counts_against_the_attempts_after_a_kill() {
+    fail_beside_unread_failure(Stop::Killed);
+}
+
+#[test]
+fn a_failure_that_only_an_unread_executor_lists_counts_against_the_attempts_after_a_planned_stop() {
+    fail_beside_unread_failure(Stop::Planned);
+}
+
+fn fail_beside_unread_failure(stop: Stop) {
+    for reached_after in [500, 1_500, 4_000] {
+        let mut config = config();
+        for queue in &mut config.queues {
+            Arc::make_mut(queue).max_attempts = 2;
+        }
+        let mut world = world_with_config(1, 4, config);
+        let mut submission = job(1, "patient", vec![step(1, WIDE_MILLI, LONG_MS)]);
+        submission.queue.max_attempts = 2;
+        world.submit(submission);
+        world.run(2_000);
+        let first = host_of(&world, 1);
+        cut_next(&mut world, &first);
+        plan_commits(&mut world, None, 600);
+        fail_runs(&mut world, &first);
+        world.run(100);
+        let second = host_of(&world, 1);
+        assert!(!second.is_empty() && second != first, "{:#?}", tail(&world));
+        if stop == Stop::Planned {
+            // The record itself is written.
+            world.commit_plans.clear();
+        }
+        stop_owner(&mut world, stop);
+        world.commit_plans.clear();
+        world.run(200);
+        fail_runs(&mut world, &second);
+        world.run(reached_after);
+        world.cut.clear();
+        world.run(GIVE_UP_MS);
+        assert_sound(&world);
+    }
+}
+
+/// A whole list is read after the watch failed; the executor could not write its entry meanwhile.
+#[test]
+fn an_entry_that_is_read_again_does_not_put_off_the_exit() {
+    for age_ms in [2_000, 3_000, 3_800, 4_100] {
+        let mut world = world_with_jobs(1, 2, vec![step(1, WIDE_MILLI, LONG_MS)]);
+        let host = host_of(&world, 1);
+        world.drain(&host, 5_000);
+        let infos: Vec<_> = world.executors.values().map(|e| e.info.clone()).collect();
+        world.watch_interrupted = true;
+        world.run(age_ms);
+        let event = CellEvent::Relisted {
+            infos,
+            written_after: world.now - 1_700,
+        };
+        let now = now_at(world.now);
+        world.cell.step(event, now);
+        world.run(5_000 - age_ms - 1);
+        assert_ne!(
+            host_of(&world, 1),
+            host,
+            "{age_ms}: not stopped before the exit: {:#?}",
+            tail(&world)
+        );
+    }
+}
+
+/// The record that names a leaving executor names those too that were not opened yet; they may start
+/// nothing before the next record.
+#[test]
+fn an_executor_that_opens_late_is_used_soon_though_another_one_drains() {
+    for drains in [false, true] {
+        let mut world = world(1, 2);
+        world.submit(job(3, "urgent", vec![step(1, WIDE_MILLI, LONG_MS)]));
+        world.run(500);
+        let host = host_of(&world, 3);
+        let other = host_without(&world, &[3]);
+        if drains {
+            world.drain(&host, 60_000);
+            world.run(300);
+        }
+        cut_next(&mut world, &other);
+        world.replace_owner();
+        let plan = CommitPlan {
+            carried_out_after: Some(150),
+            result_after: 300,
+            ok: true,
+        };
+        world.commit_plans.extend([plan; 12]);
+        world.run(150);
+        world.cut.clear();
+        world.submit(job(2, "urgent", vec![step(1, WIDE_MILLI, LONG_MS)]));
+        let took = time_to_run(&mut world, 2, 1);
+        println!("drains={drains}: {took} ms on {}", host_of(&world, 2));
+        assert!(
+            took <= 300,
+            "drains={drains}: {took} ms: {:#?}",
+            tail(&world)
+        );
+    }
+}
