--- a/src/fleet/cell_hand_over.rs
+++ b/src/fleet/cell_hand_over.rs
@@ -128,7 +128,8 @@
         self.lease_waits(now)
     }
 
-    /// Returns what the next owner may conclude of the executors on which this one grants no lease.
+    /// Returns the record for the next owner, of executors on which this one grants no lease and of those
+    /// that drain, and takes it as sent.
     pub(super) fn lease_waits(&mut self, now: Now) -> LeaseWaits {
         let mut earlier = std::mem::take(&mut self.earlier_leases);
         let mut waits = earlier.write(self.token, |id| self.possible_runs(id), now.mono);
@@ -139,10 +140,10 @@
             let longest = runs.max_by_key(|r| r.as_ref().map_or(0, Vec::len));
             match longest {
                 Some(longest) if longest.is_some() => *longest = None,
-                _ if waits.leaving.pop().is_none() => break,
-                _ => {}
+                _ => break,
             }
         }
+        while waits.max_bytes() > self.bounds.max_value_bytes && waits.leaving.pop().is_some() {}
         let leaving = waits.leaving.iter().map(|(id, _)| id.clone());
         self.leaving.on_sent(leaving.collect());
         waits
--- a/src/fleet/leaving_executors.rs
+++ b/src/fleet/leaving_executors.rs
@@ -5,7 +5,7 @@
 
 use {crate::fleet::ExecutorId, std::collections::HashSet};
 
-/// The executors that one owner has named.
+/// The draining executors that one owner has named in the record.
 #[derive(Debug, Default)]
 pub struct LeavingExecutors {
     /// Those that the record in the store may name, whichever of the writes with an unknown outcome took
--- a/src/fleet/records.rs
+++ b/src/fleet/records.rs
@@ -183,8 +183,9 @@
     pub max_capacity: Resources,
 }
 
-/// What the writer leaves to the owner that follows it, for executors on which it grants no lease and
-/// starts nothing: those that it has not reached, or all when it stops as planned.
+/// What the writer leaves to the owner that follows it, for executors on which it starts nothing: those
+/// that it has not reached, or all when it stops as planned, where it grants no lease either; and those
+/// that drain.
 #[derive(Clone, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
 pub struct LeaseWaits {
     /// Fencing token of the writer. Means nothing to an owner that does not follow it directly.
--- a/tests/dispatch.rs
+++ b/tests/dispatch.rs
@@ -197,6 +197,26 @@
             prop_assert!(owner_clock(arrives_at) < limit);
         }
     }
+
+    /// The same for the best of several readings, of a clock that lags.
+    #[test]
+    fn the_best_of_several_clock_readings_is_not_ahead_of_the_clock(
+        lag_micro in 0u64..=1_000,
+        readings in prop::collection::vec((0u64..3_000, 0u64..3_000), 1..8),
+    ) {
+        let mut dispatch = Dispatch::default();
+        // In thousandths of a ms; the owner's clock is the true time.
+        let node_micro = |at: Millis| at * 1_000 - at * lag_micro / 1_000;
+        let mut now = 0;
+        for (pause, delay) in readings {
+            let read_at = now + pause;
+            now = read_at + delay;
+            dispatch.set_node(dispatcher("n", "a", 120), node_micro(read_at) / 1_000, now);
+            let bound = dispatch.to_node_clock("n", now).expect("known");
+            prop_assert!(bound * 1_000 <= node_micro(now), "{bound} at {now}");
+            prop_assert!(bound * 1_000 + 1_000 >= node_micro(read_at));
+        }
+    }
 }
 
 fn now_ms() -> u64 {
@@ -343,6 +363,17 @@
     assert_eq!(owner.reply().await, (9, Err(CommandError::Unknown)));
 }
 
+/// Guards against commands that expire at a node, each sent again at once, as the last reading of its
+/// clock waited at an owner that was paused or busy.
+#[test]
+fn a_clock_reading_that_waited_does_not_replace_a_better_one() {
+    let mut dispatch = Dispatch::default();
+    dispatch.set_node(dispatcher("n", "a", 120), 1_000, 5_000);
+    dispatch.set_node(dispatcher("n", "a", 120), 3_000, 8_000);
+    let limit = dispatch.to_node_clock("n", 8_250).expect("known");
+    assert!(limit > 4_000 + 100, "the node's clock is at 4,000: {limit}");
+}
+
 /// Each executor keeps its node while the nodes stay the same.
 #[test]
 fn a_new_clock_reading_moves_no_executor() {
