Soak: executors leave by plan while the owner is killed or frozen

The soak knew exits by plan only beside planned stops of nodes. An executor's announcement reached the store up to a heartbeat late, and the judge allowed a whole lease after every run whose end was not read, also where the owner had had the time to stop it.

Change: the entry is written at once when an executor announces its exit, and ages between heartbeats. New kinds release-freeze-owner, release-kill-all and release-kill-owner: executors leave one after another and four more are about to exit while the owner is lost. These losses take turns, some seconds apart, and are judged; kills and freezes of the other kinds still excuse waits. A run that ends at an announced exit is allowed no lease if the owner had not changed since 1.5 s before the exit, and a pool has room from a fourth of its slots on instead of half: both make LOST stricter.

--- a/standins/src/platform_executor.rs
+++ b/standins/src/platform_executor.rs
@@ -124,8 +124,13 @@
     /// Ends this life at `now` and begins the next, which answers from `up_at` on.
     pub fn restart(&mut self, id: String, now: Millis, up_at: Millis, journal: &RunJournal) {
         self.advance(now, journal);
+        let ending = if self.exits_at.is_some_and(|at| at <= now) {
+            RunEnding::Exited
+        } else {
+            RunEnding::Crashed
+        };
         for run in self.running.values() {
-            journal.end_run(run.record, now, RunEnding::Crashed);
+            journal.end_run(run.record, now, ending);
         }
         let seed = self.rng.random();
         *self = Self::new(id, &self.pool, &self.zone, seed, up_at, journal);
@@ -374,7 +379,7 @@
             json!([task, run, "", percent, TASK_CPU])
         });
         let how = |ending: RunEnding| match ending {
-            RunEnding::Crashed | RunEnding::Lapsed => "lapsed",
+            RunEnding::Crashed | RunEnding::Exited | RunEnding::Lapsed => "lapsed",
             RunEnding::Done => "done",
             RunEnding::Failed => "failed",
             RunEnding::Stopped => "stopped",
--- a/standins/src/platform_faults.rs
+++ b/standins/src/platform_faults.rs
@@ -107,8 +107,9 @@
 #[derive(Clone, Debug)]
 pub struct FaultSpan {
     pub name: String,
-    /// Whether it is work that operators announce, such as a SIGTERM.
-    pub planned: bool,
+    /// Whether persistent tasks must run on in time during it: work that operators announce, such as a
+    /// SIGTERM, and single losses of the owner.
+    pub judged: bool,
     pub since: Millis,
     /// `None` while it is active.
     pub until: Option<Millis>,
@@ -154,11 +155,11 @@
     }
 
     /// Records a fault that is no rule, such as a kill; returns its id.
-    pub fn begin(&self, name: impl Into<String>, planned: bool, now: Millis) -> usize {
+    pub fn begin(&self, name: impl Into<String>, judged: bool, now: Millis) -> usize {
         let mut inner = lock(&self.inner);
         inner.spans.push(FaultSpan {
             name: name.into(),
-            planned,
+            judged,
             since: now,
             until: None,
         });
--- a/standins/src/platform_host.rs
+++ b/standins/src/platform_host.rs
@@ -221,12 +221,17 @@
         executor.restart(id, now, now + down_ms, &self.journal);
     }
 
-    /// Announces that an executor drains and exits after this time; another one takes its place.
+    /// Announces that an executor drains and exits after this time; another one takes its place. Between
+    /// heartbeats the remaining time in its entry is out of date.
     pub fn drain_executor(&self, index: usize, remaining_ms: Millis) {
         let exits_at = self.now() + remaining_ms;
-        lock(&self.executors[index])
-            .exits_at
-            .get_or_insert(exits_at);
+        let mut executor = lock(&self.executors[index]);
+        executor.exits_at.get_or_insert(exits_at);
+        let id = executor.id.clone();
+        drop(executor);
+        if let Some(beat) = lock(&self.heartbeats).get_mut(&id) {
+            beat.next_at = 0;
+        }
     }
 
     /// Ends an executor that drained; the store drops its entry unless a fault is between the two.
@@ -276,7 +281,7 @@
             }
         }
         for (pool, (free, all)) in slots {
-            self.journal.record_room(&pool, 2 * free >= all, now);
+            self.journal.record_room(&pool, 4 * free >= all, now);
         }
         let paused = lock(&self.store).is_paused();
         let mut beats = lock(&self.heartbeats);
--- a/standins/src/run_journal.rs
+++ b/standins/src/run_journal.rs
@@ -55,11 +55,13 @@
     }
 }
 
-/// How a run ended, as executors report it; `Crashed` is never reported.
+/// How a run ended, as executors report it; `Crashed` and `Exited` are never reported.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum RunEnding {
     Crashed,
     Done,
+    /// Its executor exited as announced.
+    Exited,
     Failed,
     Lapsed,
     Stopped,
@@ -331,20 +333,23 @@
     }
 
     /// Returns the gaps that break rule LOST: longer than a task may wait, while its pool had room and the
-    /// time since its last run was calm.
+    /// time since its last run was calm. `steady` tells of an announced exit whether the owner had the time
+    /// to stop the runs there before.
     pub fn judge_gaps(
         &self,
         gaps: &[Gap],
         calm: impl Fn(Millis, Millis) -> bool,
+        steady: impl Fn(Millis) -> bool,
     ) -> Vec<Violation> {
         let inner = lock(&self.inner);
         let mut found = Vec::new();
         for gap in gaps {
             let run = &inner.runs[gap.last_run];
-            let lease_ms = if run.acked_at.is_none() {
-                MAX_LEASE_MS
-            } else {
+            let stoppable = matches!(run.ended, Some((at, RunEnding::Exited)) if steady(at));
+            let lease_ms = if run.acked_at.is_some() || stoppable {
                 0
+            } else {
+                MAX_LEASE_MS
             };
             let from = gap.since + lease_ms + RESTART_MS;
             let Some(at) = inner.room_until(&run.pool, from, gap.until) else {
--- a/standins/src/soak.rs
+++ b/standins/src/soak.rs
@@ -28,7 +28,10 @@
         },
         time::Duration,
     },
-    tokio::{sync::Notify, task::JoinSet},
+    tokio::{
+        sync::{Mutex, Notify},
+        task::JoinSet,
+    },
 };
 
 /// Pools of executors: two thirds are in the first.
@@ -37,8 +40,8 @@
 /// Zones of executors, in turn within a pool.
 const ZONES: [&str; 3] = ["z0", "z1", "z2"];
 
-/// Kinds of faults with their weights, in percent.
-pub const FAULTS: [(&str, u32); 21] = [
+/// Kinds of faults with their weights.
+pub const FAULTS: [(&str, u32); 24] = [
     ("compact", 2),
     ("cut-executors", 7),
     ("drain-executor", 4),
@@ -52,6 +55,9 @@
     ("lose-writes", 6),
     ("move-queue", 4),
     ("reject-nodes", 8),
+    ("release-freeze-owner", 2),
+    ("release-kill-all", 2),
+    ("release-kill-owner", 2),
     ("restart-executors", 5),
     ("silence-old", 3),
     ("slow-store", 3),
@@ -77,7 +83,16 @@
 /// Shortest time between the announcement of an executor's exit and the exit, in ms.
 const DRAIN_MS: Millis = 2_000;
 
-/// Time after the end of an unplanned fault in which tasks may wait for its effects, in ms: calls that are
+/// Time before an announced exit from which on an owner must not change, so that it can stop the runs there, in ms.
+const STOP_BEFORE_MS: Millis = 1_500;
+
+/// Time within which the next owner claims after a loss of the owner, in ms.
+const CLAIM_MS: Millis = 3_000;
+
+/// Pauses after a loss of the owner until the next one, in ms; tasks have to start in them.
+const LOSS_PAUSE_MS: std::ops::Range<Millis> = 4_000..5_000;
+
+/// Time after the end of a fault that is not judged in which tasks may wait for its effects, in ms: calls that are
 /// carried out late, and then a lease.
 const SETTLE_MS: Millis = LATE_MS.end + 2 * MAX_LEASE_MS;
 
@@ -226,6 +241,7 @@
             nodes,
             last_owner: AtomicUsize::new(0),
             config_version: AtomicU64::new(0),
+            loss_turn: Mutex::new(()),
             faults: self.faults.clone(),
         });
         stage.configure(POOLS[0]);
@@ -309,6 +325,8 @@
     /// The latest node that the store named as the owner.
     last_owner: AtomicUsize,
     config_version: AtomicU64,
+    /// Held during a judged loss of the owner and the pause after it.
+    loss_turn: Mutex<()>,
     faults_until: Millis,
     /// Kinds to draw from, with their weights.
     faults: Vec<(&'static str, u32)>,
@@ -353,8 +371,8 @@
         FaultGuard(&self.host, id)
     }
 
-    /// Records planned work until the guard is dropped.
-    fn begin_planned(&self, name: impl Into<String>) -> FaultGuard<'_> {
+    /// Records a fault during which persistent tasks must run on in time.
+    fn begin_judged(&self, name: impl Into<String>) -> FaultGuard<'_> {
         let id = self.host.faults.begin(name, true, self.host.now());
         FaultGuard(&self.host, id)
     }
@@ -405,7 +423,10 @@
             "hang-up" => self.nodes.signal(node, Signal::HUP),
             "isolate-executors" => self.isolate_executors(rng).await,
             "kill" => self.kill(node, down_ms).await,
-            "kill-all" => self.kill_all(rng).await,
+            "kill-all" => {
+                let _fault = self.begin("SIGKILL all nodes");
+                self.restart_all(rng).await;
+            }
             "kill-series" => {
                 for _ in 0..3 {
                     self.kill(self.owner(), rng.random_range(100..600)).await;
@@ -415,6 +436,10 @@
             "lose-writes" => self.lose_writes(owner, rng).await,
             "move-queue" => self.move_queue(owner, rng).await,
             "reject-nodes" => self.reject_nodes(owner, rng).await,
+            "release-freeze-owner" | "release-kill-all" | "release-kill-owner" => {
+                let losses = self.lose_owners(kind, rng.random());
+                tokio::join!(self.release(rng), losses);
+            }
             "restart-executors" => self.restart_executors(rng).await,
             "silence-old" => {
                 let rule = FaultRule::new("old connections silent", Fate::Silent, |from, to| {
@@ -443,13 +468,16 @@
 
     async fn kill(&self, node: usize, down_ms: Millis) {
         let _fault = self.begin(format!("SIGKILL node {node}"));
+        self.restart(node, down_ms).await;
+    }
+
+    async fn restart(&self, node: usize, down_ms: Millis) {
         self.nodes.kill(node);
         self.pause(down_ms).await;
         let _ = self.nodes.start(node);
     }
 
-    async fn kill_all(&self, rng: &mut SmallRng) {
-        let _fault = self.begin("SIGKILL all nodes");
+    async fn restart_all(&self, rng: &mut SmallRng) {
         (0..self.nodes.count()).for_each(|n| self.nodes.kill(n));
         self.pause(rng.random_range(100..1_500)).await;
         for node in 0..self.nodes.count() {
@@ -459,7 +487,7 @@
     }
 
     async fn terminate(&self, node: usize, down_ms: Millis) {
-        let _fault = self.begin_planned(format!("SIGTERM node {node}"));
+        let _fault = self.begin_judged(format!("SIGTERM node {node}"));
         let process = self.nodes.process_id(node);
         self.nodes.signal(node, Signal::TERM);
         let deadline = self.host.now() + TERMINATION_GRACE_S * 1_000;
@@ -500,12 +528,43 @@
         }
     }
 
+    /// Takes the owner away twice, in the way that `kind` names, while some executors are about to exit.
+    async fn lose_owners(&self, kind: &str, seed: u64) {
+        let mut rng = SmallRng::seed_from_u64(seed);
+        for _ in 0..2 {
+            let _turn = self.loss_turn.lock().await;
+            if self.host.now() >= self.faults_until {
+                return;
+            }
+            for _ in 0..4 {
+                let index = rng.random_range(0..self.host.executor_count());
+                let remaining_ms = rng.random_range(DRAIN_MS..DRAIN_MS + 2_000);
+                self.host.drain_executor(index, remaining_ms);
+            }
+            self.pause(rng.random_range(200..DRAIN_MS)).await;
+            let owner = self.owner();
+            {
+                let _fault = self.begin_judged(format!("{kind}, node {owner}"));
+                match kind {
+                    "release-freeze-owner" => {
+                        // Long enough for its store lease to end.
+                        let freeze_ms = rng.random_range(2_000..6_000);
+                        self.hold_still(owner, freeze_ms).await;
+                    }
+                    "release-kill-all" => self.restart_all(&mut rng).await,
+                    _ => self.restart(owner, rng.random_range(100..600)).await,
+                }
+            }
+            self.pause(rng.random_range(LOSS_PAUSE_MS)).await;
+        }
+    }
+
     /// Executors announce their exit one after another and then exit, while the configuration changes.
     async fn release(&self, rng: &mut SmallRng) {
         let count = self.host.executor_count();
         let first = rng.random_range(0..count);
         let leaving = rng.random_range(4..=8);
-        let _fault = self.begin_planned(format!("{leaving} executors from {first} leave"));
+        let _fault = self.begin_judged(format!("{leaving} executors from {first} leave"));
         for i in 0..leaving {
             let remaining_ms = rng.random_range(DRAIN_MS..5_000);
             self.host.drain_executor((first + i) % count, remaining_ms);
@@ -516,6 +575,10 @@
 
     async fn freeze(&self, node: usize, ms: Millis) {
         let _fault = self.begin(format!("SIGSTOP node {node}"));
+        self.hold_still(node, ms).await;
+    }
+
+    async fn hold_still(&self, node: usize, ms: Millis) {
         self.nodes.signal(node, Signal::STOP);
         self.pause(ms).await;
         self.nodes.signal(node, Signal::CONT);
@@ -690,7 +753,7 @@
 
     async fn drain_executor(&self, rng: &mut SmallRng) {
         let index = rng.random_range(0..self.host.executor_count());
-        let _fault = self.begin_planned(format!("executor {index} drains"));
+        let _fault = self.begin_judged(format!("executor {index} drains"));
         let remaining_ms = rng.random_range(DRAIN_MS..6_000);
         self.host.drain_executor(index, remaining_ms);
         self.pause(remaining_ms).await;
@@ -800,10 +863,15 @@
                 .host
                 .faults
                 .spans_between(since.saturating_sub(SETTLE_MS), until);
-            spans.iter().all(|s| s.planned)
+            spans.iter().all(|s| s.judged)
+        };
+        let claims = self.host.claims();
+        let steady = |exit: Millis| {
+            let changes = exit.saturating_sub(STOP_BEFORE_MS)..exit + CLAIM_MS;
+            !claims.iter().any(|(at, ..)| changes.contains(at))
         };
         let mut violations = self.host.journal.judge();
-        violations.extend(self.host.journal.judge_gaps(&gaps, calm));
+        violations.extend(self.host.journal.judge_gaps(&gaps, calm, steady));
         for violation in &mut violations {
             let since = violation.at.saturating_sub(CAUSE_MS);
             for span in self.host.faults.spans_between(since, violation.at) {
--- a/tests/soak.rs
+++ b/tests/soak.rs
@@ -170,7 +170,7 @@
     journal.record_room("a", false, 0);
     journal.record_room("a", true, room_from);
     let gaps = journal.persistent_gaps(20_000);
-    let found = journal.judge_gaps(&gaps, |since, _| since >= calm_from);
+    let found = journal.judge_gaps(&gaps, |since, _| since >= calm_from, |_| false);
     found.iter().map(|v| v.rule).collect()
 }
 
@@ -186,3 +186,26 @@
     assert!(judge_gap(7_999, true, 5_000, 0).is_empty());
     assert!(judge_gap(6_000, true, 0, 1_001).is_empty());
 }
+
+#[test]
+fn the_judge_allows_no_lease_after_an_exit_that_the_owner_could_foresee() {
+    let judge = |next, steady| {
+        let step = StepPlan {
+            count: 1,
+            run_ms: 100,
+            after_previous: false,
+            allow_duplicates: false,
+            persistent: true,
+        };
+        let journal = runs_of(step, [100, next]);
+        journal.end_run(0, 1_000, RunEnding::Exited);
+        journal.record_room("a", true, 0);
+        let gaps = journal.persistent_gaps(20_000);
+        let found = journal.judge_gaps(&gaps, |_, _| true, |_| steady);
+        found.iter().map(|v| v.rule).collect::<Vec<_>>()
+    };
+    assert_eq!(judge(6_000, true), ["LOST"]);
+    assert!(judge(5_999, true).is_empty());
+    assert_eq!(judge(12_000, false), ["LOST"]);
+    assert!(judge(11_999, false).is_empty());
+}
