Soak: settings name the heartbeat, exits up to 5 s after the notice

The nodes read from their settings how old an entry may be; the soak left the default. Executors that announce their exit before a judged loss of the owner now have up to 5 s left, so that more of them exit 1.5 s and more after the next claim, where the new owner has to stop their runs itself.

--- a/standins/src/platform_host.rs
+++ b/standins/src/platform_host.rs
@@ -48,7 +48,7 @@
 const STALL_MS: Millis = 500;
 
 /// Interval at which executors report to the store, in ms.
-const HEARTBEAT_MS: Millis = 1_500;
+pub const HEARTBEAT_MS: Millis = 1_500;
 
 /// Silence after which the entry of an executor is removed, in ms.
 const ENTRY_TTL_MS: Millis = 3 * HEARTBEAT_MS;
--- a/standins/src/soak.rs
+++ b/standins/src/soak.rs
@@ -538,7 +538,7 @@
             }
             for _ in 0..4 {
                 let index = rng.random_range(0..self.host.executor_count());
-                let remaining_ms = rng.random_range(DRAIN_MS..DRAIN_MS + 2_000);
+                let remaining_ms = rng.random_range(DRAIN_MS..DRAIN_MS + 3_000);
                 self.host.drain_executor(index, remaining_ms);
             }
             self.pause(rng.random_range(200..DRAIN_MS)).await;
--- a/standins/src/soak_nodes.rs
+++ b/standins/src/soak_nodes.rs
@@ -94,7 +94,7 @@
             "node = \"edge-{node}\"\nzone = \"z{}\"\nportRange = [{}, {}]\n\
              [listen]\nfront = \"{}\"\nready = \"{}\"\n\
              [limits]\ncpuShare = 0.25\n\
-             [bounds]\nholdMaxMs = {}\nkillGraceMs = {}\ngraceS = {TERMINATION_GRACE_S}\n\
+             [bounds]\nheartbeatMs = {}\nholdMaxMs = {}\nkillGraceMs = {}\ngraceS = {TERMINATION_GRACE_S}\n\
              status_s = 120\nrevokeMs = 5000\n\
              [platform]\naddress = \"{store}\"\nttlMinMs = 1000\n",
             node % 3,
@@ -102,6 +102,7 @@
             at.metrics.port(),
             at.caller,
             at.ready,
+            crate::platform_host::HEARTBEAT_MS,
             crate::platform_executor::MAX_LEASE_MS,
             crate::platform_executor::KILL_GRACE_MS,
         );
