--- a/standins/src/soak_nodes.rs
+++ b/standins/src/soak_nodes.rs
@@ -92,17 +92,18 @@
         let at = self.addresses[node];
         let text = format!(
             "node = \"edge-{node}\"\nzone = \"z{}\"\nportRange = [{}, {}]\n\
+             heartbeatMs = {}\n\
              [listen]\nfront = \"{}\"\nready = \"{}\"\n\
              [limits]\ncpuShare = 0.25\n\
-             [bounds]\nheartbeatMs = {}\nholdMaxMs = {}\nkillGraceMs = {}\ngraceS = {TERMINATION_GRACE_S}\n\
+             [bounds]\nholdMaxMs = {}\nkillGraceMs = {}\ngraceS = {TERMINATION_GRACE_S}\n\
              status_s = 120\nrevokeMs = 5000\n\
              [platform]\naddress = \"{store}\"\nttlMinMs = 1000\n",
             node % 3,
             at.peer.port(),
             at.metrics.port(),
+            crate::platform_host::HEARTBEAT_MS,
             at.caller,
             at.ready,
-            crate::platform_host::HEARTBEAT_MS,
             crate::platform_executor::MAX_LEASE_MS,
             crate::platform_executor::KILL_GRACE_MS,
         );
