--- a/tests/relative_times.rs
+++ b/tests/relative_times.rs
@@ -96,6 +96,7 @@
         let full = earlier_runs_end_after(BOUNDS.max_lease_ms, BOUNDS.kill_grace_ms);
         let roster: [ExecutorId; 1] = [Arc::from("e0")];
         let mut writer = EarlierLeases::new(&roster, None, full, writer_clock);
+        writer.require_write();
         let waits = writer.write(1, |_| None, writer_clock + waited);
         let stored = waits.encode().expect("record");
         let read = LeaseWaits::decode(&stored).expect("record");
