Keep the better reading of a node's clock

A reading that waited at a busy owner replaced an earlier, better one. Waiting over 250 ms, it let every command through that node expire until the next reading.

dispatch::a_clock_reading_that_waited_does_not_replace_a_better_one, red on, passes.

--- a/src/entry/dispatch.rs
+++ b/src/entry/dispatch.rs
@@ -10,7 +10,7 @@
         core::{CallId, Millis},
         fleet::{
             ExecutorCommand, ExecutorId,
-            policy::{Dispatcher, choose_dispatcher},
+            policy::{Dispatcher, MAX_CLOCK_LAG_MILLI, choose_dispatcher},
         },
     },
     serde::{Deserialize, Serialize},
@@ -55,8 +55,19 @@
 /// A node that sends commands, as seen by the owner.
 #[derive(Clone, Debug)]
 struct Node {
-    /// Lower bound of the node's clock minus the owner's, in ms.
+    /// Lower bound of the node's clock minus the owner's, in ms, when it was read.
     clock_offset: i64,
+    /// When it was read, in ms on the owner's monotonic clock.
+    read_at: Millis,
+}
+
+impl Node {
+    /// Returns the lower bound at `now`, as the node's clock may be slower than the owner's.
+    fn offset_at(&self, now: Millis) -> i64 {
+        let elapsed_ms = now.saturating_sub(self.read_at);
+        let lag_ms = (elapsed_ms * MAX_CLOCK_LAG_MILLI).div_ceil(1_000);
+        self.clock_offset - lag_ms.cast_signed()
+    }
 }
 
 /// A command that another node sends and whose reply has not arrived.
@@ -100,12 +111,20 @@
 }
 
 impl Dispatch {
-    /// Adds a node or updates it. `node_ms` is a reading of its clock, taken before `now`. Returns
-    /// whether it was added.
+    /// Adds a node or updates it. `node_ms` is a reading of its clock, taken before `now`; one that waited
+    /// longer than an earlier one does not replace it. Returns whether the node was added.
     pub fn set_node(&mut self, dispatcher: Dispatcher, node_ms: Millis, now: Millis) -> bool {
         let clock_offset = node_ms.cast_signed() - now.cast_signed();
-        let node = Node { clock_offset };
-        let known = self.nodes.insert(dispatcher.node.clone(), node).is_some();
+        let read = Node {
+            clock_offset,
+            read_at: now,
+        };
+        let known = self.nodes.get(&dispatcher.node);
+        let better = known.is_none_or(|n| n.offset_at(now) <= clock_offset);
+        let known = known.is_some();
+        if better {
+            self.nodes.insert(dispatcher.node.clone(), read);
+        }
         if !self.dispatchers.contains(&dispatcher) {
             self.dispatchers.retain(|d| d.node != dispatcher.node);
             self.dispatchers.push(dispatcher);
@@ -149,7 +168,7 @@
     /// Returns a time on the node's clock that is not after `owner_ms` on the owner's; `None` if the
     /// node is not known.
     pub fn to_node_clock(&self, node: &str, owner_ms: Millis) -> Option<Millis> {
-        let offset = self.nodes.get(node)?.clock_offset;
+        let offset = self.nodes.get(node)?.offset_at(owner_ms);
         Some(owner_ms.saturating_add_signed(offset))
     }
 
