Estimate the rest of a run by the progress that was followed

A run that was adopted, or that resumed from a checkpoint, had its progress divided by the time since its adoption: its rest came out far too low. It was stopped too late before an announced exit and looked for too early. The estimate now takes the progress since the run was first reported, and the estimate of its run time before there is any.

The signature of the policy function changed, so its test states the same four cases in the new form, and two of an adopted run.

--- a/src/fleet/cell_executors.rs
+++ b/src/fleet/cell_executors.rs
@@ -10,8 +10,11 @@
         fleet::{
             Cell, CellEffect, CommandError, CommandReply, Executor, ExecutorCommand, ExecutorId,
             ExecutorInfo, FleetEvent, JobId, Now, RenewCommand, RenewReply, RosterEntry, Run,
-            RunLoss, RunStage, RunningRow, Session, TaskId, cell::UNREADABLE_ROSTER,
-            cell_departures::exit_time, executor::ClockReading, policy,
+            RunLoss, RunStage, RunningRow, Session, TaskId,
+            cell::UNREADABLE_ROSTER,
+            cell_departures::exit_time,
+            executor::ClockReading,
+            policy::{self, FollowedProgress},
         },
     },
     std::{collections::HashSet, sync::Arc},
@@ -387,8 +390,13 @@
             run.stage = RunStage::Confirmed;
             run.stage_since = now.mono;
         }
-        if run.percent != row.percent {
-            run.percent = row.percent;
+        let progress = run.progress.get_or_insert(FollowedProgress {
+            since_ms: now.mono,
+            from: row.percent,
+            percent: row.percent,
+        });
+        if progress.percent != row.percent {
+            progress.percent = row.percent;
             run.progressed_at = now.mono;
         }
         let (measured_at, measured_percent) = run.measured;
--- a/src/fleet/cell_runs.rs
+++ b/src/fleet/cell_runs.rs
@@ -8,7 +8,8 @@
         core::{CallId, Millis},
         fleet::{
             Cell, CellEffect, CommandError, ExecutorCommand, ExecutorId, FleetEvent, JobId, Now,
-            Run, RunLoss, RunNumber, RunStage, StartCommand, StepId, StepSpec, TaskId, policy,
+            Run, RunLoss, RunNumber, RunStage, StartCommand, StepId, StepSpec, TaskId,
+            policy::FollowedProgress,
             run_log::{StartedRun, format_started},
         },
     },
@@ -73,6 +74,13 @@
         };
         let mut run = new_run(number, RunStage::StartSent, spec, ticket, now.mono);
         let resumed = self.task(&task).is_some_and(|t| !t.checkpoint.is_empty());
+        if !resumed {
+            run.progress = Some(FollowedProgress {
+                since_ms: now.mono,
+                from: 0,
+                percent: 0,
+            });
+        }
         if run.finishes_independently && !resumed {
             run.measured_estimate_ms = spec.estimate_ms;
         }
@@ -122,9 +130,12 @@
         if spec.persistent {
             return Some(Millis::MAX);
         }
-        let elapsed_ms = now.mono.saturating_sub(run.started_at);
-        let remaining_ms = policy::remaining_run_ms(elapsed_ms, run.percent, spec.estimate_ms);
-        Some(remaining_ms)
+        let progress = run.progress.unwrap_or(FollowedProgress {
+            since_ms: run.started_at,
+            from: 0,
+            percent: 0,
+        });
+        Some(progress.remaining_ms(now.mono, spec.estimate_ms))
     }
 
     /// Returns whether a task belongs to a persistent step.
@@ -490,7 +501,7 @@
         start_attempts: 0,
         stop_attempts: 0,
         ticket,
-        percent: 0,
+        progress: None,
         progressed_at: now,
         share_percent: 100,
         best_effort: spec.best_effort,
--- a/src/fleet/cell_upkeep.rs
+++ b/src/fleet/cell_upkeep.rs
@@ -96,7 +96,7 @@
             let executor =
                 executor.filter(|e| e.is_responsive() && !self.upkeep.down.contains(name));
             let run = executor.and_then(|e| e.runs.get(&task));
-            run.is_some_and(|r| r.stage == RunStage::Confirmed && r.percent >= 100)
+            run.is_some_and(|r| r.stage == RunStage::Confirmed && r.percent() >= 100)
         })
     }
 
@@ -124,7 +124,7 @@
             }
             work.runs += 1;
             work.work_ms +=
-                remaining_ms(spec, run.percent, now.mono - run.started_at.min(now.mono))
+                remaining_ms(spec, run.percent(), now.mono - run.started_at.min(now.mono))
                     * u64::from(run.need.cpu_milli.max(1))
                     / 1000;
         }
--- a/src/fleet/executor.rs
+++ b/src/fleet/executor.rs
@@ -9,7 +9,7 @@
         core::{CallId, Millis, Resources},
         fleet::{
             EndedRow, ExecutorInfo, JobId, RunNumber, TaskId,
-            policy::{MAX_CLOCK_LAG_MILLI, RunTimeFactor, START_WATCH_MS},
+            policy::{FollowedProgress, MAX_CLOCK_LAG_MILLI, RunTimeFactor, START_WATCH_MS},
         },
     },
     std::{
@@ -84,8 +84,9 @@
     /// Stop commands sent.
     pub stop_attempts: u32,
     pub ticket: Option<Arc<str>>,
-    /// Progress in percent.
-    pub percent: u32,
+    /// Progress, as far as it was followed; `None` for a run that was adopted or resumed, until an executor
+    /// reports it.
+    pub progress: Option<FollowedProgress>,
     /// When the progress last changed.
     pub progressed_at: Millis,
     /// Part of full speed that a best-effort run is allowed, in percent.
@@ -108,6 +109,11 @@
 }
 
 impl Run {
+    /// Returns the progress last reported, in percent; 0 if none was.
+    pub fn percent(&self) -> u32 {
+        self.progress.map_or(0, |p| p.percent)
+    }
+
     /// Returns whether a stop was sent; it uses capacity until its end is read.
     pub fn is_stopping(&self) -> bool {
         matches!(self.stage, RunStage::StopSent | RunStage::StopAccepted)
@@ -464,7 +470,7 @@
     /// which do not end.
     pub fn stuck_runs(&self, now: Millis) -> Vec<TaskId> {
         let independent = |r: &&Run| {
-            r.stage == RunStage::Confirmed && r.finishes_independently && r.percent < 100
+            r.stage == RunStage::Confirmed && r.finishes_independently && r.percent() < 100
         };
         let is_stuck = |r: &Run| now.saturating_sub(r.progressed_at) > STUCK_TIMEOUT_MS;
         if !self.runs.values().filter(independent).all(is_stuck) {
--- a/src/fleet/policy/mod.rs
+++ b/src/fleet/policy/mod.rs
@@ -41,7 +41,7 @@
     preemption::{Victim, choose_gang_victims, choose_victims},
     renewal::{is_short_run, unacked_interval_ms},
     reservation::{Room, reserve_for_gang, reserve_for_large},
-    speed::{MIN_PROGRESS_MS, RunTimeFactor, needs_speed, remaining_run_ms},
+    speed::{FollowedProgress, MIN_PROGRESS_MS, RunTimeFactor, needs_speed},
     throttle::best_effort_share,
     upkeep::{
         ExecutorWork, MachineView, PersistentTasks, allowed_unavailable, machines_to_drain,
--- a/src/fleet/policy/speed.rs
+++ b/src/fleet/policy/speed.rs
@@ -79,11 +79,27 @@
 /// to percent.
 const MIN_PROGRESS_PERCENT: u32 = 5;
 
-/// Estimates how long a run still takes, in ms: by its progress, or by the estimate of its run time
-/// before there is any.
-pub fn remaining_run_ms(elapsed_ms: Millis, percent: u32, estimate_ms: Millis) -> Millis {
-    if percent < MIN_PROGRESS_PERCENT {
-        return estimate_ms.saturating_sub(elapsed_ms);
+/// Progress of a run since this owner has followed it, in percent of the whole. A run that was adopted, or
+/// that resumed from a checkpoint, has made some before.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct FollowedProgress {
+    /// When it was first known to have a progress.
+    pub since_ms: Millis,
+    /// Its progress then.
+    pub from: u32,
+    pub percent: u32,
+}
+
+impl FollowedProgress {
+    /// Estimates how long the run still takes, in ms: by the progress that was followed, or by the estimate
+    /// of its run time before there is any.
+    pub fn remaining_ms(&self, now_ms: Millis, estimate_ms: Millis) -> Millis {
+        let elapsed_ms = now_ms.saturating_sub(self.since_ms);
+        let left = |percent: u32| Millis::from(100u32.saturating_sub(percent));
+        let made = self.percent.saturating_sub(self.from);
+        if made < MIN_PROGRESS_PERCENT {
+            return (estimate_ms * left(self.from) / 100).saturating_sub(elapsed_ms);
+        }
+        elapsed_ms * left(self.percent) / Millis::from(made)
     }
-    elapsed_ms * Millis::from(100u32.saturating_sub(percent)) / Millis::from(percent)
 }
--- a/tests/policy.rs
+++ b/tests/policy.rs
@@ -2,12 +2,12 @@
 //! choice of executors and victims, and the share of best-effort runs.
 
 use dragonflyferry::{
-    core::Resources,
+    core::{Millis, Resources},
     entry::{another_node_serves, retry_after_s},
     fleet::policy::{
-        AdviceNeed, AdviceOption, AdviceYield, PlacementOption, Rank, Room, RunTimeFactor,
-        Timeliness, Victim, WaitingJob, best_effort_share, choose_best_fit, choose_gang_victims,
-        choose_named, choose_spread, choose_victims, ends_soon, needs_speed, remaining_run_ms,
+        AdviceNeed, AdviceOption, AdviceYield, FollowedProgress, PlacementOption, Rank, Room,
+        RunTimeFactor, Timeliness, Victim, WaitingJob, best_effort_share, choose_best_fit,
+        choose_gang_victims, choose_named, choose_spread, choose_victims, ends_soon, needs_speed,
         reserve_for_gang, reserve_for_large, round_pause_ms,
     },
 };
@@ -201,10 +201,21 @@
 
 #[test]
 fn the_rest_of_a_run_is_estimated_by_its_progress() {
-    assert_eq!(remaining_run_ms(300, 0, 1_000), 700);
-    assert_eq!(remaining_run_ms(1_300, 0, 1_000), 0);
-    assert_eq!(remaining_run_ms(1_000, 25, 1_000), 3_000);
-    assert_eq!(remaining_run_ms(1_000, 100, 1_000), 0);
+    let remaining_ms = |elapsed_ms: Millis, from, percent| {
+        let progress = FollowedProgress {
+            since_ms: 500,
+            from,
+            percent,
+        };
+        progress.remaining_ms(500 + elapsed_ms, 1_000)
+    };
+    assert_eq!(remaining_ms(300, 0, 0), 700);
+    assert_eq!(remaining_ms(1_300, 0, 0), 0);
+    assert_eq!(remaining_ms(1_000, 0, 25), 3_000);
+    assert_eq!(remaining_ms(1_000, 0, 100), 0);
+    // Followed from 80 percent on: a twentieth of it in 500 ms.
+    assert_eq!(remaining_ms(100, 80, 80), 100);
+    assert_eq!(remaining_ms(500, 80, 85), 1_500);
 }
 
 const WAITING_JOB: WaitingJob = WaitingJob {
