Count a recovered job's age from its acceptance

A new owner counted ages, due times and tenants' rates of all recovered jobs from its claim. Work that could no longer be in time ranked as in time, before work that could; all jobs of a tenant hit its rate bucket in one moment, so tenants within their rate lost a priority. Occurrences of a schedule counted from the acceptance of their job instead and ranked as expired.

Ages now come from accepted_unix_ms, which was stored and not read, and those of an occurrence from when it falls due. Buckets take the open jobs in order of acceptance, on the same clock; jobs that have ended are not counted, which errs towards the tenant. Nothing more is stored or read.

relative_times::a_change_of_owner_changes_nothing_of_a_tenants_rate, red on, passes; new tests for jobs and occurrences. The type of the due time changed, and policy.rs states it so.

--- a/src/fleet/cell.rs
+++ b/src/fleet/cell.rs
@@ -17,7 +17,7 @@
             cell_jobs::JobOrigin,
             cell_takeover::WAIT_LOG_INTERVAL_MS,
             job::RUN_NUMBERS_PER_OWNER,
-            policy::{self, AdviceYield},
+            policy::{self, AdviceYield, RateBucket, RateBurst},
             run_log::{EndedRun, StartedRun},
         },
     },
@@ -45,24 +45,6 @@
     pub cpu_milli: u32,
 }
 
-/// Jobs that a tenant may send at once beyond its permitted rate.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
-pub struct RateBurst {
-    /// As many as its rate permits in this time, in ms.
-    pub window_ms: Millis,
-    /// This many besides, so that tenants with a low rate are not held to it job by job.
-    pub jobs: u64,
-}
-
-impl Default for RateBurst {
-    fn default() -> Self {
-        Self {
-            window_ms: 2_000,
-            jobs: 0,
-        }
-    }
-}
-
 /// Readings of both clocks, taken by the caller for one event or round.
 #[derive(Clone, Copy, Debug, Default)]
 pub struct Now {
@@ -149,8 +131,8 @@
     pub(super) leaving: LeavingExecutors,
     /// Sum of the needs of the tracked runs of each tenant, on all executors.
     pub tenant_usage: HashMap<Arc<str>, Resources>,
-    /// Token bucket of each tenant's job rate: thousandths of a job, and when refilled.
-    pub rate_buckets: HashMap<Arc<str>, (u64, Millis)>,
+    /// Token bucket of each tenant's job rate.
+    pub rate_buckets: HashMap<Arc<str>, RateBucket>,
     pub commit_queue: CommitQueue,
     /// Tasks that may have crashed an executor.
     pub(super) crash_watch: CrashWatch,
@@ -250,7 +232,9 @@
         if recovered.roster_unreadable {
             cell.unread.insert(Arc::from(UNREADABLE_ROSTER), None);
         }
-        for (id, record, progress) in recovered.jobs {
+        let mut jobs = recovered.jobs;
+        jobs.sort_by_key(|(id, record, _)| (record.accepted_unix_ms(), *id));
+        for (id, record, progress) in jobs {
             cell.add_recovered(id, record, progress.as_ref(), now);
         }
         let jobs = &cell.jobs;
--- a/src/fleet/cell_advice.rs
+++ b/src/fleet/cell_advice.rs
@@ -89,7 +89,8 @@
                     && !job.dependencies_done(key.0, key.1)
                     && job.dependencies_end_soon(key.0, key.1, now.mono)
                 {
-                    upcoming.push((rule.priority, job.due, job.step_id(*key)));
+                    let due_in_ms = job.due_in_ms(key.0, now);
+                    upcoming.push((rule.priority, due_in_ms, job.step_id(*key)));
                 }
             }
         }
@@ -195,7 +196,7 @@
             rule,
             advice: rule.advice?,
             yield_percent: self.advice_yield(&rule.name).percent(),
-            needs_speed: job.needs_speed(id.step, now.mono),
+            needs_speed: job.needs_speed((id.occurrence, id.step), now),
             waiting,
             valid_fits: 0,
             candidates: Vec::new(),
--- a/src/fleet/cell_explain.rs
+++ b/src/fleet/cell_explain.rs
@@ -96,7 +96,7 @@
     pub queue: Arc<str>,
     pub tenant: Option<Arc<str>>,
     pub state: JobStatus,
-    /// Time since it reached this owner, in ms.
+    /// Time since it was accepted, or since its first open occurrence was due, in ms.
     pub waited_ms: Millis,
     /// Jobs of the same queue that have not started.
     pub queue_waiting: usize,
@@ -118,7 +118,7 @@
             queue: job.submission.queue.name.clone(),
             tenant: job.submission.tenant.clone(),
             state: self.job_status(id)?,
-            waited_ms: now.mono.saturating_sub(job.received_at),
+            waited_ms: job.oldest_age_ms(now),
             queue_waiting: self.count_waiting(&job.submission.queue.name),
             blocked: job.blocked,
             over_rate: job.over_rate,
--- a/src/fleet/cell_jobs.rs
+++ b/src/fleet/cell_jobs.rs
@@ -9,7 +9,10 @@
         fleet::{
             Cell, CellEffect, CommitBatch, Executor, FleetEvent, Job, JobEnd, JobId, JobProgress,
             JobRecord, Now, ProgressFormat, RecordChange, Roster, RosterEntry, StoreWrite,
-            Submission, cell::UNREADABLE_ROSTER, commit_queue::MAX_RECORD_WEIGHT,
+            Submission,
+            cell::UNREADABLE_ROSTER,
+            commit_queue::MAX_RECORD_WEIGHT,
+            policy::{RateBucket, RateLimit},
         },
     },
     std::sync::Arc,
@@ -70,18 +73,23 @@
         job.stored_large = origin == JobOrigin::RecoveredLarge;
         job.large |= job.stored_large;
         job.may_have_progress_record |= job.recovered;
-        job.over_rate = self.exceeds_rate(job.submission.tenant.as_ref(), now.mono);
         job.received_at = now.mono;
-        job.due = now.mono + objective(&job);
+        if job.recovered {
+            job.age_at_receipt_ms = now.unix.saturating_sub(job.submission.accepted_unix_ms);
+        }
+        job.objective_ms = objective(&job);
+        let accepted_at = now.mono.cast_signed() - job.age_at_receipt_ms.cast_signed();
+        job.over_rate = self.exceeds_rate(job.submission.tenant.as_ref(), accepted_at);
         let (recovered, over_rate) = (job.recovered, job.over_rate);
-        let due_in_ms = job.due - now.mono;
+        let age_ms = job.age_at_receipt_ms;
+        let due_in_ms = job.objective_ms.cast_signed() - age_ms.cast_signed();
         let queue = job.submission.queue.name.clone();
         let tenant = job.submission.tenant.clone().unwrap_or_default();
         self.log(
             FleetEvent::JobQueued,
             format!(
-                "job={id} inherited={recovered} excess={over_rate} due_in_ms={due_in_ms} \
-                 queue={queue} tenant={tenant}"
+                "job={id} inherited={recovered} excess={over_rate} age_ms={age_ms} \
+                 due_in_ms={due_in_ms} queue={queue} tenant={tenant}"
             ),
         );
         if job.large && !job.stored_large {
@@ -135,25 +143,20 @@
         }
     }
 
-    /// Takes one job from the tenant's token bucket; returns true if the bucket has less, so that
-    /// the job is over rate. The rate is the tenant's weight, in jobs a second.
-    fn exceeds_rate(&mut self, tenant: Option<&Arc<str>>, now: Millis) -> bool {
+    /// Returns whether a job that was accepted at `accepted_at`, on the owner's monotonic clock, is beyond its
+    /// tenant's rate: its weight, in jobs a second.
+    fn exceeds_rate(&mut self, tenant: Option<&Arc<str>>, accepted_at: i64) -> bool {
         let Some(tenant) = tenant else { return false };
         let Some(rule) = self.config.tenants.get(tenant) else {
             return false;
         };
-        let rate = u64::from(rule.weight.max(1));
-        let burst = self.bounds.rate_burst;
-        let max_tokens = rate * burst.window_ms + burst.jobs * 1000;
-        let entry = self.rate_buckets.entry(tenant.clone());
-        let (tokens, refilled_at) = entry.or_insert((max_tokens, now));
-        *tokens = max_tokens.min(*tokens + now.saturating_sub(*refilled_at) * rate);
-        *refilled_at = now;
-        if *tokens < 1000 {
-            return true;
-        }
-        *tokens -= 1000;
-        false
+        let limit = RateLimit {
+            per_s: u64::from(rule.weight.max(1)),
+            burst: self.bounds.rate_burst,
+        };
+        let bucket = self.rate_buckets.entry(tenant.clone());
+        let bucket = bucket.or_insert_with(|| RateBucket::new(&limit, accepted_at));
+        !bucket.take(&limit, accepted_at)
     }
 
     /// Cancels a job: its runs are stopped and no more tasks start. A cancellation of an unknown
--- a/src/fleet/cell_load.rs
+++ b/src/fleet/cell_load.rs
@@ -27,7 +27,7 @@
 
 /// Time for which the last job of a tenant tells whether it sends more than its permitted rate, in
 /// ms. A tenant whose jobs are refused must be able to use its rate again.
-const OVER_RATE_MS: Millis = 1_000;
+const OVER_RATE_MS: i64 = 1_000;
 
 /// Bounds the tenants that one queue's load names, those with the longest waits; bounds the size of
 /// the message, which goes to each node every 500 ms.
@@ -242,8 +242,9 @@
 #[derive(Debug, Default)]
 struct TenantLoad {
     backlog: Backlog,
-    /// When its last job arrived, and whether that was beyond its rate.
-    last_job: (Millis, bool),
+    /// When its last job was accepted, in ms on the owner's monotonic clock, and whether that was beyond
+    /// its rate.
+    last_job: Option<(i64, bool)>,
 }
 
 /// What the open jobs of one queue need.
@@ -272,10 +273,10 @@
             version,
             ..LoadSummary::default()
         };
-        if self.unread.has_unknown() || !self.has_backlog(now.mono) {
+        if self.unread.has_unknown() || !self.has_backlog(now) {
             return summary;
         }
-        let outstanding = self.outstanding(now.mono);
+        let outstanding = self.outstanding(now);
         let queues = self.config.queues.iter();
         summary.queues = queues
             .filter_map(|rule| self.queue_load(rule, &outstanding))
@@ -283,8 +284,9 @@
         let rate_counts = |q: &QueueLoad| q.over_rate_wait_ms > q.wait_ms;
         if summary.queues.iter().any(rate_counts) {
             let exceeding = outstanding.tenants.iter().filter(|(_, load)| {
-                let (at, over_rate) = load.last_job;
-                over_rate && now.mono < at + OVER_RATE_MS
+                let recent = |at| now.mono.cast_signed() < at + OVER_RATE_MS;
+                load.last_job
+                    .is_some_and(|(at, over_rate)| over_rate && recent(at))
             });
             let names = exceeding.map(|(name, _)| Arc::from(*name));
             summary.over_rate_tenants = names.collect();
@@ -295,17 +297,16 @@
 
     /// Returns whether a job has waited for its first start for a noticeable part of its
     /// objective.
-    fn has_backlog(&self, now: Millis) -> bool {
+    fn has_backlog(&self, now: Now) -> bool {
         self.jobs.values().any(|job| {
-            let waited = now.saturating_sub(job.received_at);
-            waited * BACKLOG_DIVISOR > job.due - job.received_at
+            job.oldest_age_ms(now) * BACKLOG_DIVISOR > job.objective_ms
                 && !job.started
                 && job.end.is_none()
                 && !job.submission.spec.is_persistent()
         })
     }
 
-    fn outstanding(&self, now: Millis) -> Outstanding<'_> {
+    fn outstanding(&self, now: Now) -> Outstanding<'_> {
         let mut outstanding = Outstanding::default();
         self.add_capacities(&mut outstanding);
         for job in self.jobs.values().filter(|j| j.end.is_none()) {
@@ -351,9 +352,9 @@
         }
     }
 
-    fn add_work<'a>(&'a self, job: &'a Job, outstanding: &mut Outstanding<'a>, now: Millis) {
+    fn add_work<'a>(&'a self, job: &'a Job, outstanding: &mut Outstanding<'a>, now: Now) {
         let rule = self.queue_rule(job);
-        let objective_ms = job.due - job.received_at;
+        let objective_ms = job.objective_ms;
         let pool = outstanding.pools.entry(&*rule.pool).or_default();
         let mut work = Amount::default();
         let mut calls_ms = 0;
@@ -382,7 +383,8 @@
                 }
             }
         }
-        let end = now.saturating_sub(job.received_at) + remaining_ms;
+        let age_ms = job.oldest_age_ms(now);
+        let end = age_ms + remaining_ms;
         if end > objective_ms * EXPIRED_TIMES {
             // It is placed after all other work.
             return;
@@ -396,9 +398,10 @@
         let backlog = outstanding.advice.0.entry(tenant).or_default();
         backlog.add(priority, over_rate, late, &calls);
         let load = outstanding.tenants.entry(tenant).or_default();
+        let accepted_at = now.mono.cast_signed() - age_ms.cast_signed();
         // The cap holds back its jobs whether or not they are beyond its rate.
         load.backlog.add(priority, false, late, &work);
-        load.last_job = load.last_job.max((job.received_at, over_rate));
+        load.last_job = load.last_job.max(Some((accepted_at, over_rate)));
         let slack_ms = objective_ms.saturating_sub(job.critical_path_ms());
         let times = outstanding.queues.entry(&*rule.name).or_insert(QueueTimes {
             min_objective_ms: objective_ms,
--- a/src/fleet/cell_plan.rs
+++ b/src/fleet/cell_plan.rs
@@ -114,16 +114,14 @@
     fn candidates(&self, now: Now) -> Vec<Candidate> {
         let mut list = Vec::new();
         for job in self.jobs.values().filter(|j| j.end.is_none()) {
-            let age = now.mono.saturating_sub(job.received_at);
-            let objective = job.due - job.received_at;
             let large = job.has_large_backlog();
             for (key, step) in &job.steps {
                 if step.has_waiting() && job.dependencies_done(key.0, key.1) {
                     let rank = Rank::new(&WaitingJob {
-                        age,
+                        age: job.age_ms(key.0, now),
                         remaining: job.remaining_ms(key.1),
-                        objective,
-                        due: job.due,
+                        objective: job.objective_ms,
+                        due: now.mono.cast_signed() + job.due_in_ms(key.0, now),
                         priority: self.queue_rule(job).priority,
                         begun: job.start_sent,
                         over_rate: job.over_rate,
@@ -319,7 +317,7 @@
         if snapshot.lacks(&rule.pool, &need) {
             return (ids, options);
         }
-        let needs_speed = job.needs_speed(id.step, now.mono);
+        let needs_speed = job.needs_speed((id.occurrence, id.step), now);
         for entry in self.advised_executors(id, snapshot) {
             let name = &entry.info.id;
             let runs = self.executors.get(name).map_or(0, |e| e.runs.len());
--- a/src/fleet/cell_runs.rs
+++ b/src/fleet/cell_runs.rs
@@ -87,7 +87,7 @@
         let job = self.jobs.get(&task.step.job);
         let wait_ms = job
             .filter(|j| !j.start_sent)
-            .map(|j| now.mono - j.received_at);
+            .map(|j| j.age_ms(task.step.occurrence, now));
         if let Some(wait_ms) = wait_ms {
             self.first_wait_ms = Some(wait_ms);
             self.effects.push(CellEffect::FirstStart { wait_ms });
--- a/src/fleet/cell_summary.rs
+++ b/src/fleet/cell_summary.rs
@@ -61,7 +61,7 @@
                 queue.active += 1;
             } else {
                 queue.waiting += 1;
-                let age = now.mono.saturating_sub(job.received_at);
+                let age = job.oldest_age_ms(now);
                 queue.oldest_wait_ms = queue.oldest_wait_ms.max(age);
             }
         }
--- a/src/fleet/job.rs
+++ b/src/fleet/job.rs
@@ -7,9 +7,9 @@
     crate::{
         core::Millis,
         fleet::{
-            BlockReason, ExecutorId, IndexSet, JobEnd, JobProgress, QueueRule, RunNumber, StepId,
-            StepProgress, StepSpec, Submission, TaskId, TaskProgress, job_spec::MAX_DENSE_TASKS,
-            policy,
+            BlockReason, ExecutorId, IndexSet, JobEnd, JobProgress, Now, QueueRule, RunNumber,
+            StepId, StepProgress, StepSpec, Submission, TaskId, TaskProgress,
+            job_spec::MAX_DENSE_TASKS, policy,
         },
     },
     std::{
@@ -290,8 +290,11 @@
     completed: IndexSet,
     /// When this owner received it, in ms on its monotonic clock.
     pub received_at: Millis,
-    /// End of its objective, in ms on the same clock; based on the estimated run times.
-    pub due: Millis,
+    /// Time since an entry node had accepted it then, in ms. Of two times of day, so off by their difference.
+    pub age_at_receipt_ms: Millis,
+    /// Time from its acceptance in which it should end, in ms; based on the estimated run times. An
+    /// occurrence has this time from when it is due.
+    pub objective_ms: Millis,
     /// Estimated time from the start of each step to the end of the last step that depends on it,
     /// in ms.
     remaining_ms: Vec<Millis>,
@@ -332,7 +335,8 @@
             occurrences: 0,
             completed: IndexSet::default(),
             received_at: 0,
-            due: 0,
+            age_at_receipt_ms: 0,
+            objective_ms: 0,
             remaining_ms,
             start_sent: progress.is_some(),
             started: progress.is_some(),
@@ -363,9 +367,30 @@
         remaining.copied().unwrap_or(0)
     }
 
-    /// Returns whether a step that starts now should run on fast executors.
-    pub fn needs_speed(&self, step: u16, now: Millis) -> bool {
-        let slack_ms = self.due.saturating_sub(now + self.remaining_ms(step));
+    /// Returns how long an occurrence has been due, in ms: since an entry node accepted the job, or by its
+    /// schedule.
+    pub fn age_ms(&self, occurrence: u32, now: Now) -> Millis {
+        match self.submission.spec.schedule {
+            Some(schedule) => now.unix.saturating_sub(schedule.due_unix_ms(occurrence)),
+            None => self.age_at_receipt_ms + now.mono.saturating_sub(self.received_at),
+        }
+    }
+
+    /// Returns how long its first open occurrence has been due, in ms; 0 if there is none.
+    pub fn oldest_age_ms(&self, now: Now) -> Millis {
+        let first = self.steps.keys().next();
+        first.map_or(0, |(occurrence, _)| self.age_ms(*occurrence, now))
+    }
+
+    /// Returns the time until the objective of an occurrence ends, in ms; negative once it has passed.
+    pub fn due_in_ms(&self, occurrence: u32, now: Now) -> i64 {
+        self.objective_ms.cast_signed() - self.age_ms(occurrence, now).cast_signed()
+    }
+
+    /// Returns whether a step of an occurrence that starts now should run on fast executors.
+    pub fn needs_speed(&self, (occurrence, step): (u32, u16), now: Now) -> bool {
+        let end_ms = self.age_ms(occurrence, now) + self.remaining_ms(step);
+        let slack_ms = self.objective_ms.saturating_sub(end_ms);
         let estimate_ms = self.spec(step).map_or(0, |s| s.estimate_ms);
         !self.submission.spec.is_persistent() && policy::needs_speed(slack_ms, estimate_ms)
     }
@@ -379,9 +404,7 @@
     /// occurrences were added.
     pub fn next_due_unix_ms(&self) -> Option<Millis> {
         let schedule = self.submission.spec.schedule?;
-        let after_start = u64::from(self.occurrences).saturating_mul(schedule.interval_ms);
-        let due = schedule.start_unix_ms.saturating_add(after_start);
-        (self.occurrences < schedule.count).then_some(due)
+        (self.occurrences < schedule.count).then(|| schedule.due_unix_ms(self.occurrences))
     }
 
     /// Adds the occurrences that are due, as many as may be open, and returns whether any was added. A
--- a/src/fleet/job_spec.rs
+++ b/src/fleet/job_spec.rs
@@ -74,6 +74,14 @@
     pub interval_ms: Millis,
 }
 
+impl Schedule {
+    /// Returns when an occurrence is due, in Unix ms.
+    pub fn due_unix_ms(&self, occurrence: u32) -> Millis {
+        let after_start = u64::from(occurrence).saturating_mul(self.interval_ms);
+        self.start_unix_ms.saturating_add(after_start)
+    }
+}
+
 /// A job as submitted by its caller.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub struct JobSpec {
--- a/src/fleet/mod.rs
+++ b/src/fleet/mod.rs
@@ -58,7 +58,7 @@
 
 pub use {
     advice_slots::AdviceSlots,
-    cell::{Cell, CellBounds, JobStatus, Now, RateBurst},
+    cell::{Cell, CellBounds, JobStatus, Now},
     cell_evacuation::EvacuationSummary,
     cell_explain::{BlockReason, JobExplanation, StepExplanation},
     cell_summary::{FleetSummary, QueueSummary, TenantSummary},
--- a/src/fleet/policy/mod.rs
+++ b/src/fleet/policy/mod.rs
@@ -1,5 +1,5 @@
 //! Scheduling policy: order of waiting steps, choice of executors, advice, crashes, departures,
-//! preemption, throttling, admission, maintenance, and how long ownership holds.
+//! preemption, throttling, rates, admission, maintenance, and how long ownership holds.
 //!
 //! Pure functions on plain data, called by the cell in every round and by the nodes. Nothing here
 //! keeps state, reads a clock or sends a command.
@@ -14,6 +14,7 @@
 mod pace;
 mod placement;
 mod preemption;
+mod rate;
 mod renewal;
 mod reservation;
 mod speed;
@@ -39,6 +40,7 @@
     pace::round_pause_ms,
     placement::{PlacementOption, choose_best_fit, choose_spread},
     preemption::{Victim, choose_gang_victims, choose_victims},
+    rate::{RateBucket, RateBurst, RateLimit},
     renewal::{is_short_run, unacked_interval_ms},
     reservation::{Room, reserve_for_gang, reserve_for_large},
     speed::{FollowedProgress, MIN_PROGRESS_MS, RunTimeFactor, needs_speed},
--- a/src/fleet/policy/order.rs
+++ b/src/fleet/policy/order.rs
@@ -92,14 +92,14 @@
     reason = "independent facts, each documented"
 )]
 pub struct WaitingJob {
-    /// Time since it was received.
+    /// Time since it was accepted.
     pub age: Millis,
     /// Estimated time from the start of the step to the end of the job.
     pub remaining: Millis,
     /// Time in which it should end.
     pub objective: Millis,
-    /// End of its objective on the owner's monotonic clock.
-    pub due: Millis,
+    /// End of its objective on the owner's monotonic clock; before its boot if negative.
+    pub due: i64,
     /// Priority of its queue; 0 is the most urgent.
     pub priority: u32,
     /// Whether a task of it was started.
@@ -138,5 +138,5 @@
     /// A patient job no task of which was started.
     pub unbegun: bool,
     /// End of the job's objective, in ms on the owner's monotonic clock.
-    pub due: Millis,
+    pub due: i64,
 }
--- a/src/fleet/records.rs
+++ b/src/fleet/records.rs
@@ -69,6 +69,16 @@
         }
     }
 
+    /// Returns when an entry node accepted the job, in Unix ms; `None` once it has ended.
+    pub fn accepted_unix_ms(&self) -> Option<Millis> {
+        match self {
+            Self::Open(submission) | Self::OpenLarge(submission) => {
+                Some(submission.accepted_unix_ms)
+            }
+            Self::Ended { .. } => None,
+        }
+    }
+
     /// Returns the encoding of the job's progress.
     pub fn progress_format(&self) -> ProgressFormat {
         match self {
--- a/src/platform/settings.rs
+++ b/src/platform/settings.rs
@@ -4,7 +4,7 @@
 
 use {
     crate::{
-        fleet::{RateBurst, UpkeepTiming},
+        fleet::{UpkeepTiming, policy::RateBurst},
         platform::PlatformError,
     },
     serde::Deserialize,
--- a/src/report/job_log.rs
+++ b/src/report/job_log.rs
@@ -129,10 +129,10 @@
                 if fields.get("inherited").is_some_and(|i| i == "false") {
                     self.queued_at.get_or_insert(line.at);
                 }
-                let due = fields.get("due_in_ms").and_then(|d| d.parse().ok());
-                self.objective_ms = self.objective_ms.or(due);
+                let objective = objective_ms(fields);
+                self.objective_ms = self.objective_ms.or(objective);
                 self.events.push((line.at, JobEvent::Queued));
-                return due.is_some();
+                return objective.is_some();
             }
             _ => return self.add_run_event(line, fields),
         }
@@ -228,3 +228,11 @@
     let unnamed = unnamed.unwrap_or(0);
     Some((step, NamedRuns { tasks, unnamed }))
 }
+
+/// Returns the objective of a job from its line [`FleetEvent::JobQueued`], in ms from its acceptance. Lines
+/// of earlier versions have no age: they count from the owner's receipt.
+fn objective_ms(fields: &Fields<'_>) -> Option<Millis> {
+    let due_in_ms: i64 = fields.get("due_in_ms")?.parse().ok()?;
+    let age_ms = fields.get("age_ms").and_then(|a| a.parse().ok());
+    u64::try_from(due_in_ms + age_ms.unwrap_or(0)).ok()
+}
--- a/standins/src/cell_world.rs
+++ b/standins/src/cell_world.rs
@@ -10,8 +10,8 @@
         fleet::{
             AdvisedExecutor, Cell, CellBounds, CellEffect, CellEvent, CommandError, CommandReply,
             Evacuations, ExecutorCommand, ExecutorId, ExecutorInfo, FleetConfig, JobId,
-            JobProgress, JobRecord, JobStatus, LeaseWaits, Now, RateBurst, RecoveredState,
-            RosterEntry, StepId, StoreWrite, Submission, TaskId, UpkeepPlan,
+            JobProgress, JobRecord, JobStatus, LeaseWaits, Now, RecoveredState, RosterEntry,
+            StepId, StoreWrite, Submission, TaskId, UpkeepPlan, policy::RateBurst,
         },
     },
     rand::{Rng, SeedableRng, rngs::SmallRng},
@@ -279,8 +279,9 @@
         self.step(CellEvent::AdviceNodes(advice_nodes(self.nodes)));
     }
 
-    /// Stores a job and notifies the owner.
-    pub fn submit(&mut self, submission: Submission) {
+    /// Stores a job as accepted now and notifies the owner.
+    pub fn submit(&mut self, mut submission: Submission) {
+        submission.accepted_unix_ms = UNIX_START_MS + self.now;
         let record = JobRecord::open(submission.clone());
         self.records.jobs.insert(submission.id, record);
         self.submissions.insert(submission.id, submission.clone());
--- a/tests/policy.rs
+++ b/tests/policy.rs
@@ -160,11 +160,11 @@
 /// begun is finished first.
 #[test]
 fn patient_jobs_that_have_begun_go_before_those_that_have_not() {
-    let rank = |age, begun| {
+    let rank = |age: Millis, begun| {
         Rank::new(&WaitingJob {
             age,
             remaining: 400,
-            due: 1_000_000 - age,
+            due: 1_000_000 - age.cast_signed(),
             begun,
             ..WAITING_JOB
         })
--- a/tests/relative_times.rs
+++ b/tests/relative_times.rs
@@ -9,7 +9,7 @@
             Cell, CellEffect, CellEvent, ClockReading, EarlierLeases, Executor, ExecutorId,
             ExecutorInfo, FleetConfig, Job, JobEnd, JobId, JobRecord, LeaseWaits, Now,
             RecoveredState, Schedule, StoreWrite, Submission, TenantRule,
-            policy::{OwnershipProof, earlier_runs_end_after},
+            policy::{OwnershipProof, RateBucket, RateBurst, RateLimit, earlier_runs_end_after},
         },
         platform::{NodeSettings, executor_from_entry},
     },
@@ -18,8 +18,8 @@
     serde_json::{Value, json},
     slog::{Discard, Logger, o},
     standins::{
-        cell_sample::{config, job, step},
-        cell_world::BOUNDS,
+        cell_sample::{config, job, step, world},
+        cell_world::{BOUNDS, CellWorld},
     },
     std::{
         path::Path,
@@ -243,3 +243,90 @@
         assert_eq!(found, over_rate, "at intervals of {interval_ms} ms");
     }
 }
+
+/// Runs one executor full until `until`, in ms of the simulation.
+fn occupy(world: &mut CellWorld, until: Millis) {
+    let left_ms = until - world.now;
+    world.submit(job(1, "urgent", vec![step(1, 8_000, left_ms)]));
+    world.run(100);
+}
+
+fn started_at(world: &CellWorld, id: u64) -> Option<Millis> {
+    let started = format!("RunStarted step={}.", JobId(id));
+    let line = world.log.iter().find(|l| l.contains(&started))?;
+    line.split(' ').next()?.parse().ok()
+}
+
+/// Guards against work that can no longer be in time and takes the place of work that can, as the owner
+/// changed since it was accepted.
+#[test]
+fn a_job_is_as_old_after_a_change_of_owner_as_before() {
+    let mut world = world(1, 1);
+    occupy(&mut world, 12_000);
+    world.submit(job(2, "urgent", vec![step(1, 8_000, 1_000)]));
+    world.run(9_000);
+    world.replace_owner();
+    world.run(1_900);
+    world.submit(job(3, "urgent", vec![step(1, 8_000, 1_000)]));
+    world.run(4_000);
+    let (hopeless, in_time) = (started_at(&world, 2), started_at(&world, 3));
+    assert!(in_time.is_some(), "{:#?}", world.log);
+    assert!(
+        hopeless.is_none_or(|at| Some(at) > in_time),
+        "{hopeless:?} {in_time:?}"
+    );
+    assert_eq!(world.violations, Vec::<String>::new());
+}
+
+/// Guards against an occurrence that ranks behind patient work, as its job was accepted long before.
+#[test]
+fn an_occurrence_is_as_old_as_the_time_since_it_fell_due() {
+    let mut world = world(1, 1);
+    let mut repeated = job(2, "urgent", vec![step(1, 8_000, 500)]);
+    repeated.spec.schedule = Some(Schedule {
+        count: 2,
+        start_unix_ms: UNIX_START_MS + world.now,
+        interval_ms: 30_000,
+    });
+    world.submit(repeated);
+    world.run(20_000);
+    occupy(&mut world, 30_700);
+    world.submit(job(3, "patient", vec![step(1, 8_000, 2_000)]));
+    world.run(15_000);
+    let occurrence = format!("RunStarted step={}.1.", JobId(2));
+    let patient = format!("RunStarted step={}.", JobId(3));
+    let started = |l: &&String| l.contains(&occurrence) || l.contains(&patient);
+    let first = world.log.iter().find(started).expect("a start");
+    assert!(first.contains(&occurrence), "{first}");
+    assert_eq!(world.violations, Vec::<String>::new());
+}
+
+/// Guards against an age below 0 where the time of day of the new owner is behind: the job counts as new.
+#[test]
+fn a_job_from_the_future_counts_as_new() {
+    let record = JobRecord::Open(Submission {
+        accepted_unix_ms: NOW.unix + 5_000,
+        ..job(1, "urgent", vec![step(1, 1_000, 10_000)])
+    });
+    let cell = recover(config(), vec![(JobId(1), record)]);
+    let waited = cell
+        .explain_job(JobId(1), later(300))
+        .expect("known")
+        .waited_ms;
+    assert_eq!(waited, 300);
+}
+
+/// Guards against a bucket that is refilled by jobs which are read out of order.
+#[test]
+fn a_job_read_late_refills_nothing() {
+    let limit = RateLimit {
+        per_s: 1,
+        burst: RateBurst {
+            window_ms: 2_000,
+            jobs: 0,
+        },
+    };
+    let mut bucket = RateBucket::new(&limit, -10_000);
+    let taken = [-9_000, -9_000, -9_000, -20_000, -8_000, -8_000].map(|at| bucket.take(&limit, at));
+    assert_eq!(taken, [true, true, false, false, true, false]);
+}
