Test an occurrence's age beside patient work that is not late

The patient job was submitted 10 s too early and had expired too, so the test passed with ages counted from the job's acceptance. It fails now without, and passes with it.

--- a/tests/relative_times.rs
+++ b/tests/relative_times.rs
@@ -291,6 +291,7 @@
     world.submit(repeated);
     world.run(20_000);
     occupy(&mut world, 30_700);
+    world.run(10_000);
     world.submit(job(3, "patient", vec![step(1, 8_000, 2_000)]));
     world.run(15_000);
     let occurrence = format!("RunStarted step={}.1.", JobId(2));
