--- a/src/fleet/cell.rs
+++ b/src/fleet/cell.rs
@@ -19,7 +19,6 @@
             job::RUN_NUMBERS_PER_OWNER,
             policy::{self, AdviceYield, RateBucket, RateBurst},
             run_log::{EndedRun, StartedRun},
-            work_inflow::WorkInflow,
         },
     },
     serde::{Deserialize, Serialize},
@@ -132,8 +131,6 @@
     pub(super) leaving: LeavingExecutors,
     /// Sum of the needs of the tracked runs of each tenant, on all executors.
     pub tenant_usage: HashMap<Arc<str>, Resources>,
-    /// Work that arrives, by pool and priority.
-    pub(super) inflow: WorkInflow,
     /// Token bucket of each tenant's job rate.
     pub rate_buckets: HashMap<Arc<str>, RateBucket>,
     pub commit_queue: CommitQueue,
@@ -209,7 +206,6 @@
             leaving: LeavingExecutors::default(),
             tenant_usage: HashMap::new(),
             rate_buckets: HashMap::new(),
-            inflow: WorkInflow::default(),
             commit_queue: CommitQueue::default(),
             crash_watch: CrashWatch::default(),
             roster: HashMap::new(),
--- a/src/fleet/cell_jobs.rs
+++ b/src/fleet/cell_jobs.rs
@@ -96,7 +96,6 @@
             // Earlier versions read the record that they know, and cannot schedule the job.
             self.commit_queue.mark_dirty(id, RecordChange::Progress);
         }
-        self.record_inflow(&job, accepted_at);
         self.jobs.insert(id, job);
         if let Some(progress) = progress {
             self.restore_crashes(id, progress, now);
--- a/src/fleet/cell_load.rs
+++ b/src/fleet/cell_load.rs
@@ -45,13 +45,6 @@
 /// above.
 const MAX_CAP_ROUNDS: usize = 16;
 
-/// Part of the time that a new job may wait, in percent, beyond which it probably turns late. The work ahead
-/// that is in time never exceeds what fits into that time, as the rest has turned late itself.
-const IN_TIME_PERCENT: Millis = 50;
-
-/// Least part of a capacity, as a divisor, that counts as left beside the work that arrives.
-const MIN_LEFT_DIVISOR: u64 = 20;
-
 /// Number of quantities in an [`Amount`]: the resources, and whole executors.
 const QUANTITIES: usize = 5;
 
@@ -60,7 +53,7 @@
 
 /// Capacity, or work as the product of capacity and ms.
 #[derive(Clone, Copy, Debug, Default)]
-pub(super) struct Amount([u64; QUANTITIES]);
+struct Amount([u64; QUANTITIES]);
 
 impl Amount {
     fn of(resources: &Resources) -> Self {
@@ -73,7 +66,7 @@
         Self([cpu_milli, memory_mib, accelerators, slots, 0].map(u64::from))
     }
 
-    pub(super) fn add(&mut self, other: &Self) {
+    fn add(&mut self, other: &Self) {
         let sums = self.0.iter_mut().zip(other.0);
         sums.for_each(|(sum, part)| *sum = sum.saturating_add(part));
     }
@@ -94,32 +87,6 @@
         Self(self.0.map(done))
     }
 
-    /// Returns an average of this weight after `ms`, with weights that fall to 1/e in `period_ms`.
-    #[expect(
-        clippy::cast_possible_truncation,
-        clippy::cast_precision_loss,
-        clippy::cast_sign_loss,
-        reason = "a part of the amount, as an average"
-    )]
-    pub(super) fn decayed(self, ms: Millis, period_ms: Millis) -> Self {
-        let part = (-(ms as f64) / period_ms as f64).exp();
-        Self(self.0.map(|amount| (amount as f64 * part) as u64))
-    }
-
-    pub(super) fn divided_by(self, divisor: u64) -> Self {
-        Self(self.0.map(|amount| amount / divisor))
-    }
-
-    /// Returns what work that arrives at a rate leaves of this capacity, at least a small part.
-    fn left_beside(&self, rate: &Self) -> Self {
-        let mut left = *self;
-        for (left, rate) in left.0.iter_mut().zip(rate.0) {
-            let least = left.div_ceil(MIN_LEFT_DIVISOR);
-            *left = left.saturating_sub(rate).max(least);
-        }
-        left
-    }
-
     fn times(self, factor: u64) -> Self {
         Self(self.0.map(|amount| amount.saturating_mul(factor)))
     }
@@ -201,14 +168,14 @@
 
 impl TenantBacklogs<'_> {
     /// Returns the wait of a new job on `capacity`; the job is in time if it waits at most
-    /// `slack_ms`, and has `late_capacity` if it does not.
+    /// `slack_ms`.
     ///
     /// The work of a tenant at its cap takes up only as much capacity as the cap allows.
     fn wait(
         &self,
         (priority, over_rate): (u32, bool),
         slack_ms: Millis,
-        (capacity, late_capacity): (&Amount, &Amount),
+        capacity: &Amount,
         cap_times: &CapTimes<'_>,
     ) -> Millis {
         let ahead: Vec<_> = self
@@ -221,11 +188,11 @@
             .collect();
         let in_time = ahead.iter().map(|(work, cap)| (work.0, cap.0));
         let wait_ms = shared_duration(&in_time, capacity);
-        if wait_ms.saturating_mul(100) <= slack_ms.saturating_mul(IN_TIME_PERCENT) {
+        if wait_ms <= slack_ms {
             return wait_ms;
         }
         let late = ahead.iter().map(|(work, cap)| (work.1, cap.1));
-        shared_duration(&late, late_capacity)
+        shared_duration(&late, capacity)
     }
 }
 
@@ -312,7 +279,7 @@
         let outstanding = self.outstanding(now);
         let queues = self.config.queues.iter();
         summary.queues = queues
-            .filter_map(|rule| self.queue_load(rule, &outstanding, now))
+            .filter_map(|rule| self.queue_load(rule, &outstanding))
             .collect();
         let rate_counts = |q: &QueueLoad| q.over_rate_wait_ms > q.wait_ms;
         if summary.queues.iter().any(rate_counts) {
@@ -444,22 +411,6 @@
         times.max_slack_ms = times.max_slack_ms.max(slack_ms);
     }
 
-    /// Counts the work of a job that ends by itself among what arrives.
-    pub(super) fn record_inflow(&mut self, job: &Job, accepted_at: i64) {
-        let spec = &job.submission.spec;
-        if spec.is_persistent() || spec.schedule.is_some() || job.over_rate {
-            return;
-        }
-        let rule = self.queue_rule(job);
-        let (pool, priority) = (rule.pool.clone(), rule.priority);
-        let mut work = Amount::default();
-        for step in &spec.steps {
-            let run_ms = step.estimate_ms.saturating_mul(u64::from(step.count));
-            work.add(&Amount::of(&step.allocation()).times(run_ms));
-        }
-        self.inflow.add(&pool, priority, &work, accepted_at);
-    }
-
     /// Returns how many executors the calls for a step with so many waiting tasks name at least.
     fn named_executors(&self, rule: &QueueRule, waiting: u32) -> usize {
         let advised = self.advice_yields.get(&rule.name);
@@ -469,12 +420,7 @@
     }
 
     /// Returns the load of a queue; `None` while each of its waits is below its objective.
-    fn queue_load(
-        &self,
-        rule: &QueueRule,
-        outstanding: &Outstanding<'_>,
-        now: Now,
-    ) -> Option<QueueLoad> {
+    fn queue_load(&self, rule: &QueueRule, outstanding: &Outstanding<'_>) -> Option<QueueLoad> {
         let pool = outstanding.pools.get(&*rule.pool)?;
         let times = outstanding.queues.get(&*rule.name);
         let times = times.copied().unwrap_or(QueueTimes {
@@ -484,21 +430,17 @@
         let cap_times = self.cap_times(rule, outstanding);
         let slots = u64::try_from(self.advice_slots.count()).unwrap_or(u64::MAX);
         let slots = Amount([slots, 0, 0, 0, 0]);
-        let inflow = self
-            .inflow
-            .rate(&rule.pool, rule.priority, now.mono.cast_signed());
-        let left = pool.capacity.left_beside(&inflow);
         let wait = |over_rate: bool| {
             let (class, slack_ms) = ((rule.priority, over_rate), times.max_slack_ms);
             let work = &pool.work;
-            let room_ms = work.wait(class, slack_ms, (&pool.capacity, &left), &cap_times);
+            let room_ms = work.wait(class, slack_ms, &pool.capacity, &cap_times);
             let room_ms = pool.run_time_ms(room_ms);
             if rule.advice.is_none() {
                 return room_ms;
             }
             // Calls go on while tasks run, so the two times overlap.
             let calls = &outstanding.advice;
-            room_ms.max(calls.wait(class, slack_ms, (&slots, &slots), &cap_times))
+            room_ms.max(calls.wait(class, slack_ms, &slots, &cap_times))
         };
         let load = QueueLoad {
             queue: rule.name.clone(),
--- a/src/fleet/mod.rs
+++ b/src/fleet/mod.rs
@@ -55,7 +55,6 @@
 mod run_log;
 mod unread_executors;
 mod wave;
-mod work_inflow;
 
 pub use {
     advice_slots::AdviceSlots,
