--- a/src/entry/dispatch.rs
+++ b/src/entry/dispatch.rs
@@ -115,22 +115,21 @@
     /// longer than an earlier one does not replace it. Returns whether the node was added.
     pub fn set_node(&mut self, dispatcher: Dispatcher, node_ms: Millis, now: Millis) -> bool {
         let clock_offset = node_ms.cast_signed() - now.cast_signed();
-        let read = Node {
-            clock_offset,
-            read_at: now,
-        };
         let known = self.nodes.get(&dispatcher.node);
-        let better = known.is_none_or(|n| n.offset_at(now) <= clock_offset);
-        let known = known.is_some();
-        if better {
-            self.nodes.insert(dispatcher.node.clone(), read);
+        let is_new = known.is_none();
+        if known.is_none_or(|n| n.offset_at(now) <= clock_offset) {
+            let node = Node {
+                clock_offset,
+                read_at: now,
+            };
+            self.nodes.insert(dispatcher.node.clone(), node);
         }
         if !self.dispatchers.contains(&dispatcher) {
             self.dispatchers.retain(|d| d.node != dispatcher.node);
             self.dispatchers.push(dispatcher);
             self.clear_choices();
         }
-        !known
+        is_new
     }
 
     /// Removes a node; returns its calls in flight, whose outcome is unknown.
--- a/src/fleet/cell_executors.rs
+++ b/src/fleet/cell_executors.rs
@@ -390,11 +390,8 @@
             run.stage = RunStage::Confirmed;
             run.stage_since = now.mono;
         }
-        let progress = run.progress.get_or_insert(FollowedProgress {
-            since_ms: now.mono,
-            from: row.percent,
-            percent: row.percent,
-        });
+        let first = FollowedProgress::new(now.mono, row.percent);
+        let progress = run.progress.get_or_insert(first);
         if progress.percent != row.percent {
             progress.percent = row.percent;
             run.progressed_at = now.mono;
--- a/src/fleet/cell_runs.rs
+++ b/src/fleet/cell_runs.rs
@@ -75,11 +75,7 @@
         let mut run = new_run(number, RunStage::StartSent, spec, ticket, now.mono);
         let resumed = self.task(&task).is_some_and(|t| !t.checkpoint.is_empty());
         if !resumed {
-            run.progress = Some(FollowedProgress {
-                since_ms: now.mono,
-                from: 0,
-                percent: 0,
-            });
+            run.progress = Some(FollowedProgress::new(now.mono, 0));
         }
         if run.finishes_independently && !resumed {
             run.measured_estimate_ms = spec.estimate_ms;
@@ -130,11 +126,8 @@
         if spec.persistent {
             return Some(Millis::MAX);
         }
-        let progress = run.progress.unwrap_or(FollowedProgress {
-            since_ms: run.started_at,
-            from: 0,
-            percent: 0,
-        });
+        let unknown = FollowedProgress::new(run.started_at, 0);
+        let progress = run.progress.unwrap_or(unknown);
         Some(progress.remaining_ms(now.mono, spec.estimate_ms))
     }
 
--- a/src/fleet/job.rs
+++ b/src/fleet/job.rs
@@ -290,7 +290,7 @@
     completed: IndexSet,
     /// When this owner received it, in ms on its monotonic clock.
     pub received_at: Millis,
-    /// Time since an entry node had accepted it then, in ms. Of two times of day, so off by their difference.
+    /// Its age then, in ms: the time since an entry node accepted it, by the times of day of both nodes.
     pub age_at_receipt_ms: Millis,
     /// Time from its acceptance in which it should end, in ms; based on the estimated run times. An
     /// occurrence has this time from when it is due.
--- a/src/fleet/policy/speed.rs
+++ b/src/fleet/policy/speed.rs
@@ -91,6 +91,15 @@
 }
 
 impl FollowedProgress {
+    /// Returns the progress of a run that is followed from `since_ms` on, when it was at `from` percent.
+    pub fn new(since_ms: Millis, from: u32) -> Self {
+        Self {
+            since_ms,
+            from,
+            percent: from,
+        }
+    }
+
     /// Estimates how long the run still takes, in ms: by the progress that was followed, or by the estimate
     /// of its run time before there is any.
     pub fn remaining_ms(&self, now_ms: Millis, estimate_ms: Millis) -> Millis {
