Take the checkpoint of a gang's member from its first member

Whether a run resumes was asked of the member's own task, but a gang's checkpoint is kept at its first member.

departures::no_member_of_a_resumed_gang_starts_from_nothing failed before: [None, Some(FollowedProgress { from: 0, .. })].

--- a/src/fleet/cell_runs.rs
+++ b/src/fleet/cell_runs.rs
@@ -73,7 +73,7 @@
             return;
         };
         let mut run = new_run(number, RunStage::StartSent, spec, ticket, now.mono);
-        let resumed = self.task(&task).is_some_and(|t| !t.checkpoint.is_empty());
+        let resumed = !self.checkpoint_of(&task).is_empty();
         if !resumed {
             run.progress = Some(FollowedProgress::new(now.mono, 0));
         }
@@ -173,11 +173,7 @@
         let Some(job) = self.jobs.get(&task.step.job) else {
             return;
         };
-        let gang = job.spec(task.step.step).is_some_and(|s| s.gang);
-        let key = (task.step.occurrence, task.step.step);
-        let checkpoint_index = if gang { 0 } else { task.index };
-        let state = job.steps.get(&key).and_then(|s| s.task(checkpoint_index));
-        let checkpoint = state.map(|t| t.checkpoint.clone()).unwrap_or_default();
+        let checkpoint = self.checkpoint_of(&task);
         let payload = job.submission.spec.payload.clone();
         let lease_ms = self.bounds.max_lease_ms;
         let token = self.command_token(id);
@@ -441,23 +437,35 @@
         true
     }
 
-    /// Records a checkpoint; one of any member serves the whole gang and is kept at its first
-    /// task. An empty one changes nothing.
+    /// Records a checkpoint. An empty one changes nothing.
     pub(super) fn record_checkpoint(&mut self, task: TaskId, checkpoint: &Arc<str>) {
         if checkpoint.is_empty() {
             return;
         }
-        let gang = self.step_spec(&task).is_some_and(|s| s.gang);
-        let checkpoint_index = if gang { 0 } else { task.index };
-        if let Some(t) = self
-            .step_mut(&task)
-            .and_then(|s| s.task_mut(checkpoint_index))
+        let keeper = self.checkpoint_keeper(&task);
+        if let Some(t) = self.task_mut(&keeper)
             && t.checkpoint != *checkpoint
         {
             t.checkpoint = checkpoint.clone();
         }
     }
 
+    /// Returns the checkpoint from which a task starts; empty if there is none.
+    fn checkpoint_of(&self, task: &TaskId) -> Arc<str> {
+        let keeper = self.task(&self.checkpoint_keeper(task));
+        keeper.map(|t| t.checkpoint.clone()).unwrap_or_default()
+    }
+
+    /// Returns the task that keeps the checkpoint of a task: the first one of a gang, as a checkpoint of any
+    /// member serves all.
+    fn checkpoint_keeper(&self, task: &TaskId) -> TaskId {
+        let gang = self.step_spec(task).is_some_and(|s| s.gang);
+        TaskId {
+            index: if gang { 0 } else { task.index },
+            ..*task
+        }
+    }
+
     pub(super) fn clear_active(&mut self, id: &ExecutorId, task: &TaskId) {
         if let Some(step) = self.step_mut(task) {
             step.clear_active(task.index, id);
--- a/tests/departures.rs
+++ b/tests/departures.rs
@@ -3,7 +3,11 @@
 use {
     dragonflyferry::{
         core::Millis,
-        fleet::{AdviceRule, FleetConfig, JobId, StepSpec, TaskId, policy},
+        fleet::{
+            AdviceRule, FleetConfig, IndexSet, JobId, JobProgress, StepProgress, StepSpec, TaskId,
+            TaskProgress,
+            policy::{self, FollowedProgress},
+        },
     },
     standins::{
         CellWorld,
@@ -220,6 +224,47 @@
     assert_sound(&world);
 }
 
+/// Guards against the progress of a gang that resumed from a checkpoint and counts as made since its start:
+/// only the first member keeps the checkpoint.
+#[test]
+fn no_member_of_a_resumed_gang_starts_from_nothing() {
+    let mut world = world(1, 0);
+    let gang = StepSpec {
+        gang: true,
+        checkpoints: true,
+        ..step(2, 7_000, 20_000)
+    };
+    world.submit(job(1, "patient", vec![gang]));
+    let saved = TaskProgress {
+        index: 0,
+        checkpoint: Arc::from("c"),
+        failed_runs: Vec::new(),
+    };
+    let progress = JobProgress {
+        steps: vec![StepProgress {
+            occurrence: 0,
+            step: 0,
+            done: IndexSet::default(),
+            tasks: vec![saved],
+        }],
+        ..JobProgress::default()
+    };
+    world.records.progress.insert(JobId(1), progress);
+    world.replace_owner();
+    for name in ["e0", "e1"] {
+        world.add_executor(name, "pool", "r0", capacity());
+    }
+    let runs = |world: &CellWorld| -> Vec<Option<FollowedProgress>> {
+        let runs = world.cell.executors.values().flat_map(|e| e.runs.values());
+        runs.map(|r| r.progress).collect()
+    };
+    let gives_up_at = world.now + 2_000;
+    while runs(&world).is_empty() && world.now < gives_up_at {
+        world.run(1);
+    }
+    assert_eq!(runs(&world), [None, None], "{:#?}", tail(&world));
+}
+
 /// An entry bounds the exit from both sides; of several the tightest bounds hold.
 #[test]
 fn the_exit_is_never_expected_later_than_an_entry_says() {
