--- a/src/fleet/cell.rs
+++ b/src/fleet/cell.rs
@@ -232,6 +232,7 @@
         if recovered.roster_unreadable {
             cell.unread.insert(Arc::from(UNREADABLE_ROSTER), None);
         }
+        // The rate of a tenant depends on the order in which its jobs were accepted.
         let mut jobs = recovered.jobs;
         jobs.sort_by_key(|(id, record, _)| (record.accepted_unix_ms(), *id));
         for (id, record, progress) in jobs {
--- a/src/fleet/cell_upkeep.rs
+++ b/src/fleet/cell_upkeep.rs
@@ -6,13 +6,10 @@
 //! the plan and reads the report; this module chooses no machines.
 
 use {
-    crate::{
-        core::Millis,
-        fleet::{
-            Cell, Executor, ExecutorId, Now, RunStage, Step, StepId, StepSpec, TaskId,
-            cell::UNREADABLE_ROSTER,
-            policy::{ExecutorWork, PersistentTasks, allowed_unavailable},
-        },
+    crate::fleet::{
+        Cell, Executor, ExecutorId, Now, RunStage, Step, StepId, TaskId,
+        cell::UNREADABLE_ROSTER,
+        policy::{ExecutorWork, PersistentTasks, allowed_unavailable},
     },
     std::collections::{BTreeMap, BTreeSet},
 };
@@ -123,10 +120,8 @@
                 continue;
             }
             work.runs += 1;
-            work.work_ms +=
-                remaining_ms(spec, run.percent(), now.mono - run.started_at.min(now.mono))
-                    * u64::from(run.need.cpu_milli.max(1))
-                    / 1000;
+            let remaining_ms = self.remaining_run_ms(task, run, now).unwrap_or(0).max(1);
+            work.work_ms += remaining_ms * u64::from(run.need.cpu_milli.max(1)) / 1000;
         }
         for step in steps {
             work.persistent
@@ -153,10 +148,3 @@
         Some(tasks)
     }
 }
-
-/// Estimates how long a run still takes, in ms, by its estimate and its progress.
-fn remaining_ms(spec: &StepSpec, percent: u32, elapsed_ms: Millis) -> Millis {
-    let by_progress = spec.estimate_ms * u64::from(100 - percent.min(100)) / 100;
-    let by_time = spec.estimate_ms.saturating_sub(elapsed_ms);
-    by_progress.min(by_time).max(1)
-}
--- a/src/fleet/policy/order.rs
+++ b/src/fleet/policy/order.rs
@@ -92,7 +92,7 @@
     reason = "independent facts, each documented"
 )]
 pub struct WaitingJob {
-    /// Time since it was accepted.
+    /// Time since it was accepted, or since the step's occurrence was due.
     pub age: Millis,
     /// Estimated time from the start of the step to the end of the job.
     pub remaining: Millis,
--- a/src/fleet/policy/ownership.rs
+++ b/src/fleet/policy/ownership.rs
@@ -6,7 +6,8 @@
 
 use crate::core::Millis;
 
-/// Maximum lag of an executor's clock, in thousandths: the platform's protocol allows 2%.
+/// Maximum lag of an executor's clock, in thousandths: the platform's protocol allows 2%. That of a node's
+/// clock is assumed to be no larger.
 pub const MAX_CLOCK_LAG_MILLI: Millis = 20;
 
 /// Proof of ownership: the last successful renewal of the store lease to which the owner's key is
--- a/src/fleet/policy/rate.rs
+++ b/src/fleet/policy/rate.rs
@@ -43,16 +43,16 @@
 pub struct RateBucket {
     /// Thousandths of a job.
     tokens: u64,
-    /// In ms on the owner's monotonic clock.
+    /// Latest acceptance of a job, in ms on the owner's monotonic clock.
     refilled_at: i64,
 }
 
 impl RateBucket {
-    /// Returns a full bucket.
-    pub fn new(limit: &RateLimit, now: i64) -> Self {
+    /// Returns a bucket that is full at `at`.
+    pub fn new(limit: &RateLimit, at: i64) -> Self {
         Self {
             tokens: limit.max_tokens(),
-            refilled_at: now,
+            refilled_at: at,
         }
     }
 
--- a/src/report/job_timeline.rs
+++ b/src/report/job_timeline.rs
@@ -329,7 +329,7 @@
         )
     };
     if let Some(ms) = fields.get("waited_ms") {
-        let _ = write!(text, ", its first start, after {ms} ms at the owner");
+        let _ = write!(text, ", its first start, after waiting {ms} ms");
     }
     if let Some(blocked) = fields.get("blocked") {
         let _ = write!(text, "; kept back until then by: {blocked}");
@@ -348,7 +348,10 @@
         text.push_str("; beyond its organisation's rate, so behind others");
     }
     if let Some(due_in_ms) = fields.get("due_in_ms") {
-        let _ = write!(text, "; objective in {due_in_ms} ms");
+        let _ = match due_in_ms.strip_prefix('-') {
+            Some(ms) => write!(text, "; its objective passed {ms} ms ago"),
+            None => write!(text, "; objective in {due_in_ms} ms"),
+        };
     }
     text
 }
--- a/tests/load_account.rs
+++ b/tests/load_account.rs
@@ -316,3 +316,19 @@
     let no_period = run_client(&["report", "load", "--every", "0"], b"");
     assert_eq!(no_period.status.code(), Some(2));
 }
+
+/// Guards against an objective that counts from a new owner's takeover: a job of 1.4 s that was taken over
+/// after its objective of 1 s had passed is late.
+#[test]
+fn the_objective_of_a_job_that_was_taken_over_counts_from_its_acceptance() {
+    let mut log = Log::default();
+    log.add(0, "n1", JobAccepted, &format!("job={:016x} queue=q", 1));
+    let inherited = "job=0000000000000001 inherited=true excess=false age_ms=1200 due_in_ms=-200 \
+                     queue=q tenant=anvil";
+    log.add(1_200, "n2", JobQueued, inherited);
+    log.end(1_400, 1, "Completed");
+    let account = log.account();
+    assert_eq!(account.total.late, 1);
+    assert_eq!(account.limits.estimated_objectives, 0);
+    assert_eq!(account.limits.unknown_objectives, 0);
+}
