--- a/review/standin-2/rig.rs
+++ b/review/standin-2/rig.rs
@@ -639,6 +639,8 @@
     pub ended: Option<(u64, String)>,
     /// When `ackCursor` reached its end.
     pub noted_at: Option<u64>,
+    /// Whether the executor's lease lapsed between the two.
+    pub lapsed: bool,
 }
 
 struct ExecutorState {
@@ -820,6 +822,9 @@
             e.ended.notify_all();
         }
         if s.clock() > s.deadline {
+            for end in &s.ended {
+                lock(&self.runs)[end.4].lapsed = true;
+            }
             while !s.running.is_empty() {
                 self.finish(&mut s, 0, "lapsed");
                 e.ended.notify_all();
@@ -895,6 +900,7 @@
                     began_at: now,
                     ended: None,
                     noted_at: None,
+                    lapsed: false,
                 });
                 s.running.push((task.clone(), number, runs.len() - 1, now, lasts_ms.map(|ms| now + ms)));
                 drop(runs);
