--- a/review/9/run.sh
+++ b/review/9/run.sh
@@ -3,4 +3,4 @@
 # Needs the build of the deploy file and review/build-2.sh.
 cd "$(dirname "$0")/../.." || exit 2
 [ -x target/review-2/rig ] && [ -x target/release/dragonflyferryd ] || exit 2
-exec target/review-2/rig waiting review/9/record.txt
+exec target/review-2/rig grey review/9/record.txt
--- a/review/standin-2/timed.rs
+++ b/review/standin-2/timed.rs
@@ -17,7 +17,8 @@
     let store = Store::new();
     store.put("op/config", rig::CONFIG);
     let zones = ["montreal", "sherbrooke", "trois-rivieres"];
-    let places: Vec<(&str, &str)> = (0..10).map(|i| ("scorekeeper", zones[i % 3])).collect();
+    let executors: usize = std::env::var("EXECUTORS").ok().and_then(|s| s.parse().ok()).unwrap_or(10);
+    let places: Vec<(&str, &str)> = (0..executors).map(|i| ("scorekeeper", zones[i % 3])).collect();
     let fleet = Fleet::start(&store, record, &places);
     fleet.beat();
     let dir = rig::scratch("timed");
@@ -70,7 +71,7 @@
             let i = random(3) as usize;
             lossy.store(random(3) == 0, std::sync::atomic::Ordering::SeqCst);
             if random(3) == 0 {
-                let e = fleet.executors[random(10) as usize].clone();
+                let e = fleet.executors[random(executors as u64) as usize].clone();
                 let (f, down) = (fleet.clone(), 300 + random(2_000));
                 std::thread::spawn(move || {
                     f.crash(&e);
