--- a/review/standin-2/rig.rs
+++ b/review/standin-2/rig.rs
@@ -1035,9 +1035,18 @@
     }
 }
 
+/// Returns free ports, in order. They lie below those that the system gives to outgoing channels, and two
+/// scripts at a time begin at different ones.
 fn free_ports(count: usize) -> Vec<u16> {
-    let listeners: Vec<TcpListener> = (0..count).map(|_| TcpListener::bind("127.0.0.1:0").unwrap()).collect();
-    let mut ports: Vec<u16> = listeners.iter().map(|l| l.local_addr().unwrap().port()).collect();
+    static NEXT: std::sync::atomic::AtomicU32 = std::sync::atomic::AtomicU32::new(0);
+    let mut ports = Vec::new();
+    while ports.len() < count {
+        let n = NEXT.fetch_add(1, std::sync::atomic::Ordering::SeqCst);
+        let port = 10_000 + ((std::process::id() * 97 + n) % 20_000) as u16;
+        if TcpListener::bind(("127.0.0.1", port)).is_ok() {
+            ports.push(port);
+        }
+    }
     ports.sort_unstable();
     ports
 }
