Keep a job cancelled before it was stored from being stored later

Cause: the answer took a job without a record for one that will have none. The store may carry out a write seconds after its sender has given up, as long as its condition holds, and the job's first write expects no record. In the record of the case the store has one write of the job, sent before and carried out 4.5 s after the answer; the owner never heard of a cancellation.

Change: the cancellation of a job without a record writes one, an end as cancelled without a queue, on condition that there is still none, and answers once it is durable. Each write of the job that is on its way, from the store, another node or a relay, then fails by its own condition. The promise is in the store, so no kill, restart or change of owner ends it. The owner learns of the record from its watch or at its takeover, and deletes it after the retention of ended jobs; cancellations without a job are deleted with it, which stayed for ever. A submission that comes later is a cancelled job.

--- a/src/entry/caller_api.rs
+++ b/src/entry/caller_api.rs
@@ -1,6 +1,7 @@
 //! The callers' HTTP interface: submit a job, read its status, cancel it, count the waiting jobs
 //! of a queue. Served by the daemon on every node. It stores jobs and cancellations before it
-//! accepts them; it must not refuse a job that may already be stored.
+//! accepts them; it must not refuse a job that may already be stored, nor take a job without a
+//! record for one that will not be stored.
 
 use {
     crate::{
@@ -8,7 +9,9 @@
             OverloadRefusal, Shared, admission, clock, event_log::Latency, retry_after_s,
             store_keys as keys,
         },
-        fleet::{FleetConfig, FleetEvent, JobId, JobRecord, JobStatus, QueueRule, Submission},
+        fleet::{
+            FleetConfig, FleetEvent, JobEnd, JobId, JobRecord, JobStatus, QueueRule, Submission,
+        },
         platform::{
             API_KEY_HEADER, DEADLINE_HEADER, READY_PATH, StoreError, StoreItem, Transaction,
             job_from_bytes, job_state_body, queue_depth_body,
@@ -171,7 +174,8 @@
 }
 
 /// Stores a job. Refuses only if the job is certainly not stored and never will be; after a write
-/// with an unknown outcome it retries until the caller's deadline.
+/// with an unknown outcome it retries until the caller's deadline. A job that was cancelled before is
+/// stored as a cancelled one.
 async fn accept(shared: &Shared, submission: Submission) -> Reply {
     let id = submission.id;
     let record = JobRecord::open(submission.clone());
@@ -189,23 +193,32 @@
             "large job while a node of an earlier version lives",
         );
     }
-    let txn = Transaction {
-        expect: vec![(keys::job(id), 0)],
-        set: vec![(keys::job(id), value, 0)],
-        remove: Vec::new(),
-    };
+    let mut txn = replace_record(id, 0, value);
+    let mut withdrawn = false;
     let mut maybe_stored = false;
     let mut busy_attempts = 0;
     loop {
         match shared.commit_for_caller(&txn).await {
+            Ok(_) if withdrawn => return empty(StatusCode::OK),
             Ok(_) => {
                 return reply_accepted(shared, submission);
             }
             Err(StoreError::Conflict(items)) => {
-                if let Some(reply) = reply_stored(shared, id, &items) {
-                    return reply;
-                }
                 maybe_stored = true;
+                let item = items.iter().find(|i| i.revision > 0);
+                match item.map(|i| decode_record(shared, i)) {
+                    Some(Ok((record, revision))) if record.is_withdrawn() => {
+                        log_withdrawn(shared, id, "submitted after it was cancelled");
+                        let Ok(value) = keys::encode(&cancelled_record(&submission)) else {
+                            return outcome_unknown(shared, id);
+                        };
+                        txn = replace_record(id, revision, value);
+                        withdrawn = true;
+                    }
+                    Some(Ok((record, _))) => return reply_stored(shared, record),
+                    Some(Err(())) => return outcome_unknown(shared, id),
+                    None => {}
+                }
             }
             Err(StoreError::Refused) => {
                 return refuse_size(shared, id, "the store refuses the record");
@@ -225,20 +238,41 @@
     }
 }
 
-/// Replies to a job whose record is in the store already; `None` if the record is missing, so that
-/// the job may be stored after all.
-fn reply_stored(shared: &Shared, id: JobId, items: &[StoreItem]) -> Option<Reply> {
-    let item = items.iter().find(|i| i.revision > 0)?;
-    Some(match keys::decode(&item.key, &item.value) {
-        Ok(JobRecord::Open(old) | JobRecord::OpenLarge(old)) => reply_accepted(shared, old),
-        Ok(JobRecord::Ended { .. }) => empty(StatusCode::OK),
-        Err(e) => {
-            shared.log_event(FleetEvent::BadEntry, &e.to_string());
-            outcome_unknown(shared, id)
-        }
+/// Returns the transaction that writes a job's record in place of that of a revision; 0: there is none.
+fn replace_record(id: JobId, revision: u64, value: Vec<u8>) -> Transaction {
+    Transaction {
+        expect: vec![(keys::job(id), revision)],
+        set: vec![(keys::job(id), value, 0)],
+        remove: Vec::new(),
+    }
+}
+
+/// Returns the record of a job that is accepted although a caller has cancelled it.
+fn cancelled_record(submission: &Submission) -> JobRecord {
+    JobRecord::Ended {
+        end: JobEnd::Cancelled,
+        queue: submission.queue.name.clone(),
+        tenant: submission.tenant.clone(),
+        ended_unix_ms: clock::unix(),
+    }
+}
+
+/// Returns a job's record and its revision; `Err` if it cannot be decoded.
+fn decode_record(shared: &Shared, item: &StoreItem) -> Result<(JobRecord, u64), ()> {
+    let record = keys::decode(&item.key, &item.value);
+    record.map(|r| (r, item.revision)).map_err(|e| {
+        shared.log_event(FleetEvent::BadEntry, &e.to_string());
     })
 }
 
+/// Replies to a job whose record is in the store already.
+fn reply_stored(shared: &Shared, record: JobRecord) -> Reply {
+    match record {
+        JobRecord::Open(old) | JobRecord::OpenLarge(old) => reply_accepted(shared, old),
+        JobRecord::Ended { .. } => empty(StatusCode::OK),
+    }
+}
+
 fn reply_accepted(shared: &Shared, submission: Submission) -> Reply {
     let detail = format!("job={} queue={}", submission.id, submission.queue.name);
     shared.log_event(FleetEvent::JobAccepted, &detail);
@@ -251,8 +285,11 @@
         return json(job_state_body(status));
     }
     match read_record(shared, id).await {
-        Ok(Some(JobRecord::Ended { end, .. })) => json(job_state_body(JobStatus::from_end(end))),
-        Ok(Some(JobRecord::Open(_) | JobRecord::OpenLarge(_))) => {
+        Ok(Some((record, _))) if record.is_withdrawn() => empty(StatusCode::GONE),
+        Ok(Some((JobRecord::Ended { end, .. }, _))) => {
+            json(job_state_body(JobStatus::from_end(end)))
+        }
+        Ok(Some((JobRecord::Open(_) | JobRecord::OpenLarge(_), _))) => {
             json(job_state_body(JobStatus::Pending))
         }
         Ok(None) => empty(StatusCode::GONE),
@@ -260,15 +297,10 @@
     }
 }
 
-/// Reads a job's record from the store; `Err` if it cannot be read or decoded.
-async fn read_record(shared: &Shared, id: JobId) -> Result<Option<JobRecord>, ()> {
+/// Reads a job's record and its revision from the store; `Err` if it cannot be read or decoded.
+async fn read_record(shared: &Shared, id: JobId) -> Result<Option<(JobRecord, u64)>, ()> {
     match shared.get_for_caller(&keys::job(id)).await {
-        Ok(Some(item)) => {
-            let record = keys::decode(&item.key, &item.value);
-            record.map(Some).map_err(|e| {
-                shared.log_event(FleetEvent::BadEntry, &e.to_string());
-            })
-        }
+        Ok(Some(item)) => decode_record(shared, &item).map(Some),
         Ok(None) => Ok(None),
         Err(_) => Err(()),
     }
@@ -276,20 +308,19 @@
 
 async fn cancel(shared: &Shared, checked: &CheckedRequest, id: JobId) -> Reply {
     let cancel = async {
-        match read_record(shared, id).await {
-            Ok(Some(JobRecord::Open(_) | JobRecord::OpenLarge(_))) => {}
-            Ok(Some(JobRecord::Ended { .. })) => return empty(StatusCode::OK),
-            Ok(None) => return empty(StatusCode::GONE),
-            Err(()) => return refuse(shared, &id.to_string(), "the store does not answer"),
-        }
-        let txn = Transaction {
-            set: vec![(keys::cancellation(id), Vec::new(), 0)],
-            ..Transaction::default()
-        };
         loop {
-            if shared.commit_for_caller(&txn).await.is_ok() {
-                shared.notify_cancelled(id);
-                return empty(StatusCode::OK);
+            let revision = match read_record(shared, id).await {
+                Ok(Some((JobRecord::Open(_) | JobRecord::OpenLarge(_), _))) => {
+                    return cancel_stored(shared, id).await;
+                }
+                // Written anew, so that it is kept for its whole time from this reply on.
+                Ok(Some((record, revision))) if record.is_withdrawn() => revision,
+                Ok(Some((JobRecord::Ended { .. }, _))) => return empty(StatusCode::OK),
+                Ok(None) => 0,
+                Err(()) => return refuse(shared, &id.to_string(), "the store does not answer"),
+            };
+            if withdraw(shared, id, revision).await {
+                return empty(StatusCode::GONE);
             }
             tokio::time::sleep(STORE_RETRY_INTERVAL).await;
         }
@@ -300,6 +331,43 @@
     }
 }
 
+/// Stores the cancellation of a stored job.
+async fn cancel_stored(shared: &Shared, id: JobId) -> Reply {
+    let txn = Transaction {
+        set: vec![(keys::cancellation(id), Vec::new(), 0)],
+        ..Transaction::default()
+    };
+    loop {
+        if shared.commit_for_caller(&txn).await.is_ok() {
+            shared.notify_cancelled(id);
+            return empty(StatusCode::OK);
+        }
+        tokio::time::sleep(STORE_RETRY_INTERVAL).await;
+    }
+}
+
+/// Keeps a job that is not stored from being stored later: the store or a node may still have a write of
+/// it under way. `revision` is that of an earlier record of this kind, or 0. Returns false if the
+/// record may be another one meanwhile.
+async fn withdraw(shared: &Shared, id: JobId, revision: u64) -> bool {
+    let Ok(value) = keys::encode(&JobRecord::withdrawn(clock::unix())) else {
+        return false;
+    };
+    let txn = replace_record(id, revision, value);
+    let written = shared.commit_for_caller(&txn).await.is_ok();
+    if written {
+        log_withdrawn(shared, id, "cancelled before it was stored");
+    }
+    written
+}
+
+fn log_withdrawn(shared: &Shared, id: JobId, reason: &str) {
+    shared.log_event(
+        FleetEvent::JobWithdrawn,
+        &format!("job={id} reason={reason}"),
+    );
+}
+
 async fn queue_depth(shared: &Shared, checked: &CheckedRequest) -> Reply {
     match shared.query_queue_depth(checked.queue.name.clone()).await {
         Some(count) => json(queue_depth_body(count)),
--- a/src/entry/owner_watch.rs
+++ b/src/entry/owner_watch.rs
@@ -8,7 +8,7 @@
             OwnerInput, Shared, clock, store_keys as keys,
             takeover::{READ_TIMEOUT, executor_or_log, ok_or_log},
         },
-        fleet::{CellEvent, JobId, JobRecord},
+        fleet::{CellEvent, JobEnd, JobId, JobRecord},
         platform::{EXECUTORS_PREFIX, StoreChange, StoreError, StoreItem},
     },
     std::{sync::Arc, time::Duration},
@@ -211,8 +211,27 @@
         return;
     }
     let record = ok_or_log(shared, keys::decode::<JobRecord>(&item.key, &item.value));
-    if let Some(JobRecord::Open(submission) | JobRecord::OpenLarge(submission)) = record {
-        let _ = tx.send(OwnerInput::Submitted(Box::new(submission)));
+    match record {
+        Some(JobRecord::Open(submission) | JobRecord::OpenLarge(submission)) => {
+            let _ = tx.send(OwnerInput::Submitted(Box::new(submission)));
+        }
+        // Entry nodes write these too; other ends are the owner's own.
+        Some(
+            record @ JobRecord::Ended {
+                end: JobEnd::Cancelled,
+                ..
+            },
+        ) => {
+            let id = item.key.strip_prefix(keys::JOBS_PREFIX);
+            if let Some(Ok(job)) = id.map(str::parse) {
+                let event = CellEvent::CancelledRecord {
+                    job,
+                    record: Box::new(record),
+                };
+                let _ = tx.send(OwnerInput::Cell(event));
+            }
+        }
+        Some(JobRecord::Ended { .. }) | None => {}
     }
 }
 
--- a/src/fleet/cell.rs
+++ b/src/fleet/cell.rs
@@ -111,7 +111,8 @@
     pub jobs: BTreeMap<JobId, Job>,
     /// Durable ends, to answer callers, and when each was recorded here.
     pub ended_jobs: HashMap<JobId, (JobEnd, Millis)>,
-    /// Cancellations that arrived before their job, and when.
+    /// Cancellations that arrived before their job, and when. The store has each of them; they are dropped
+    /// there after the time for which ended jobs are kept.
     pub pending_cancels: HashMap<JobId, Millis>,
     /// Executors of the earlier owner's roster whose runs this owner has not read yet.
     pub unread: UnreadExecutors,
@@ -255,10 +256,11 @@
     /// Applies one event; the effects are collected for [`Self::take_effects`].
     pub fn step(&mut self, event: CellEvent, now: Now) {
         // The handlers of command and commit results set `needs_placement` themselves: most
-        // results change nothing.
+        // results change nothing, and neither does the record of a job that was not stored.
         let sets_flag_itself = matches!(
             event,
-            CellEvent::CommandResult { .. }
+            CellEvent::CancelledRecord { .. }
+                | CellEvent::CommandResult { .. }
                 | CellEvent::CommitRefused { .. }
                 | CellEvent::CommitResult { .. }
         );
@@ -285,6 +287,9 @@
                 // Stored after this owner's claim, so no earlier owner has started it.
                 self.add_job(*submission, None, JobOrigin::Accepted, now);
             }
+            CellEvent::CancelledRecord { job, record } => {
+                self.add_recovered(job, *record, None, now);
+            }
             CellEvent::JobRead { job, record } => self.on_job_read(job, record.map(|r| *r), now),
             CellEvent::Cancelled(id) => self.cancel(id, now),
             CellEvent::AdviceNodes(nodes) => self.advice_slots.set_nodes(nodes),
@@ -383,8 +388,6 @@
         self.add_due_occurrences(now);
         self.expire_advice_calls(now);
         self.purge_ended(now);
-        self.pending_cancels
-            .retain(|_, at| now.mono < *at + self.bounds.ended_retention_ms);
     }
 
     fn add_due_occurrences(&mut self, now: Now) {
--- a/src/fleet/cell_jobs.rs
+++ b/src/fleet/cell_jobs.rs
@@ -45,10 +45,14 @@
             JobRecord::OpenLarge(submission) => {
                 self.add_job(submission, progress, JobOrigin::RecoveredLarge, now);
             }
-            JobRecord::Ended { end, .. } if !self.jobs.contains_key(&id) => {
+            JobRecord::Ended { .. } if self.jobs.contains_key(&id) => {}
+            record if record.is_withdrawn() => {
+                self.pending_cancels.insert(id, now.mono);
+            }
+            JobRecord::Ended { end, .. } => {
+                self.pending_cancels.remove(&id);
                 self.ended_jobs.entry(id).or_insert((end, now.mono));
             }
-            JobRecord::Ended { .. } => {}
         }
     }
 
@@ -305,7 +309,8 @@
 
     fn store_write_for(&mut self, id: JobId, now: Now) -> Option<StoreWrite> {
         let Some(job) = self.jobs.get(&id) else {
-            return (!self.ended_jobs.contains_key(&id)).then_some(StoreWrite::Delete { job: id });
+            let kept = self.ended_jobs.contains_key(&id) || self.pending_cancels.contains_key(&id);
+            return (!kept).then_some(StoreWrite::Delete { job: id });
         };
         let Some(end) = job.end else {
             return self.progress_write(id);
@@ -408,9 +413,14 @@
         }
     }
 
-    /// Drops ended jobs past their retention, here and with the next commit in the store.
+    /// Drops ended jobs past their retention, and cancellations whose job did not come within it, here and
+    /// with the next commit in the store.
     pub(super) fn purge_ended(&mut self, now: Now) {
         let retention_ms = self.bounds.ended_retention_ms;
+        let overdue = |_: &JobId, at: &mut Millis| now.mono > *at + retention_ms;
+        for (id, _) in self.pending_cancels.extract_if(overdue) {
+            self.commit_queue.mark_dirty(id, RecordChange::Deletion);
+        }
         let expired = |(id, (_, at)): (&JobId, &(JobEnd, Millis))| {
             (now.mono > at + retention_ms).then_some(*id)
         };
--- a/src/fleet/event.rs
+++ b/src/fleet/event.rs
@@ -296,6 +296,8 @@
     Submitted(Box<Submission>),
     /// A caller cancelled a job.
     Cancelled(JobId),
+    /// The store has the record of a cancelled job; this owner or an entry node wrote it.
+    CancelledRecord { job: JobId, record: Box<JobRecord> },
     /// The record of a job that executors named and that was not known.
     JobRead {
         job: JobId,
@@ -439,11 +441,12 @@
     OwnerStopping,
     TakeoverEnded,
     ExitingRunsStopped,
+    JobWithdrawn,
 }
 
 impl FleetEvent {
     /// All events, in the order of their numbers.
-    pub const ALL: [Self; 49] = [
+    pub const ALL: [Self; 50] = [
         Self::NodeStarted,
         Self::NodeStopping,
         Self::SettingsReloaded,
@@ -493,6 +496,7 @@
         Self::OwnerStopping,
         Self::TakeoverEnded,
         Self::ExitingRunsStopped,
+        Self::JobWithdrawn,
     ];
 
     /// Returns the event with this catalogue number; `None` if there is none.
--- a/src/fleet/records.rs
+++ b/src/fleet/records.rs
@@ -69,6 +69,23 @@
         }
     }
 
+    /// Returns the record of a job that was cancelled before it was stored. Writes of the job that are under
+    /// way expect no record, so none of them takes effect any more. It has no queue; versions that know
+    /// no such record read it as that of a cancelled job.
+    pub fn withdrawn(unix_ms: Millis) -> Self {
+        Self::Ended {
+            end: JobEnd::Cancelled,
+            queue: Arc::default(),
+            tenant: None,
+            ended_unix_ms: unix_ms,
+        }
+    }
+
+    /// Returns whether the job was cancelled before it was stored.
+    pub fn is_withdrawn(&self) -> bool {
+        matches!(self, Self::Ended { end: JobEnd::Cancelled, queue, .. } if queue.is_empty())
+    }
+
     /// Returns when an entry node accepted the job, in Unix ms; `None` once it has ended.
     pub fn accepted_unix_ms(&self) -> Option<Millis> {
         match self {
--- a/standins/src/run_journal.rs
+++ b/standins/src/run_journal.rs
@@ -40,6 +40,8 @@
     pub accepted_at: Option<Millis>,
     /// Whether a cancellation was sent, whatever the reply.
     pub cancelled: bool,
+    /// When a cancellation was answered as that of a job which does not exist.
+    pub withdrawn_at: Option<Millis>,
     pub completed_at: Option<Millis>,
 }
 
@@ -183,6 +185,14 @@
         lock(&self.inner).runs.len()
     }
 
+    /// Returns the number of runs of a job so far.
+    pub fn count_runs_of(&self, id: &str) -> usize {
+        let inner = lock(&self.inner);
+        let runs = inner.runs.iter();
+        runs.filter(|r| split_task(&r.task).is_some_and(|(job, _)| job == id))
+            .count()
+    }
+
     /// Returns the step of a task, or `None` if no client submitted it.
     pub fn step_of(&self, task: &str) -> Option<StepPlan> {
         let (job, step) = split_task(task)?;
@@ -377,7 +387,8 @@
     }
 
     /// Returns all broken rules: those seen as they happened, runs of a task at the same time or
-    /// after an acknowledged end, and starts before the end of the step before.
+    /// after an acknowledged end, starts before the end of the step before, and starts of a job after a
+    /// caller was told that it does not exist.
     pub fn judge(&self) -> Vec<Violation> {
         let inner = lock(&self.inner);
         let mut found = inner.violations.clone();
@@ -392,6 +403,14 @@
             let Some(job_record) = inner.jobs.get(job) else {
                 continue;
             };
+            let late = |r: &&&RunRecord| job_record.withdrawn_at.is_some_and(|at| r.began_at > at);
+            if let Some(run) = runs.iter().find(late) {
+                found.push(Violation {
+                    rule: "UNASKED",
+                    at: run.began_at,
+                    text: format!("{task} began after its job was withdrawn"),
+                });
+            }
             let step = &job_record.steps[number];
             if step.after_previous
                 && let Some(text) = inner.find_early(job, number, runs)
--- a/standins/src/soak.rs
+++ b/standins/src/soak.rs
@@ -40,6 +40,9 @@
 /// Zones of executors, in turn within a pool.
 const ZONES: [&str; 3] = ["z0", "z1", "z2"];
 
+/// Part of the clients that leave before the answer to a submission and cancel, in percent.
+const IMPATIENT_PERCENT: u32 = 5;
+
 /// Kinds of faults with their weights.
 pub const FAULTS: [(&str, u32); 24] = [
     ("compact", 2),
@@ -252,6 +255,13 @@
         }
         let client = stage.client().large_percent(self.large_percent);
         let client = client.persistent_percent(self.persistent_percent);
+        // Earlier versions start a job whose cancellation they have answered before it was stored.
+        let impatient_percent = if self.upgrade_from.is_none() {
+            IMPATIENT_PERCENT
+        } else {
+            0
+        };
+        let client = client.impatient_percent(impatient_percent);
         let stop = Arc::new(AtomicBool::new(false));
         // Half of the executors' capacity at the mean size of jobs.
         let per_second = f64::from(u32::try_from(self.executors).unwrap_or(24)) / 8.0;
--- a/standins/src/soak_clients.rs
+++ b/standins/src/soak_clients.rs
@@ -1,5 +1,5 @@
 //! Clients of a soak: submit jobs over open connections, repeat requests without an answer at other
-//! nodes, ask for states and cancel.
+//! nodes, ask for states and cancel. Some leave before the answer and cancel what they have submitted.
 //!
 //! They record in the [`RunJournal`] what they were told. They use an open connection until the
 //! node's process is gone.
@@ -17,6 +17,7 @@
     serde_json::{Value, json},
     std::{
         net::SocketAddr,
+        ops::Range,
         sync::{
             Arc,
             atomic::{AtomicBool, Ordering},
@@ -34,6 +35,9 @@
 /// Time that a client waits for a response.
 const DEADLINE: Duration = Duration::from_secs(3);
 
+/// Times that clients wait for an answer which leave before it, in ms.
+const PATIENCE_MS: Range<Millis> = 5..500;
+
 /// Attempts to submit a job.
 const MAX_ATTEMPTS: u32 = 30;
 
@@ -48,6 +52,8 @@
     large_percent: u32,
     /// Part of the other jobs whose tasks last, in percent.
     persistent_percent: u32,
+    /// Part of the clients that leave before the answer, in percent.
+    impatient_percent: u32,
 }
 
 impl SoakClient {
@@ -61,6 +67,7 @@
             started_at,
             large_percent: 0,
             persistent_percent: 5,
+            impatient_percent: 0,
         }
     }
 
@@ -78,6 +85,13 @@
         self
     }
 
+    /// Sets the part of the clients that leave before the answer, in percent.
+    #[must_use]
+    pub fn impatient_percent(mut self, percent: u32) -> Self {
+        self.impatient_percent = percent;
+        self
+    }
+
     fn now(&self) -> Millis {
         Millis::try_from(self.started_at.elapsed().as_millis()).unwrap_or(Millis::MAX)
     }
@@ -132,6 +146,12 @@
         let queue = job.queue;
         let cancels = rng.random_range(0..100) < if job.is_persistent() { 40 } else { 8 };
         self.journal.add_job(&id, job.clone());
+        if rng.random_range(0..100) < self.impatient_percent {
+            let node = rng.random_range(0..self.nodes.len());
+            let patience = Duration::from_millis(rng.random_range(PATIENCE_MS));
+            self.submit_and_leave(node, &id, &job, patience).await;
+            return self.cancel(&id, queue, &mut rng).await;
+        }
         if !self.submit(&id, &job, &mut rng).await {
             return;
         }
@@ -186,6 +206,25 @@
         reply.await.map(|(status, _)| status)
     }
 
+    /// Submits a job once, to one node, and leaves if there is no reply within `patience`; returns the
+    /// status of the reply.
+    pub async fn submit_and_leave(
+        &self,
+        node: usize,
+        id: &str,
+        job: &JobRecord,
+        patience: Duration,
+    ) -> Option<StatusCode> {
+        let reply = tokio::time::timeout(patience, self.submit_to(node, id, job));
+        reply.await.ok()?
+    }
+
+    /// Cancels a job once, at one node; returns the status of the reply.
+    pub async fn cancel_at(&self, node: usize, id: &str, queue: &str) -> Option<StatusCode> {
+        let reply = self.send(node, Method::DELETE, queue, id, String::new());
+        reply.await.map(|(status, _)| status)
+    }
+
     /// Sends a body as a job's submission once, to one node; returns the status of the reply.
     pub async fn submit_body(&self, node: usize, id: &str, body: String) -> Option<StatusCode> {
         let reply = self.send(node, Method::POST, QUEUES[0], id, body);
@@ -196,12 +235,13 @@
         self.journal.update_job(id, |j| j.cancelled = true);
         for _ in 0..MAX_ATTEMPTS {
             let node = rng.random_range(0..self.nodes.len());
-            let reply = self
-                .send(node, Method::DELETE, queue, id, String::new())
-                .await;
-            let done = |s: StatusCode| s.is_success() || s == StatusCode::GONE;
-            if reply.is_some_and(|(status, _)| done(status)) {
-                return;
+            match self.cancel_at(node, id, queue).await {
+                Some(StatusCode::GONE) => {
+                    let now = self.now();
+                    return self.journal.update_job(id, |j| j.withdrawn_at = Some(now));
+                }
+                Some(status) if status.is_success() => return,
+                _ => {}
             }
             tokio::time::sleep(Duration::from_millis(300)).await;
         }
@@ -246,6 +286,7 @@
         steps: (0..step_count).map(|n| step(n, rng)).collect(),
         accepted_at: None,
         cancelled: false,
+        withdrawn_at: None,
         completed_at: None,
     }
 }
@@ -264,6 +305,7 @@
         steps: vec![step],
         accepted_at: None,
         cancelled: false,
+        withdrawn_at: None,
         completed_at: None,
     }
 }
--- a/tests/large_jobs.rs
+++ b/tests/large_jobs.rs
@@ -300,6 +300,7 @@
         }],
         accepted_at: None,
         cancelled: false,
+        withdrawn_at: None,
         completed_at: None,
     }
 }
--- a/tests/odd_entries.rs
+++ b/tests/odd_entries.rs
@@ -276,6 +276,7 @@
         }],
         accepted_at: None,
         cancelled: false,
+        withdrawn_at: None,
         completed_at: None,
     };
     for round in 1..=3 {
--- a/tests/soak.rs
+++ b/tests/soak.rs
@@ -99,6 +99,7 @@
         steps: vec![step],
         accepted_at: Some(0),
         cancelled: false,
+        withdrawn_at: None,
         completed_at: None,
     };
     journal.add_job("a", job);
