Count only runs of the trial against its limit of one task a job

A run that had outlasted the fault kept its job from the trial, so that its other tasks waited until the run was done, if no other job needed the executor.

--- a/src/fleet/executor.rs
+++ b/src/fleet/executor.rs
@@ -428,11 +428,14 @@
         self.suspicion.trial_tasks_left(self.runs.values(), now)
     }
 
-    /// Returns whether a job's tasks that end may start here as far as a trial is concerned: one task or
-    /// gang of a job at a time, so that a fault that goes on uses up few attempts.
+    /// Returns whether a trial, if there is one, takes another task of a job: one task or gang of each at a
+    /// time, so that a fault that goes on uses up few attempts.
     pub fn may_try(&self, job: JobId, now: Millis) -> bool {
-        let left = self.trial_tasks_left(now);
-        left.is_none_or(|n| n > 0 && self.runs.keys().all(|t| t.step.job != job))
+        let Some(left) = self.trial_tasks_left(now) else {
+            return true;
+        };
+        let tried = |(t, r): (&TaskId, &Run)| t.step.job == job && self.suspicion.is_trial(r);
+        left > 0 && !self.runs.iter().any(tried)
     }
 
     /// Returns the stuck runs if no run here progresses, which means that the executor hangs.
--- a/src/fleet/suspicion.rs
+++ b/src/fleet/suspicion.rs
@@ -89,6 +89,11 @@
         self.until = self.until.max(until);
     }
 
+    /// Returns whether a run was started since the last suspicion.
+    pub fn is_trial(&self, run: &Run) -> bool {
+        run.started_at >= self.until
+    }
+
     /// Returns how many more tasks the trial after a suspicion takes, given the runs on the executor; `None`
     /// without a trial: no suspicion, a task done since, or a run that was started since has lasted.
     pub fn trial_tasks_left<'a>(
@@ -99,7 +104,7 @@
         self.began_at?;
         let max_tasks = MAX_TRIAL_TASKS >> (self.count - 1).min(8);
         let mut left = max_tasks.max(MIN_TRIAL_TASKS);
-        for run in runs.into_iter().filter(|r| r.started_at >= self.until) {
+        for run in runs.into_iter().filter(|r| self.is_trial(r)) {
             if run.stage == RunStage::Confirmed && now >= run.stage_since + TRIAL_MS {
                 return None;
             }
--- a/tests/suspicion.rs
+++ b/tests/suspicion.rs
@@ -126,6 +126,35 @@
     assert_eq!(idle_jobs(&world, [10]), Vec::<u64>::new());
 }
 
+/// Guards against a job whose other tasks wait for a run that has outlasted the fault.
+#[test]
+fn a_run_from_before_the_fault_holds_up_no_trial_of_its_job() {
+    let mut world = world(1, 1);
+    world.submit(job(
+        1,
+        "urgent",
+        vec![step(1, 500, 60_000), step(7, 500, 10_000)],
+    ));
+    for id in 2..=4 {
+        world.submit(job(id, "urgent", vec![step(1, 500, 500)]));
+    }
+    world.run(30);
+    let outlasts = |t: &TaskId| t.step.job == JobId(1) && t.step.step == 0;
+    let executor = world.executors.get_mut("e0").expect("executor");
+    let (kept, failing) = std::mem::take(&mut executor.running)
+        .into_iter()
+        .partition(|(t, _)| outlasts(t));
+    executor.running = failing;
+    executor.fail_runs();
+    executor.running = kept;
+    world.run(100);
+    for id in 2..=4 {
+        world.cancel(JobId(id));
+    }
+    world.run(RECOVERY_MS);
+    assert_eq!(world.executors["e0"].running.len(), 8);
+}
+
 /// Guards against executors that hang for a time and are not used again in time.
 #[test]
 fn an_executor_that_hung_for_a_time_is_used_again_in_time() {
