Test real daemons against crowds of clients that do not behave

Cause: nothing bounds what a client makes a node hold. In a trial of the users such clients ended a process, which ran out of memory.

--- a/standins/src/lib.rs
+++ b/standins/src/lib.rs
@@ -9,6 +9,9 @@
 //! small configurations and jobs; `machine_platform` serves the machine service for maintenance
 //! waves. `sample` holds the workers and documents for core.
 //!
+//! `crowd` is many clients that send too much, too slowly or without end, and `process_usage` reads
+//! what a process uses meanwhile.
+//!
 //! For real processes on the users' platform: `platform_host` serves `platform_store` and many of
 //! `platform_executor` through the rules of `platform_faults`; `soak` runs the daemons of
 //! `soak_nodes` and the callers of `soak_clients` against it, and `run_journal` judges the runs.
@@ -17,12 +20,14 @@
 pub mod cell_sample;
 pub mod cell_world;
 pub mod chaos;
+pub mod crowd;
 pub mod fleet;
 pub mod machine_platform;
 pub mod platform_executor;
 pub mod platform_faults;
 pub mod platform_host;
 pub mod platform_store;
+pub mod process_usage;
 pub mod run_journal;
 pub mod sample;
 pub mod server;
--- a/standins/src/soak_nodes.rs
+++ b/standins/src/soak_nodes.rs
@@ -37,9 +37,16 @@
 #[derive(Clone, Copy, Debug)]
 pub struct NodeAddresses {
     pub peer: SocketAddr,
-    metrics: SocketAddr,
+    pub metrics: SocketAddr,
     pub caller: SocketAddr,
-    ready: SocketAddr,
+    pub ready: SocketAddr,
+}
+
+/// What the settings of a node state about its machine.
+#[derive(Clone, Copy, Debug)]
+pub struct MachineLimits {
+    pub memory_mb: u64,
+    pub descriptors: u64,
 }
 
 /// Node processes, by number.
@@ -49,6 +56,9 @@
     folder: PathBuf,
     addresses: Vec<NodeAddresses>,
     children: Vec<Mutex<Option<Child>>>,
+    /// `None`: the settings do not state them.
+    machine: Option<MachineLimits>,
+    termination_grace_s: u64,
 }
 
 impl SoakNodes {
@@ -74,9 +84,25 @@
             folder: folder.to_owned(),
             addresses: addresses.collect(),
             children: (0..count).map(|_| Mutex::new(None)).collect(),
+            machine: None,
+            termination_grace_s: TERMINATION_GRACE_S,
         })
     }
 
+    /// States the limits of the nodes' machines in their settings.
+    #[must_use]
+    pub fn machine(mut self, machine: MachineLimits) -> Self {
+        self.machine = Some(machine);
+        self
+    }
+
+    /// Sets the time between SIGTERM and SIGKILL that the settings state, in s.
+    #[must_use]
+    pub fn termination_grace_s(mut self, seconds: u64) -> Self {
+        self.termination_grace_s = seconds;
+        self
+    }
+
     /// Returns the number of nodes.
     pub fn count(&self) -> usize {
         self.addresses.len()
@@ -90,12 +116,15 @@
     /// Writes the settings file of a node.
     pub fn configure(&self, node: usize, store: SocketAddr) -> io::Result<()> {
         let at = self.addresses[node];
+        let machine = self.machine.map_or_else(String::new, |m| {
+            format!("memoryMb = {}\nmaxFds = {}\n", m.memory_mb, m.descriptors)
+        });
         let text = format!(
             "node = \"edge-{node}\"\nzone = \"z{}\"\nportRange = [{}, {}]\n\
              heartbeatMs = {}\n\
              [listen]\nfront = \"{}\"\nready = \"{}\"\n\
-             [limits]\ncpuShare = 0.25\n\
-             [bounds]\nholdMaxMs = {}\nkillGraceMs = {}\ngraceS = {TERMINATION_GRACE_S}\n\
+             [limits]\ncpuShare = 0.25\n{machine}\
+             [bounds]\nholdMaxMs = {}\nkillGraceMs = {}\ngraceS = {}\n\
              status_s = 120\nrevokeMs = 5000\n\
              [platform]\naddress = \"{store}\"\nttlMinMs = 1000\n",
             node % 3,
@@ -106,6 +135,7 @@
             at.ready,
             crate::platform_executor::MAX_LEASE_MS,
             crate::platform_executor::KILL_GRACE_MS,
+            self.termination_grace_s,
         );
         fs::write(self.settings_path(node), text)
     }
--- a/tests/cluster/mod.rs
+++ b/tests/cluster/mod.rs
@@ -50,6 +50,12 @@
         Self { child, first_line }
     }
 
+    /// Returns the process id.
+    #[allow(dead_code, reason = "not every test reads it")]
+    pub fn id(&self) -> u32 {
+        self.child.id()
+    }
+
     /// Sends a signal by name, such as `STOP`.
     pub fn signal(&self, name: &str) {
         let id = self.child.id().to_string();
