Serve all listeners with one server that bounds connections

Cause: both daemons served with `axum::serve`, which takes any number of connections. 400 clients that send nothing took 428 descriptors of the 300 that the platform leaves for sockets, and the store and executors found none.

Change: `server` accepts and serves the connections of every listener: callers, load balancer and metrics on the platform, callers and operators of the own daemon. Settings `limits.memoryMb` and `limits.maxFds` (own daemon: `memory_mb` and `descriptors`) give the number of connections; without them it follows from 256 MB and 4,096. When all are open, the connection that has made no progress for the longest time gives way to the new one; a complete request never does. A connection is refused only if all others are in work. The backlog is 256, as connections in it hold memory too. Rejections are counted by reason (metrics) and logged in one line a second (events 121 and 250). Bodies report their progress and time out after 30 s without a byte. After the last response what still arrives is read for up to 1 s, so that the client can read a refusal before a reset.

--- a/src/app/daemon.rs
+++ b/src/app/daemon.rs
@@ -11,6 +11,7 @@
         conf::Settings,
         core::{Event, LogEvent, Node, NodeId, NodeRecord, Tuning},
         net::{NetError, PeerMesh, PlatformClient, TlsCredentials},
+        server::{self, Connections, HttpServer},
     },
     axum::{Router, error_handling::HandleErrorLayer, http::StatusCode},
     slog::info,
@@ -66,13 +67,14 @@
     ///
     /// Fails with [`NetError::Listen`] if an address cannot be bound and with
     /// [`NetError::Certificate`] if the TLS credentials are refused.
+    #[expect(clippy::unused_async, reason = "it needs a running runtime")]
     pub async fn start(
         settings: Settings,
         tuning: Tuning,
         log: slog::Logger,
     ) -> Result<Self, NetError> {
-        let callers = bind(settings.caller_address).await?;
-        let admin = bind(settings.admin_address).await?;
+        let callers = bind(settings.caller_address)?;
+        let admin = bind(settings.admin_address)?;
         let id = NodeId::from(format!("{}-{:08x}", settings.name, rand::random::<u32>()));
         let tls = TlsCredentials {
             authority: settings.authority_pem.clone(),
@@ -102,13 +104,12 @@
         let task = CoreTask::new(node, shared.clone(), mesh, platform, done_tx);
         let event = LogEvent::DaemonStarted;
         info!(shared.log, "{}", event.name(); "event" => event.number());
+        let operator_routes = limit_concurrency(admin_api::router(shared.clone()));
+        let (caller_routes, log) = (caller_api::router(shared.clone()), &shared.log);
         let tasks = vec![
             tokio::spawn(task.run(core_rx, peer_rx, tick_ms)),
-            tokio::spawn(serve(callers, caller_api::router(shared.clone()))),
-            tokio::spawn(serve(
-                admin,
-                limit_concurrency(admin_api::router(shared.clone())),
-            )),
+            tokio::spawn(serve(callers, caller_routes, &shared.callers, log)),
+            tokio::spawn(serve(admin, operator_routes, &shared.operators, log)),
         ];
         Ok(Self {
             addresses,
@@ -154,10 +155,8 @@
     }
 }
 
-async fn bind(address: SocketAddr) -> Result<TcpListener, NetError> {
-    TcpListener::bind(address)
-        .await
-        .map_err(|source| NetError::Listen { address, source })
+fn bind(address: SocketAddr) -> Result<TcpListener, NetError> {
+    server::listen(address).map_err(|source| NetError::Listen { address, source })
 }
 
 fn local_address(listener: &TcpListener, requested: SocketAddr) -> Result<SocketAddr, NetError> {
@@ -167,8 +166,20 @@
     })
 }
 
-async fn serve(listener: TcpListener, router: Router) {
-    let _ = axum::serve(listener, router).await;
+/// Serves a listener until the future is dropped, with all its connections.
+fn serve(
+    listener: TcpListener,
+    router: Router,
+    connections: &Arc<Connections>,
+    log: &slog::Logger,
+) -> impl Future<Output = ()> + use<> {
+    let log = log.clone();
+    let server = HttpServer::new(listener, router, connections.clone());
+    let server = server.report_to(move |news| {
+        let event = LogEvent::CallersRejected;
+        info!(log, "{}", event.name(); "event" => event.number(), "detail" => news.to_string());
+    });
+    server.run()
 }
 
 /// Limits how many calls are handled at once; further ones are refused without waiting.
--- a/src/app/shared.rs
+++ b/src/app/shared.rs
@@ -8,6 +8,7 @@
         conf::Settings,
         core::{Config, Event, Millis, Node, OrganisationName, ReplyId},
         net::HttpClient,
+        server::{Connections, ServerLimits},
     },
     std::{
         collections::BTreeMap,
@@ -104,6 +105,10 @@
     pub core: CoreHandle,
     pub meter: Meter,
     pub log: slog::Logger,
+    /// Connections of callers.
+    pub callers: Arc<Connections>,
+    /// Connections of operators.
+    pub operators: Arc<Connections>,
     /// Reuses idle connections, for idempotent requests.
     pub pooled_client: HttpClient,
     /// Opens a connection per request, for requests that must not run twice.
@@ -124,11 +129,14 @@
 impl Shared {
     /// Creates the state with an empty configuration of revision 0.
     pub fn new(settings: Settings, core: CoreHandle, log: slog::Logger) -> Self {
+        let limits = ServerLimits::for_callers(settings.memory_mb, settings.descriptors);
         Self {
             settings,
             core,
             meter: Meter::default(),
             log,
+            callers: Arc::new(Connections::new(limits)),
+            operators: Arc::new(Connections::new(ServerLimits::for_operators())),
             pooled_client: HttpClient::new(crate::net::Pooling::Reuse),
             unpooled_client: HttpClient::new(crate::net::Pooling::PerRequest),
             config: Mutex::default(),
--- a/src/conf/settings.rs
+++ b/src/conf/settings.rs
@@ -44,6 +44,12 @@
     /// Log as JSON instead of text.
     #[serde(default)]
     pub log_json: bool,
+    /// Memory that the process may take, in MB; limits what callers can make it hold.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub memory_mb: Option<u64>,
+    /// Descriptors that the process may have open; limits connections of callers.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub descriptors: Option<u64>,
 }
 
 fn default_drain_ms() -> Millis {
@@ -126,6 +132,8 @@
             key_pem: Arc::from(""),
             drain_ms: default_drain_ms(),
             log_json: false,
+            memory_mb: None,
+            descriptors: None,
         };
         Self { settings }
     }
--- a/src/core/effect.rs
+++ b/src/core/effect.rs
@@ -35,11 +35,12 @@
     ConfigAdopted,
     KeyRevoked,
     GangReleased,
+    CallersRejected,
 }
 
 impl LogEvent {
     /// All events, in the order of their numbers; the index in this array gives the number.
-    pub const ALL: [Self; 21] = [
+    pub const ALL: [Self; 22] = [
         Self::DaemonStarted,
         Self::DaemonStopping,
         Self::DaemonStopped,
@@ -61,6 +62,7 @@
         Self::ConfigAdopted,
         Self::KeyRevoked,
         Self::GangReleased,
+        Self::CallersRejected,
     ];
 
     /// Returns the event's number in the log, from 100.
--- a/src/entry/daemon.rs
+++ b/src/entry/daemon.rs
@@ -10,6 +10,7 @@
         },
         fleet::FleetEvent,
         platform::{NodeSettings, SETTINGS_VARIABLE},
+        server::{self, Connections, HttpServer, ServerLimits},
     },
     axum::Router,
     std::{net::SocketAddr, path::PathBuf, sync::Arc, time::Duration},
@@ -37,10 +38,10 @@
     let node: Arc<str> = Arc::from(format!("{}-{:08x}", settings.vm, rand::random::<u32>()));
     let (log, dropped) = log_drain::logger(&node, std::io::stdout());
     let event_log = EventLog::new(log, dropped);
-    let callers = listen(settings.caller_address).await?;
-    let readiness = listen(settings.readiness_address).await?;
-    let peers = listen(settings.peer_address).await?;
-    let metrics = listen(settings.metrics_address).await?;
+    let callers = listen(settings.caller_address)?;
+    let readiness = listen(settings.readiness_address)?;
+    let peers = listen(settings.peer_address)?;
+    let metrics = listen(settings.metrics_address)?;
     let shared = Arc::new(Shared::new(settings, node, event_log));
     shared.log_event(
         FleetEvent::NodeStarted,
@@ -58,11 +59,16 @@
     ));
     tokio::spawn(serve(metrics, operator_api::router(shared.clone())));
     let (stop_tx, stop_rx) = watch::channel(false);
-    let caller_server = tokio::spawn(serve_until(
+    let caller_server = HttpServer::new(
         callers,
         caller_api::router(shared.clone()),
-        stop_rx,
-    ));
+        shared.callers.clone(),
+    );
+    let log = shared.clone();
+    let caller_server = caller_server.stop_on(stop_rx).report_to(move |news| {
+        log.log_event(FleetEvent::CallersRejected, &news.to_string());
+    });
+    let caller_server = tokio::spawn(caller_server.run());
     wait_for_sigterm(&shared).await?;
     shared.start_drain();
     shared.log_event(FleetEvent::NodeStopping, "");
@@ -105,23 +111,14 @@
     }
 }
 
-async fn listen(address: SocketAddr) -> Result<TcpListener, EntryError> {
-    TcpListener::bind(address)
-        .await
-        .map_err(|source| EntryError::Bind { address, source })
+fn listen(address: SocketAddr) -> Result<TcpListener, EntryError> {
+    server::listen(address).map_err(|source| EntryError::Bind { address, source })
 }
 
+/// Serves the load balancer or operators until the process exits.
 async fn serve(listener: TcpListener, router: Router) {
-    // Runs until the process exits.
-    let _ = axum::serve(listener, router).await;
-}
-
-async fn serve_until(listener: TcpListener, router: Router, mut stop: watch::Receiver<bool>) {
-    let stop_requested = async move {
-        // A closed channel also means that the node is stopping.
-        let _ = stop.wait_for(|s| *s).await;
-    };
-    let _ = axum::serve(listener, router)
-        .with_graceful_shutdown(stop_requested)
+    let connections = Connections::new(ServerLimits::for_operators());
+    HttpServer::new(listener, router, Arc::new(connections))
+        .run()
         .await;
 }
--- a/src/entry/shared.rs
+++ b/src/entry/shared.rs
@@ -13,6 +13,7 @@
             policy::{LoadSummary, OwnershipProof},
         },
         platform::{ExecutorClient, NodeSettings, StoreClient},
+        server::{Connections, Rejection, ServerLimits},
     },
     std::sync::{Arc, Mutex, MutexGuard, PoisonError},
     tokio::sync::{mpsc, watch},
@@ -44,6 +45,8 @@
     /// Settings as read at the start.
     pub settings: NodeSettings,
     pub event_log: EventLog,
+    /// Connections of callers.
+    pub callers: Arc<Connections>,
     pub store: StoreClient,
     pub executor_client: ExecutorClient,
     /// Connection to the owner, used while the owner is another node.
@@ -85,8 +88,10 @@
 impl Shared {
     /// Creates the state of a node that has not read anything yet.
     pub fn new(settings: NodeSettings, node: Arc<str>, event_log: EventLog) -> Self {
+        let limits = ServerLimits::for_callers(settings.memory_mb, settings.descriptors);
         Self {
             node,
+            callers: Arc::new(Connections::new(limits)),
             store: StoreClient::new(settings.store_address),
             executor_client: ExecutorClient::default(),
             owner_link: OwnerLink::default(),
@@ -254,7 +259,15 @@
             ("draining", u64::from(status.draining)),
             ("evacuated_zones", evacuated_zones as u64),
             ("backlogged_queues", backlogged_queues as u64),
+            ("caller_connections", self.callers.count() as u64),
+            ("caller_held_bytes", self.callers.held_bytes() as u64),
         ];
+        let rejections = self.callers.rejections();
+        let rejected = Rejection::ALL.map(|reason| {
+            let name = format!("callers_rejected_total{{reason=\"{}\"}}", reason.name());
+            (name, rejections.get(reason))
+        });
+        gauges.extend(rejected.iter().map(|(name, count)| (name.as_str(), *count)));
         let machine_gauges =
             MachinePhase::LABELS.map(|l| format!("wave_machines{{state=\"{l}\"}}"));
         if self.settings.upkeep.is_some() {
--- a/src/fleet/event.rs
+++ b/src/fleet/event.rs
@@ -442,11 +442,12 @@
     TakeoverEnded,
     ExitingRunsStopped,
     JobWithdrawn,
+    CallersRejected,
 }
 
 impl FleetEvent {
     /// All events, in the order of their numbers.
-    pub const ALL: [Self; 50] = [
+    pub const ALL: [Self; 51] = [
         Self::NodeStarted,
         Self::NodeStopping,
         Self::SettingsReloaded,
@@ -497,6 +498,7 @@
         Self::TakeoverEnded,
         Self::ExitingRunsStopped,
         Self::JobWithdrawn,
+        Self::CallersRejected,
     ];
 
     /// Returns the event with this catalogue number; `None` if there is none.
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -9,7 +9,7 @@
 //!   `entry` is its daemon and `platform` translates between the platform's names and the
 //!   project's.
 //!
-//! `chart` interprets the state charts of `core`, `cli` is the operators' client, and `report`
+//! `server` serves HTTP on all listeners of both daemons, within limits. `chart` interprets the state charts of `core`, `cli` is the operators' client, and `report`
 //! computes service-level burn and prints one job's timeline from the logs.
 
 pub mod app;
@@ -22,3 +22,4 @@
 pub mod net;
 pub mod platform;
 pub mod report;
+pub mod server;
--- a/src/platform/settings.rs
+++ b/src/platform/settings.rs
@@ -24,6 +24,10 @@
     /// CPU time granted, in thousandths of a core as fast as the platform's usual one; 0: not
     /// stated.
     pub cpu_milli: u32,
+    /// Memory of the process beyond which the platform kills it, in MB; `None`: not stated.
+    pub memory_mb: Option<u64>,
+    /// Descriptors that the process may have open; `None`: not stated.
+    pub descriptors: Option<u64>,
     /// Address on which callers connect.
     pub caller_address: SocketAddr,
     /// Address on which the load balancer checks whether the node is ready.
@@ -163,6 +167,10 @@
     /// threads share one.
     #[serde(default = "one")]
     cores: f64,
+    #[serde(rename = "memoryMb")]
+    memory_mb: Option<f64>,
+    #[serde(rename = "maxFds")]
+    max_fds: Option<f64>,
 }
 
 fn one() -> f64 {
@@ -251,6 +259,8 @@
                 wire.limits.cpu_share * wire.limits.cores * 1000.0,
             ))
             .unwrap_or(u32::MAX),
+            memory_mb: wire.limits.memory_mb.map(saturating_u64),
+            descriptors: wire.limits.max_fds.map(saturating_u64),
             caller_address: wire.listen.front,
             readiness_address: wire.listen.ready,
             peer_address: SocketAddr::new(ip, first_port),
