Bound the size and time of a head, and what a socket receives unread

Cause: a connection's read buffer grew to the HTTP library's default of 400 KB for a head that never ends, or for empty lines before one, without a time limit, as the library has one only with a timer. What a client sends while nobody reads stays in the socket's receive buffer, up to 6 MB on Linux.

The receive buffer of a connection is 16 KB, which the system doubles.

--- a/src/server/http_server.rs
+++ b/src/server/http_server.rs
@@ -11,7 +11,7 @@
         Request, Response, StatusCode, body::Body as _, body::Incoming, header,
         server::conn::http1, service::service_fn,
     },
-    hyper_util::rt::TokioIo,
+    hyper_util::rt::{TokioIo, TokioTimer},
     std::{
         convert::Infallible, fmt, future::poll_fn, io, net::SocketAddr, pin::Pin, sync::Arc,
         time::Duration,
@@ -25,6 +25,15 @@
     tower::ServiceExt,
 };
 
+/// Maximum size of a head, in bytes.
+const MAX_HEAD_BYTES: usize = 24 << 10;
+
+/// Time from the last response, or the beginning of the connection, to the end of a head.
+const HEAD_TIMEOUT: Duration = Duration::from_secs(30);
+
+/// Receive buffer of a connection, in bytes; the system may double it.
+const RECEIVE_BUFFER_BYTES: u32 = 16 << 10;
+
 /// Connections that wait to be accepted.
 const BACKLOG: u32 = 256;
 
@@ -61,6 +70,8 @@
         TcpSocket::new_v6()?
     };
     socket.set_reuseaddr(true)?;
+    // Accepted sockets inherit it. Where it is not supported, the system's own limit holds.
+    let _ = socket.set_recv_buffer_size(RECEIVE_BUFFER_BYTES);
     socket.bind(address)?;
     socket.listen(BACKLOG)
 }
@@ -235,7 +246,11 @@
             Ok(resp.map(|body| Body::new(TrackedResponse::new(body, handle))))
         })
     });
-    let mut connection = http1::Builder::new().serve_connection(TokioIo::new(stream), service);
+    let mut connection = http1::Builder::new()
+        .timer(TokioTimer::new())
+        .header_read_timeout(HEAD_TIMEOUT)
+        .max_buf_size(MAX_HEAD_BYTES)
+        .serve_connection(TokioIo::new(stream), service);
     let mut stopping = false;
     let outcome = loop {
         tokio::select! {
@@ -250,7 +265,9 @@
     };
     if let Err(e) = outcome {
         let connections = guard.handle.connections();
-        if e.is_parse_too_large() {
+        if e.is_timeout() {
+            connections.count_rejection(Rejection::HeadTimeout);
+        } else if e.is_parse_too_large() {
             connections.count_rejection(Rejection::HeadSize);
         } else if !e.is_parse() {
             return;
