Refuse incomplete requests soon after a planned stop has begun

Cause: a graceful stop waits for every request, also for heads and bodies of which nothing comes any more, up to the time before the platform's SIGKILL.

Change: 1 s after the listener was closed, requests that are incomplete are answered 503 and heads that are incomplete are closed; complete requests are served to their end as before.

--- a/src/server/connections.rs
+++ b/src/server/connections.rs
@@ -18,6 +18,9 @@
 /// Time that a refused request has to send its response before its connection is closed.
 const REFUSAL_TIMEOUT: Duration = Duration::from_secs(1);
 
+/// Time for incomplete requests to become complete once a stop has begun.
+const STOP_TIMEOUT: Duration = Duration::from_secs(1);
+
 /// Bytes of a body that count as progress; a client that sends less stands still.
 const PROGRESS_BYTES: usize = 1_024;
 
@@ -68,6 +71,7 @@
     /// Number of entries in [`Phase::Work`].
     in_work: usize,
     rejections: RejectionCounts,
+    stopping_since: Option<Instant>,
 }
 
 /// Open connections of one listener and their limits.
@@ -172,6 +176,11 @@
         }
     }
 
+    /// Refuses incomplete requests from now on once they have had [`STOP_TIMEOUT`].
+    pub fn start_stop(&self) {
+        self.inner().stopping_since.get_or_insert_with(Instant::now);
+    }
+
     /// Applies the time limits. `paused` means that the process did not run for a while, so that
     /// bytes may have arrived that were not read yet.
     pub(super) fn sweep(&self, paused: bool) {
@@ -239,6 +248,9 @@
     /// Returns whether a request was refused.
     fn sweep(&mut self, paused: bool) -> bool {
         let now = Instant::now();
+        let stopping = self
+            .stopping_since
+            .is_some_and(|at| now >= at + STOP_TIMEOUT);
         let mut refused = false;
         for entry in self.entries.values_mut() {
             if paused {
@@ -247,6 +259,11 @@
             }
             let reason = match entry.phase {
                 _ if entry.rejected.is_some() => None,
+                Phase::Body if stopping => Some(Rejection::Stopping),
+                Phase::Head if stopping && now >= entry.progressed_at + STOP_TIMEOUT => {
+                    entry.close.notify_one();
+                    None
+                }
                 Phase::Body if now >= entry.received_at + BODY_TIMEOUT => {
                     Some(Rejection::BodyTimeout)
                 }
--- a/src/server/http_server.rs
+++ b/src/server/http_server.rs
@@ -137,6 +137,7 @@
                 () = wait_for_stop(&mut stop), if !stopping => {
                     listener = None;
                     pending = None;
+                    connections.start_stop();
                 }
                 stream = accept(listener.as_ref()), if pending.is_none() => pending = Some(stream),
                 guard = connections.admit(), if pending.is_some() => {
