Bound what the bodies of all requests hold together

Cause: a body was collected frame by frame, and a frame keeps the buffer that it was cut from, so that 400 bodies of 262,144 bytes in writes of 512 bytes held 318 MB. Nothing limited bodies in all, and nothing ended one of which no byte came any more.

Change: `read_body` copies frames into memory that grows in steps of 16 KB at most and is reserved first. Without room, the request that has made no progress for the longest time is refused: 503 with `Retry-After: 1`, as nothing was done. Only requests whose client the server waits for are; a complete one is refused before work on it begins, or never. The own daemon reads the bodies of operators' calls before they take one of 64 places, and short bodies of requests before the core knows of them.

--- a/src/app/admin_api.rs
+++ b/src/app/admin_api.rs
@@ -294,8 +294,7 @@
 
 /// Starts a graceful stop and returns at once.
 async fn drain(State(shared): SharedState) -> Json<&'static str> {
-    shared.stopping.store(true, Ordering::Relaxed);
-    shared.core.send(Event::Stop);
+    shared.start_stop();
     Json("draining")
 }
 
--- a/src/app/api_error.rs
+++ b/src/app/api_error.rs
@@ -3,7 +3,10 @@
 //! interface and never change their meaning.
 
 use {
-    crate::core::{Millis, RefuseReason},
+    crate::{
+        core::{Millis, RefuseReason},
+        server::BodyError,
+    },
     axum::{
         Json,
         http::{HeaderValue, StatusCode, header},
@@ -316,3 +319,16 @@
         resp
     }
 }
+
+impl From<BodyError> for ApiError {
+    fn from(error: BodyError) -> Self {
+        let kind = match error {
+            BodyError::Broken => ErrorKind::BadBody,
+            BodyError::Rejected { .. } => ErrorKind::NoRoom,
+            BodyError::TooLarge => ErrorKind::BodyTooLarge,
+        };
+        let mut e = Self::new(kind, error.to_string());
+        e.retry_after_ms = error.retry_after_s().map(|s| s * 1_000);
+        e
+    }
+}
--- a/src/app/caller_api.rs
+++ b/src/app/caller_api.rs
@@ -14,12 +14,14 @@
             Event, JobCall, JobId, JobKind, JobReply, JobSummary, Millis, OrganisationName,
             QueueName, RefuseReason, ShardId, TaskId,
         },
+        server::{RequestHandle, read_body},
     },
     axum::{
         Json, Router,
         body::Body,
-        extract::{DefaultBodyLimit, Path, Query, Request, State},
+        extract::{Path, Query, Request, State},
         http::HeaderMap,
+        middleware::{self, Next},
         response::Response,
         routing::{any, get, post},
     },
@@ -90,18 +92,32 @@
 
 /// Builds the callers' routes. Errors are JSON bodies of [`ApiError`].
 pub fn router(shared: Arc<Shared>) -> Router {
+    let jobs = Router::new()
+        .route("/v1/jobs", post(submit).get(list))
+        .route("/v1/jobs/{id}", get(read).delete(cancel))
+        .route("/v1/cancel", post(cancel_label))
+        .layer(middleware::from_fn_with_state(MAX_JOB_BODY, buffer_body));
     Router::new()
         .route("/q/{queue}", any(request_root))
         .route("/q/{queue}/", any(request_root))
         .route("/q/{queue}/{*path}", any(request))
-        .route("/v1/jobs", post(submit).get(list))
-        .route("/v1/jobs/{id}", get(read).delete(cancel))
-        .route("/v1/cancel", post(cancel_label))
-        .layer(DefaultBodyLimit::max(MAX_JOB_BODY))
+        .merge(jobs)
         .fallback(async || ApiError::new(ErrorKind::UnknownPath, "use /q/QUEUE or /v1/jobs"))
         .with_state(shared)
 }
 
+/// Reads the body of a call, of at most `max_bytes`, before the call is handled.
+pub(super) async fn buffer_body(
+    State(max_bytes): State<usize>,
+    req: Request,
+    next: Next,
+) -> Reply<Response> {
+    let (parts, body) = req.into_parts();
+    let handle = parts.extensions.get::<RequestHandle>().cloned();
+    let body = read_body(handle, body, max_bytes).await?;
+    Ok(next.run(Request::from_parts(parts, body.to_body())).await)
+}
+
 async fn request_root(
     state: State<Arc<Shared>>,
     Path(queue): Path<String>,
--- a/src/app/daemon.rs
+++ b/src/app/daemon.rs
@@ -9,17 +9,13 @@
             shared::{CoreHandle, Shared},
         },
         conf::Settings,
-        core::{Event, LogEvent, Node, NodeId, NodeRecord, Tuning},
+        core::{LogEvent, Node, NodeId, NodeRecord, Tuning},
         net::{NetError, PeerMesh, PlatformClient, TlsCredentials},
         server::{self, Connections, HttpServer},
     },
-    axum::{Router, error_handling::HandleErrorLayer, http::StatusCode},
+    axum::{Router, error_handling::HandleErrorLayer, http::StatusCode, middleware},
     slog::info,
-    std::{
-        net::SocketAddr,
-        sync::{Arc, atomic::Ordering},
-        time::Duration,
-    },
+    std::{net::SocketAddr, sync::Arc, time::Duration},
     tokio::{
         net::TcpListener,
         sync::{mpsc, watch},
@@ -31,6 +27,9 @@
 /// Maximum number of operators' calls handled at once; further ones are refused.
 const MAX_ADMIN_CALLS: usize = 64;
 
+/// Maximum body of an operator's call, in bytes.
+const MAX_ADMIN_BODY: usize = 2 << 20;
+
 /// Maximum number of peers' messages that wait for the core; beyond it, reading from peers pauses.
 const PEER_QUEUE_LENGTH: usize = 16_384;
 
@@ -123,8 +122,7 @@
     /// Stops gracefully: hands shards over and waits for pending requests, for at most `drain_ms`
     /// of the settings.
     pub async fn stop(mut self) {
-        self.shared.stopping.store(true, Ordering::Relaxed);
-        self.shared.core.send(Event::Stop);
+        self.shared.start_stop();
         let limit = Duration::from_millis(self.shared.settings.drain_ms);
         let _ = tokio::time::timeout(limit, self.done.wait_for(|done| *done)).await;
         tokio::time::sleep(REPLY_FLUSH_DELAY).await;
@@ -185,9 +183,11 @@
 /// Limits how many calls are handled at once; further ones are refused without waiting.
 fn limit_concurrency(router: Router) -> Router {
     let overloaded = async |_: BoxError| (StatusCode::SERVICE_UNAVAILABLE, "too many calls\n");
+    let buffer = middleware::from_fn_with_state(MAX_ADMIN_BODY, caller_api::buffer_body);
     let layers = ServiceBuilder::new()
         .layer(HandleErrorLayer::new(overloaded))
         .load_shed()
         .concurrency_limit(MAX_ADMIN_CALLS);
-    router.layer(layers)
+    // A body that is incomplete takes no place among the calls.
+    router.layer(layers).layer(buffer)
 }
--- a/src/app/forward.rs
+++ b/src/app/forward.rs
@@ -15,6 +15,7 @@
             RequestOutcome, RequestReply, TaskId, TaskSpec,
         },
         net::{HttpClient, SendError},
+        server::{HeldBody, RequestHandle, read_body},
     },
     axum::{
         body::{Body, BodyDataStream},
@@ -69,7 +70,7 @@
 /// The body of a request, by whether it can be sent again.
 enum RequestBody {
     /// Can be sent any number of times.
-    Buffered(Bytes),
+    Buffered(HeldBody),
     /// Can be sent once; `None` afterwards.
     Stream(Option<Body>),
 }
@@ -78,7 +79,7 @@
     /// Returns the body for the next attempt; `None` if it cannot be sent again.
     fn next_body(&mut self) -> Option<Body> {
         match self {
-            Self::Buffered(bytes) => Some(Body::from(bytes.clone())),
+            Self::Buffered(body) => Some(body.to_body()),
             Self::Stream(body) => body.take(),
         }
     }
@@ -98,6 +99,8 @@
     /// body can be sent again. The body of the response is still streaming on return.
     /// [`ErrorKind::OutcomeUnknown`] means that a worker may have run the request.
     pub async fn run(self, body: Body) -> Result<Response<Body>, ApiError> {
+        // Before the core knows of the request, so that one that stands still takes no place there.
+        let mut body = self.buffer(body).await?;
         let request = CallerRequest {
             queue: self.queue.clone(),
             organisation: self.organisation.clone(),
@@ -109,7 +112,6 @@
             .core
             .send_with_replies(|reply| Event::Request { reply, request });
         let mut guard = CompletionGuard::new(&self, reply);
-        let mut body = self.buffer(body).await?;
         loop {
             let grant = match self.wait_for_grant(&mut rx).await {
                 Ok(grant) => grant,
@@ -151,10 +153,9 @@
         if !short {
             return Ok(RequestBody::Stream(Some(body)));
         }
-        let bytes = axum::body::to_bytes(body, MAX_BUFFERED_BODY_BYTES).await;
-        bytes
-            .map(RequestBody::Buffered)
-            .map_err(|e| ApiError::new(ErrorKind::BadBody, format!("body broke off: {e}")))
+        let handle = self.parts.extensions.get::<RequestHandle>().cloned();
+        let body = read_body(handle, body, MAX_BUFFERED_BODY_BYTES).await?;
+        Ok(RequestBody::Buffered(body))
     }
 
     /// Waits until the core grants a worker or refuses the request.
--- a/src/app/shared.rs
+++ b/src/app/shared.rs
@@ -177,6 +177,13 @@
             .clone()
     }
 
+    /// Starts a graceful stop: new jobs are refused, and soon also requests that are incomplete.
+    pub fn start_stop(&self) {
+        self.stopping.store(true, Ordering::Relaxed);
+        self.core.send(Event::Stop);
+        self.callers.start_stop();
+    }
+
     /// Returns the monotonic time since the daemon started, in ms.
     pub fn now(&self) -> Millis {
         u64::try_from(self.started_at.elapsed().as_millis()).unwrap_or(u64::MAX)
--- a/src/entry/caller_api.rs
+++ b/src/entry/caller_api.rs
@@ -16,6 +16,7 @@
             API_KEY_HEADER, DEADLINE_HEADER, READY_PATH, StoreError, StoreItem, Transaction,
             job_from_bytes, job_state_body, queue_depth_body,
         },
+        server::{BodyError, RequestHandle, read_body},
     },
     axum::{
         Router,
@@ -23,7 +24,6 @@
         extract::State,
         http::{HeaderMap, Method, Request, Response, StatusCode, header},
     },
-    http_body_util::{BodyExt, Limited},
     std::{sync::Arc, time::Duration},
 };
 
@@ -136,11 +136,13 @@
     id: JobId,
     req: Request<Body>,
 ) -> Reply {
-    let body = Limited::new(req.into_body(), config.max_body_bytes);
-    let Ok(body) = body.collect().await else {
-        return empty(StatusCode::PAYLOAD_TOO_LARGE);
+    let handle = req.extensions().get::<RequestHandle>().cloned();
+    // Kept until the response, as the work on the body counts with it.
+    let body = match read_body(handle, req.into_body(), config.max_body_bytes).await {
+        Ok(body) => body,
+        Err(e) => return refuse_body(e),
     };
-    let spec = match job_from_bytes(&body.to_bytes()) {
+    let spec = match job_from_bytes(body.bytes()) {
         Ok(spec) => spec,
         Err(e) => {
             let detail = format!("job={id} {e}");
@@ -392,6 +394,17 @@
     reply
 }
 
+/// Replies to a request whose body was not read: nothing was done. The server counts and logs what it
+/// rejected.
+fn refuse_body(error: BodyError) -> Reply {
+    let mut reply = empty(error.status());
+    if let Some(seconds) = error.retry_after_s() {
+        let value = header::HeaderValue::from(seconds);
+        reply.headers_mut().insert(header::RETRY_AFTER, value);
+    }
+    reply
+}
+
 /// Replies 413: the job can never be stored; nothing was done.
 fn refuse_size(shared: &Shared, id: JobId, reason: &str) -> Reply {
     shared.log_event(FleetEvent::JobRefused, &format!("job={id} reason={reason}"));
--- a/src/server/connections.rs
+++ b/src/server/connections.rs
@@ -49,8 +49,8 @@
     progressed_at: Instant,
     /// Bytes of the body since then.
     unmarked_bytes: usize,
-    /// Last time that a byte of the body arrived.
-    received_at: Instant,
+    /// Since when the server waits for bytes of the body; `None` while it does not read it.
+    awaits_body_since: Option<Instant>,
     /// Bytes reserved for the body and the work on it.
     held_bytes: usize,
     /// Why and when the request was refused, or the connection told to close.
@@ -157,7 +157,7 @@
             phase: Phase::Head,
             progressed_at: now,
             unmarked_bytes: 0,
-            received_at: now,
+            awaits_body_since: None,
             held_bytes: 0,
             rejected: None,
             body_waker: None,
@@ -233,9 +233,10 @@
         if self.held_bytes - released + bytes <= limit {
             return Reservation::Soon;
         }
-        let others = self.entries.iter_mut().filter(|(i, e)| {
-            **i != id && e.phase == Phase::Body && e.held_bytes > 0 && e.rejected.is_none()
-        });
+        let others = self
+            .entries
+            .iter_mut()
+            .filter(|(i, e)| **i != id && e.held_bytes > 0 && e.may_give_way());
         let Some((_, victim)) = others.min_by_key(|(_, e)| e.progressed_at) else {
             self.rejections.add(Rejection::NoMemory);
             return Reservation::Failed(Rejection::NoMemory);
@@ -253,20 +254,19 @@
             .is_some_and(|at| now >= at + STOP_TIMEOUT);
         let mut refused = false;
         for entry in self.entries.values_mut() {
-            if paused {
-                entry.received_at = now;
-                continue;
+            if paused && entry.awaits_body_since.is_some() {
+                entry.awaits_body_since = Some(now);
             }
-            let reason = match entry.phase {
+            let reason = match (entry.phase, entry.awaits_body_since) {
                 _ if entry.rejected.is_some() => None,
-                Phase::Body if stopping => Some(Rejection::Stopping),
-                Phase::Head if stopping && now >= entry.progressed_at + STOP_TIMEOUT => {
+                (Phase::Body, Some(_)) if stopping => Some(Rejection::Stopping),
+                (Phase::Body, Some(since)) if now >= since + BODY_TIMEOUT => {
+                    Some(Rejection::BodyTimeout)
+                }
+                (Phase::Head, _) if stopping && now >= entry.progressed_at + STOP_TIMEOUT => {
                     entry.close.notify_one();
                     None
                 }
-                Phase::Body if now >= entry.received_at + BODY_TIMEOUT => {
-                    Some(Rejection::BodyTimeout)
-                }
                 _ => None,
             };
             if let Some(reason) = reason {
@@ -290,14 +290,20 @@
         self.in_work += usize::from(phase == Phase::Work);
         entry.phase = phase;
         entry.progressed_at = Instant::now();
-        entry.received_at = entry.progressed_at;
+        entry.awaits_body_since = None;
         entry.unmarked_bytes = 0;
     }
 }
 
 impl Entry {
+    /// Returns whether the server waits for the client and for nothing else.
     fn may_give_way(&self) -> bool {
-        self.phase != Phase::Work && self.rejected.is_none()
+        let waits = match self.phase {
+            Phase::Lingering | Phase::Head => true,
+            Phase::Body => self.awaits_body_since.is_some(),
+            Phase::Work => false,
+        };
+        waits && self.rejected.is_none()
     }
 
     /// Refuses the request whose body is being read.
@@ -398,12 +404,19 @@
         let Some(entry) = inner.entries.get_mut(&self.id) else {
             return;
         };
-        let now = Instant::now();
-        entry.received_at = now;
+        entry.awaits_body_since = None;
         entry.unmarked_bytes += bytes;
         if entry.unmarked_bytes >= PROGRESS_BYTES {
             entry.unmarked_bytes = 0;
-            entry.progressed_at = now;
+            entry.progressed_at = Instant::now();
+        }
+    }
+
+    /// Notes that all bytes of the body that have arrived were read, and that more are awaited.
+    pub(super) fn awaits_body(&self) {
+        let mut inner = self.connections.inner();
+        if let Some(entry) = inner.entries.get_mut(&self.id) {
+            entry.awaits_body_since.get_or_insert_with(Instant::now);
         }
     }
 
--- a/src/server/http_server.rs
+++ b/src/server/http_server.rs
@@ -3,8 +3,10 @@
 
 use {
     crate::server::{
-        Connections, Rejection, RejectionCounts, connections::ConnectionGuard,
-        request_body::TrackedBody, response_body::TrackedResponse,
+        Connections, Rejection, RejectionCounts,
+        connections::ConnectionGuard,
+        request_body::{RETRY_AFTER_S, TrackedBody},
+        response_body::TrackedResponse,
     },
     axum::{Router, body::Body},
     hyper::{
@@ -52,9 +54,6 @@
 /// Pause after a failed accept, as without free descriptors.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
 
-/// Seconds after which a refused client may come back.
-const RETRY_AFTER_S: u64 = 1;
-
 /// Response to a connection for which there is no room.
 const NO_ROOM: &[u8] =
     b"HTTP/1.1 503 Service Unavailable\r\nretry-after: 1\r\nconnection: close\r\ncontent-length: 0\r\n\r\n";
--- a/src/server/request_body.rs
+++ b/src/server/request_body.rs
@@ -13,7 +13,7 @@
     snafu::Snafu,
     std::{
         pin::Pin,
-        task::{Context, Poll, ready},
+        task::{Context, Poll},
     },
 };
 
@@ -21,6 +21,9 @@
 const MIN_GROWTH_BYTES: usize = 1 << 10;
 const MAX_GROWTH_BYTES: usize = 16 << 10;
 
+/// Seconds after which a refused client may come back.
+pub(super) const RETRY_AFTER_S: u64 = 1;
+
 /// Why a body was not read.
 #[derive(Clone, Copy, Debug, Eq, PartialEq, Snafu)]
 pub enum BodyError {
@@ -40,13 +43,15 @@
     pub fn status(self) -> StatusCode {
         match self {
             Self::Broken => StatusCode::BAD_REQUEST,
-            Self::Rejected {
-                reason: Rejection::BodyTimeout,
-            } => StatusCode::REQUEST_TIMEOUT,
             Self::Rejected { .. } => StatusCode::SERVICE_UNAVAILABLE,
             Self::TooLarge => StatusCode::PAYLOAD_TOO_LARGE,
         }
     }
+
+    /// Returns after how many seconds the client may come back; `None` if that does not help.
+    pub fn retry_after_s(self) -> Option<u64> {
+        matches!(self, Self::Rejected { .. }).then_some(RETRY_AFTER_S)
+    }
 }
 
 /// The body of a request, whose progress its connection records.
@@ -73,7 +78,10 @@
         if let Some(reason) = self.handle.poll_rejected(cx) {
             return Poll::Ready(Some(Err(BodyError::Rejected { reason })));
         }
-        let frame = ready!(Pin::new(&mut self.inner).poll_frame(cx));
+        let Poll::Ready(frame) = Pin::new(&mut self.inner).poll_frame(cx) else {
+            self.handle.awaits_body();
+            return Poll::Pending;
+        };
         if let Some(Ok(frame)) = &frame {
             self.handle.received(frame.data_ref().map_or(0, Bytes::len));
         }
