Keep the usual receive buffers for connections of other nodes

Cause: the listener of other nodes was bound with the receive buffer that bounds callers, so that messages of the owner would pass in windows of 16 KB.

Change: it is bound as before.

--- a/src/entry/daemon.rs
+++ b/src/entry/daemon.rs
@@ -40,7 +40,11 @@
     let event_log = EventLog::new(log, dropped);
     let callers = listen(settings.caller_address)?;
     let readiness = listen(settings.readiness_address)?;
-    let peers = listen(settings.peer_address)?;
+    let peers = TcpListener::bind(settings.peer_address).await;
+    let peers = peers.map_err(|source| EntryError::Bind {
+        address: settings.peer_address,
+        source,
+    })?;
     let metrics = listen(settings.metrics_address)?;
     let shared = Arc::new(Shared::new(settings, node, event_log));
     shared.log_event(
@@ -111,6 +115,7 @@
     }
 }
 
+/// Binds an address for HTTP.
 fn listen(address: SocketAddr) -> Result<TcpListener, EntryError> {
     server::listen(address).map_err(|source| EntryError::Bind { address, source })
 }
