--- a/src/app/shared.rs
+++ b/src/app/shared.rs
@@ -130,6 +130,11 @@
     /// Creates the state with an empty configuration of revision 0.
     pub fn new(settings: Settings, core: CoreHandle, log: slog::Logger) -> Self {
         let limits = ServerLimits::for_callers(settings.memory_mb, settings.descriptors);
+        // Requests may last for hours here, as live feeds do.
+        let limits = ServerLimits {
+            requests: limits.connections,
+            ..limits
+        };
         Self {
             settings,
             core,
