Close refused connections at once when a new one needs their place

Cause: a new connection waited for one that had been refused, which may still be sending its refusal and reading on for up to 1 s, while others stood still.

Change: connections that were told to end count as leaving; refused ones are closed first, without waiting.

--- a/src/server/connections.rs
+++ b/src/server/connections.rs
@@ -53,12 +53,14 @@
     awaits_body_since: Option<Instant>,
     /// Bytes reserved for the body and the work on it.
     held_bytes: usize,
-    /// Why and when the request was refused, or the connection told to close.
+    /// Why and when the request was refused.
     rejected: Option<(Rejection, Instant)>,
+    /// The connection's task was told to end at its next turn, whatever it is doing.
+    closing: bool,
     /// Wakes the task that reads the body when the request is refused.
     body_waker: Option<Waker>,
     /// Ends the connection's task.
-    close: Arc<Notify>,
+    close_tx: Arc<Notify>,
 }
 
 #[derive(Debug, Default)]
@@ -160,8 +162,9 @@
             awaits_body_since: None,
             held_bytes: 0,
             rejected: None,
+            closing: false,
             body_waker: None,
-            close: close.clone(),
+            close_tx: close.clone(),
         };
         let mut inner = self.inner();
         inner.last_id += 1;
@@ -195,19 +198,25 @@
         if self.entries.len() < limit {
             return Room::Free;
         }
-        let closing = self.entries.values().filter(|e| e.rejected.is_some());
-        if self.entries.len() - closing.count() < limit {
+        let closing = self.entries.values().filter(|e| e.closing).count();
+        if self.entries.len() - closing < limit {
             return Room::Soon;
         }
         // Connections of which the server awaits nothing any more go first.
-        let candidates = self.entries.iter_mut().filter(|(_, e)| e.may_give_way());
-        let victim = candidates.min_by_key(|(_, e)| (e.phase != Phase::Lingering, e.progressed_at));
-        let Some((_, entry)) = victim else {
+        let is_done = |e: &Entry| match e.phase {
+            Phase::Lingering => true,
+            Phase::Head | Phase::Body => e.rejected.is_some(),
+            Phase::Work => false,
+        };
+        let others = self.entries.values_mut();
+        let candidates = others.filter(|e| !e.closing && (e.may_give_way() || is_done(e)));
+        let Some(victim) = candidates.min_by_key(|e| (!is_done(e), e.progressed_at)) else {
             return Room::None;
         };
-        entry.rejected = Some((Rejection::ConnectionLimit, Instant::now()));
-        entry.close.notify_one();
-        self.rejections.add(Rejection::ConnectionLimit);
+        if !is_done(victim) {
+            self.rejections.add(Rejection::ConnectionLimit);
+        }
+        victim.close();
         Room::Soon
     }
 
@@ -228,7 +237,8 @@
             }
             return Reservation::Done;
         }
-        let rejected = self.entries.values().filter(|e| e.rejected.is_some());
+        let leaving = |e: &&Entry| e.closing || e.rejected.is_some();
+        let rejected = self.entries.values().filter(leaving);
         let released: usize = rejected.map(|e| e.held_bytes).sum();
         if self.held_bytes - released + bytes <= limit {
             return Reservation::Soon;
@@ -264,7 +274,7 @@
                     Some(Rejection::BodyTimeout)
                 }
                 (Phase::Head, _) if stopping && now >= entry.progressed_at + STOP_TIMEOUT => {
-                    entry.close.notify_one();
+                    entry.close();
                     None
                 }
                 _ => None,
@@ -276,7 +286,7 @@
             }
             let overdue = |(_, at): (_, Instant)| now >= at + REFUSAL_TIMEOUT;
             if entry.phase != Phase::Work && entry.rejected.is_some_and(overdue) {
-                entry.close.notify_one();
+                entry.close();
             }
         }
         refused
@@ -303,7 +313,12 @@
             Phase::Body => self.awaits_body_since.is_some(),
             Phase::Work => false,
         };
-        waits && self.rejected.is_none()
+        waits && self.rejected.is_none() && !self.closing
+    }
+
+    fn close(&mut self) {
+        self.closing = true;
+        self.close_tx.notify_one();
     }
 
     /// Refuses the request whose body is being read.
