--- a/tests/server.rs
+++ b/tests/server.rs
@@ -191,3 +191,35 @@
     assert_eq!(status_line(&mut complete).await, SERVED);
     scene.server.await.expect("the server ends");
 }
+
+#[test]
+fn limits_follow_from_the_machine() {
+    let machines = [
+        (None, None),
+        (Some(260), Some(4_100)),
+        (Some(120), Some(3_075)),
+    ];
+    let limits = machines.map(|(memory, descriptors)| {
+        let limits = ServerLimits::for_callers(memory, descriptors);
+        (limits.connections, limits.held_bytes, limits.requests)
+    });
+    insta::assert_debug_snapshot!(limits, @r"
+    [
+        (
+            488,
+            32000000,
+            389,
+        ),
+        (
+            495,
+            32500000,
+            390,
+        ),
+        (
+            228,
+            15000000,
+            287,
+        ),
+    ]
+    ");
+}
