--- a/src/server/mod.rs
+++ b/src/server/mod.rs
@@ -5,6 +5,7 @@
 //! arrive. When room is short, requests that are incomplete give way, the one that has made no progress
 //! for the longest time first; a complete request is never broken off.
 
+mod connection_table;
 mod connections;
 mod http_server;
 mod limits;
