--- a/review/standin-3/platform_standin.py
+++ b/review/standin-3/platform_standin.py
@@ -67,8 +67,10 @@
 
 
 def free_ports(count):
-    """Returns a run of `count` consecutive free ports on the loopback address."""
-    for base in range(20_000 + os.getpid() % 5_000, 60_000, count):
+    """Returns a run of `count` consecutive free ports; scripts that start together begin at other blocks."""
+    blocks = 12_000 // count
+    for i in range(blocks):
+        base = 20_000 + count * ((os.getpid() + i * 97) % blocks)
         sockets = []
         try:
             for port in range(base, base + count):
