--- a/review/standin-3/platform_standin.py
+++ b/review/standin-3/platform_standin.py
@@ -102,10 +102,14 @@
 
 
 class HttpServer:
-    """A minimal HTTP/1.1 server with kept-alive connections."""
+    """A minimal HTTP/1.1 server with kept-alive connections, and at most `max_connections` of them."""
 
-    def __init__(self, handler):
+    def __init__(self, handler, max_connections=None):
         self.handler = handler
+        self.max_connections = max_connections
+        # Connections of a machine that lost power: nothing told the server that they have ended.
+        self.half_open = 0
+        self.over_cap = 0
         self.server = None
         self.writers = set()
         self.address = None
@@ -122,7 +126,16 @@
         for writer in list(self.writers):
             writer.transport.abort()
 
+    def lose_peer(self):
+        """The machine behind all present connections loses power: they stay open, and silent, for the server."""
+        self.half_open += len(self.writers)
+        self.writers.clear()
+
     async def _serve(self, reader, writer):
+        if self.max_connections is not None and len(self.writers) + self.half_open >= self.max_connections:
+            self.over_cap += 1
+            writer.transport.abort()
+            return
         self.writers.add(writer)
         try:
             while True:
@@ -134,10 +147,12 @@
                     if ":" in text:
                         name, value = text.split(":", 1)
                         headers[name.strip().lower()] = value.strip()
+                if writer not in self.writers:
+                    return
                 length = int(headers.get("content-length", "0"))
                 body = await reader.readexactly(length) if length else b""
                 reply = await self.handler(method, target, headers, body)
-                if reply is None:
+                if reply is None or writer not in self.writers:
                     return
                 status, payload = reply
                 data = json.dumps(payload).encode()
@@ -284,7 +299,8 @@
 class Executor:
     """One executor. Its id and address stay over its lives; a life has its own runs, ends and clock."""
 
-    def __init__(self, world, ident, pool, labels, cpu, mem_mb=65_536):
+    def __init__(self, world, ident, pool, labels, cpu, mem_mb=65_536, max_connections=None):
+        self.max_connections = max_connections
         self.world = world
         self.id = ident
         self.pool = pool
@@ -310,7 +326,7 @@
         self.ended_event = asyncio.Event()
 
     async def start(self):
-        self.server = HttpServer(self._handle)
+        self.server = HttpServer(self._handle, self.max_connections)
         await self.server.start(self.port)
         self.port = int(self.server.address.rsplit(":", 1)[1])
         self.address = self.server.address
@@ -498,6 +514,8 @@
         (world.folder / f"{self.name}.toml").write_text(text, encoding="utf-8")
 
     async def start(self):
+        if self.world.ended:
+            return
         deploy = tomllib.loads((ROOT / "deploy/system.toml").read_text(encoding="utf-8"))
         command = deploy["roles"]["node"]["run"].split(" ")
         env = {"PATH": os.environ.get("PATH", ""), "HOME": os.environ.get("HOME", ""),
@@ -538,6 +556,7 @@
         self.on_start = lambda executor, task, run: None
         self.tasks = []
         self.runs_ended = []
+        self.ended = False
 
     def task_plan(self, task):
         job, _, step, _ = task.split(".")
@@ -670,6 +689,7 @@
         return None
 
     async def end(self):
+        self.ended = True
         for node in self.nodes:
             await node.kill()
         for task in self.tasks:
