--- a/review/standin-4/cases.rs
+++ b/review/standin-4/cases.rs
@@ -7,10 +7,15 @@
     record::Record,
     world::{KEY, OPEN_PREFIX, PREFIX, World, config},
 };
-use std::{sync::Arc, thread, time::Duration};
+use std::{
+    sync::{Arc, atomic::Ordering},
+    thread,
+    time::Duration,
+};
 
 pub fn play(case: &str, trouble: bool, record: &Arc<Record>) -> Result<(), String> {
     match case {
+        "channels" => channels(trouble, record),
         "crashes" => crashes(trouble, record),
         "other-kind" => other_kind(trouble, record),
         "open-queue" => open_queue(trouble, record),
@@ -40,6 +45,69 @@
     holds()
 }
 
+/// All nodes lose power a few times, each time while small tasks start, and are back after 2 s. A job that
+/// comes afterwards must be done.
+fn channels(trouble: bool, record: &Arc<Record>) -> Result<(), String> {
+    let kinds = (0..4)
+        .map(|i| kind(16_000, &["k-big", &format!("r1-{i}")]))
+        .collect();
+    let mut world = World::start(kinds, record)?;
+    let submit = |world: &World, n: u64, count: u64| {
+        let job = format!("{:016x}", 0xa000 + n);
+        let step = object([
+            ("count", count.into()),
+            ("cpu", 500.into()),
+            ("memMb", 100.into()),
+            ("estimateMs", 400.into()),
+        ]);
+        world.set_need(&job, 500, None);
+        let path = format!("{PREFIX}{job}");
+        let body = nodes::job("work=400", step);
+        let answer = world.nodes.call(0, "POST", &path, Some(KEY), &body);
+        answer.filter(|(status, _)| *status == 200).map(|_| job)
+    };
+    for round in 0..4 {
+        let job = submit(&world, round, 100).ok_or("a job was not accepted")?;
+        if !wait_for(10_000, || !world.running_on(&job).is_empty()) && !trouble {
+            return Err("the tasks did not start".to_owned());
+        }
+        ms(200);
+        if trouble {
+            world.powerless.store(true, Ordering::SeqCst);
+            world.nodes.end();
+            record.line("all nodes lose power");
+            ms(2_000);
+            world.powerless.store(false, Ordering::SeqCst);
+            for node in 0..world.nodes.count() {
+                world.nodes.start(node);
+            }
+            if !world
+                .nodes
+                .wait_until_ready(PREFIX, KEY, Duration::from_secs(12))
+            {
+                return Err("a node does not answer".to_owned());
+            }
+        }
+        for executor in &world.executors {
+            let (open, resets) = (executor.channels.open(), executor.channels.resets());
+            record.line(&format!(
+                "{}: {open} channels, {resets} reset over the cap",
+                executor.id
+            ));
+        }
+        ms(1_000);
+    }
+    let job = submit(&world, 100, 4).ok_or("the last job was not accepted")?;
+    ms(20_000);
+    let state = world.nodes.state(1, PREFIX, &job, KEY);
+    if state.as_deref() != Some("completed") {
+        record.broken(&format!(
+            "LOST: 20 s after its acceptance a job of 4 small tasks is {state:?}, with four idle executors"
+        ));
+    }
+    Ok(())
+}
+
 /// One of eight executors, the only one of its kind, goes down and up by turns. A job whose task lasts and
 /// needs that kind must go on once the executor stays.
 fn crashes(trouble: bool, record: &Arc<Record>) -> Result<(), String> {
--- a/review/standin-4/executor.rs
+++ b/review/standin-4/executor.rs
@@ -3,7 +3,7 @@
 //! The `spec` of a job tells how long its tasks work: `work=MS`, or `lasts` for tasks that last.
 
 use crate::{
-    http::{self, Reply, Request},
+    http::{self, Channels, Reply, Request},
     json::{Json, object},
     record::Record,
     store::Store,
@@ -11,12 +11,14 @@
 use std::{
     collections::{BTreeMap, HashMap},
     net::{SocketAddr, TcpListener},
-    sync::{Arc, Mutex, MutexGuard, PoisonError},
+    sync::{Arc, Mutex, MutexGuard, PoisonError, atomic::AtomicBool},
     thread,
     time::{Duration, Instant, SystemTime, UNIX_EPOCH},
 };
 
 pub const HEARTBEAT_MS: u64 = 1_500;
+/// Channels of an executor, as the sheets state them.
+pub const MAX_CHANNELS: usize = 64;
 pub const HOLD_MAX_MS: u64 = 6_000;
 const TICK: Duration = Duration::from_millis(5);
 
@@ -81,6 +83,7 @@
     store: Arc<Store>,
     record: Arc<Record>,
     needs: Arc<Needs>,
+    pub channels: Arc<Channels>,
 }
 
 pub fn unix_ms() -> u64 {
@@ -111,6 +114,7 @@
         store: Arc<Store>,
         record: Arc<Record>,
         needs: Arc<Needs>,
+        powerless: Arc<AtomicBool>,
     ) -> Arc<Self> {
         let listener = TcpListener::bind("127.0.0.1:0").expect("a free port");
         let address = listener.local_addr().expect("an address");
@@ -132,6 +136,7 @@
             next_report: now,
             last_report: None,
         };
+        let channels = Channels::new(MAX_CHANNELS, powerless);
         let executor = Arc::new(Self {
             id: id.to_owned(),
             address,
@@ -139,10 +144,12 @@
             store,
             record,
             needs,
+            channels: channels.clone(),
         });
         let (accepting, serving, ticking) = (executor.clone(), executor.clone(), executor.clone());
         http::serve(
             listener,
+            channels,
             move || {
                 let state = accepting.lock();
                 state.up.then_some(state.life)
--- a/review/standin-4/world.rs
+++ b/review/standin-4/world.rs
@@ -1,7 +1,7 @@
 //! A small deployment: store, executors of one service, and nodes.
 
 use crate::{
-    executor::{Executor, Kind, Needs},
+    executor::{Executor, Kind, MAX_CHANNELS, Needs},
     http,
     json::{Json, object},
     nodes::{HOST, Nodes},
@@ -12,7 +12,7 @@
     env, fs,
     net::{SocketAddr, TcpListener},
     path::PathBuf,
-    sync::Arc,
+    sync::{Arc, atomic::AtomicBool},
     time::Duration,
 };
 
@@ -24,6 +24,8 @@
     pub store: Arc<Store>,
     pub executors: Vec<Arc<Executor>>,
     pub nodes: Nodes,
+    /// Whether the nodes that end now do so without power.
+    pub powerless: Arc<AtomicBool>,
     needs: Arc<Needs>,
     folder: PathBuf,
 }
@@ -36,9 +38,17 @@
         let store = Arc::new(Store::new());
         store.put("op/config", &config(1, &[KEY]));
         let needs = Arc::new(Needs::default());
+        let powerless = Arc::new(AtomicBool::new(false));
         let start = |(i, kind): (usize, Kind)| {
             let id = format!("i-{i}");
-            Executor::start(&id, kind, store.clone(), record.clone(), needs.clone())
+            Executor::start(
+                &id,
+                kind,
+                store.clone(),
+                record.clone(),
+                needs.clone(),
+                powerless.clone(),
+            )
         };
         let executors: Vec<_> = kinds.into_iter().enumerate().map(start).collect();
         let address = serve_platform(&store);
@@ -47,6 +57,7 @@
             store,
             executors,
             nodes,
+            powerless,
             needs,
             folder,
         };
@@ -87,8 +98,11 @@
     let listener = TcpListener::bind("127.0.0.1:0").expect("a free port");
     let address = listener.local_addr().expect("an address");
     let store = store.clone();
+    let powerless = Arc::new(AtomicBool::new(false));
+    let channels = http::Channels::new(usize::MAX, powerless);
     http::serve(
         listener,
+        channels,
         || Some(0),
         move |req, _| match req.path.as_str() {
             "/-/machines" => {
@@ -124,6 +138,7 @@
     let service = object([
         ("name", "svc".into()),
         ("healthPath", "/healthz".into()),
+        ("maxConns", (MAX_CHANNELS as u64).into()),
         ("admissionCheck", false.into()),
         ("spare", false.into()),
     ]);
