Review: case 16, owners that exceed their memory

Cause: an entry of KNOWN-RED.txt names accepted payloads beyond the pages' limits; jobs inside them were not tried.

--- a/review/standin-4/executor.rs
+++ b/review/standin-4/executor.rs
@@ -3,7 +3,7 @@
 //! The `spec` of a job tells how long its tasks work: `work=MS`, or `lasts` for tasks that last.
 
 use crate::{
-    http::{self, Channels, Reply, Request},
+    http::{self, Reply, Request},
     json::{Json, object},
     record::Record,
     store::Store,
@@ -11,14 +11,12 @@
 use std::{
     collections::{BTreeMap, HashMap},
     net::{SocketAddr, TcpListener},
-    sync::{Arc, Mutex, MutexGuard, PoisonError, atomic::AtomicBool},
+    sync::{Arc, Mutex, MutexGuard, PoisonError},
     thread,
     time::{Duration, Instant, SystemTime, UNIX_EPOCH},
 };
 
 pub const HEARTBEAT_MS: u64 = 1_500;
-/// Channels of an executor, as the sheets state them.
-pub const MAX_CHANNELS: usize = 64;
 pub const HOLD_MAX_MS: u64 = 6_000;
 const TICK: Duration = Duration::from_millis(5);
 
@@ -70,8 +68,6 @@
     /// Highest run of each task that was stopped or has ended here.
     closed: HashMap<String, u64>,
     sequence: u64,
-    /// Whether the platform's store is out of reach.
-    cut: bool,
     next_report: Instant,
     last_report: Option<Instant>,
 }
@@ -83,7 +79,6 @@
     store: Arc<Store>,
     record: Arc<Record>,
     needs: Arc<Needs>,
-    pub channels: Arc<Channels>,
 }
 
 pub fn unix_ms() -> u64 {
@@ -114,7 +109,6 @@
         store: Arc<Store>,
         record: Arc<Record>,
         needs: Arc<Needs>,
-        powerless: Arc<AtomicBool>,
     ) -> Arc<Self> {
         let listener = TcpListener::bind("127.0.0.1:0").expect("a free port");
         let address = listener.local_addr().expect("an address");
@@ -132,11 +126,9 @@
             last_end: 0,
             closed: HashMap::new(),
             sequence: 0,
-            cut: false,
             next_report: now,
             last_report: None,
         };
-        let channels = Channels::new(MAX_CHANNELS, powerless);
         let executor = Arc::new(Self {
             id: id.to_owned(),
             address,
@@ -144,12 +136,10 @@
             store,
             record,
             needs,
-            channels: channels.clone(),
         });
         let (accepting, serving, ticking) = (executor.clone(), executor.clone(), executor.clone());
         http::serve(
             listener,
-            channels,
             move || {
                 let state = accepting.lock();
                 state.up.then_some(state.life)
@@ -173,49 +163,6 @@
         self.record.line(&format!("{} {what}", self.id));
     }
 
-    /// Ends this life: everything that runs here is gone, and nothing answers.
-    pub fn crash(&self) {
-        let mut state = self.lock();
-        state.up = false;
-        state.life += 1;
-        let lost: Vec<String> = state.runs.keys().map(|(t, r)| format!("{t}/{r}")).collect();
-        state.runs.clear();
-        self.note(&format!("crashes; lost runs: {}", lost.join(" ")));
-    }
-
-    /// Begins a new life under the same id and address, which knows nothing of the one before.
-    pub fn restart(&self, kind: Kind) {
-        let mut state = self.lock();
-        let now = Instant::now();
-        state.up = true;
-        state.kind = kind;
-        state.born = unix_ms();
-        state.started = now;
-        (state.token, state.deadline) = (0, 0);
-        state.ended.clear();
-        state.last_end = 0;
-        state.closed.clear();
-        state.sequence = 0;
-        state.next_report = now;
-        let (cpu, labels) = (state.kind.cpu, state.kind.labels.join(","));
-        self.note(&format!(
-            "starts again: born {} cpu {cpu} labels {labels}",
-            state.born
-        ));
-    }
-
-    /// Cuts the executor off from the store, or ends that.
-    pub fn set_cut(&self, cut: bool) {
-        let mut state = self.lock();
-        state.cut = cut;
-        state.next_report = Instant::now();
-        self.note(if cut {
-            "is cut off from the store"
-        } else {
-            "reaches the store again"
-        });
-    }
-
     /// Lists the runs here.
     pub fn runs(&self) -> Vec<(String, u64)> {
         self.lock().runs.keys().cloned().collect()
@@ -241,7 +188,7 @@
             }
         }
         let key = format!("servers/{}", self.id);
-        if state.up && !state.cut && state.next_report <= now {
+        if state.up && state.next_report <= now {
             state.next_report = now + Duration::from_millis(HEARTBEAT_MS);
             state.last_report = Some(now);
             state.sequence += 1;
--- a/review/standin-4/http.rs
+++ b/review/standin-4/http.rs
@@ -4,10 +4,7 @@
     collections::HashMap,
     io::{self, BufRead, BufReader, Write},
     net::{SocketAddr, TcpListener, TcpStream},
-    sync::{
-        Arc,
-        atomic::{AtomicBool, AtomicUsize, Ordering},
-    },
+    sync::Arc,
     thread,
     time::Duration,
 };
@@ -21,50 +18,6 @@
     pub body: String,
 }
 
-/// The channels of one server: how many are open, and how many it has at most.
-pub struct Channels {
-    cap: usize,
-    open: AtomicUsize,
-    resets: AtomicUsize,
-    /// Whether the machines on the other side are without power: they send no end of a channel, so that the
-    /// server keeps those that they had.
-    powerless: Arc<AtomicBool>,
-}
-
-impl Channels {
-    pub fn new(cap: usize, powerless: Arc<AtomicBool>) -> Arc<Self> {
-        Arc::new(Self {
-            cap,
-            open: AtomicUsize::new(0),
-            resets: AtomicUsize::new(0),
-            powerless,
-        })
-    }
-
-    pub fn open(&self) -> usize {
-        self.open.load(Ordering::SeqCst)
-    }
-
-    pub fn resets(&self) -> usize {
-        self.resets.load(Ordering::SeqCst)
-    }
-
-    fn admit(&self) -> bool {
-        if self.open.fetch_add(1, Ordering::SeqCst) < self.cap {
-            return true;
-        }
-        self.open.fetch_sub(1, Ordering::SeqCst);
-        self.resets.fetch_add(1, Ordering::SeqCst);
-        false
-    }
-
-    fn close(&self) {
-        if !self.powerless.load(Ordering::SeqCst) {
-            self.open.fetch_sub(1, Ordering::SeqCst);
-        }
-    }
-}
-
 /// Status and body of a reply; `None` closes the connection without one.
 pub type Reply = Option<(u16, String)>;
 
@@ -72,7 +25,6 @@
 /// once if there is none; `handle` gets the life in which the connection of the request was opened.
 pub fn serve(
     listener: TcpListener,
-    channels: Arc<Channels>,
     life: impl Fn() -> Option<u64> + Send + Sync + 'static,
     handle: impl Fn(Request, u64) -> Reply + Send + Sync + 'static,
 ) {
@@ -81,14 +33,10 @@
         for stream in listener.incoming() {
             let Ok(stream) = stream else { continue };
             let Some(life) = life() else { continue };
-            if !channels.admit() {
-                continue;
-            }
-            let (handle, channels) = (handle.clone(), channels.clone());
+            let handle = handle.clone();
             thread::spawn(move || {
                 // A client that goes away ends the connection.
                 let _ = serve_connection(stream, &|req| handle(req, life));
-                channels.close();
             });
         }
     });
--- a/review/standin-4/nodes.rs
+++ b/review/standin-4/nodes.rs
@@ -16,6 +16,8 @@
 };
 
 pub const HOST: &str = "ferry.example";
+/// Time after which the platform starts a process again.
+const RESTART_DELAY: Duration = Duration::from_millis(1_500);
 const PORTS_PER_NODE: u16 = 8;
 
 struct Node {
@@ -23,6 +25,9 @@
     log: PathBuf,
     front: SocketAddr,
     child: Option<Child>,
+    /// How often it was killed for want of memory.
+    kills: u32,
+    back_at: Option<Instant>,
 }
 
 pub struct Nodes {
@@ -71,6 +76,8 @@
                 log: folder.join(format!("node-{index}.log")),
                 front: SocketAddr::from(([127, 0, 0, 1], first + 5)),
                 child: None,
+                kills: 0,
+                back_at: None,
             });
         }
         Self { nodes, record }
@@ -92,6 +99,65 @@
         self.record.line(&format!("node {index} started"));
     }
 
+    /// Makes a POST that is not recorded, and returns the status of its answer.
+    pub fn post(&self, node: usize, path: &str, key: &str, body: &str) -> Option<u16> {
+        let headers = [("host", HOST), ("deadline-ms", "3000"), ("key", key)];
+        let timeout = Duration::from_secs(3);
+        let answer = http::call(
+            self.nodes[node].front,
+            "POST",
+            path,
+            &headers,
+            body,
+            timeout,
+        );
+        answer.map(|(status, _)| status)
+    }
+
+    /// Returns the resident memory of each node's process, in bytes; 0 without one.
+    pub fn memory(&self) -> Vec<u64> {
+        let used = |node: &Node| {
+            let id = node.child.as_ref()?.id();
+            let status = fs::read_to_string(format!("/proc/{id}/status")).ok()?;
+            let line = status.lines().find_map(|l| l.strip_prefix("VmRSS:"))?;
+            let kib: u64 = line.split_whitespace().next()?.parse().ok()?;
+            Some(kib * 1_024)
+        };
+        self.nodes.iter().map(|n| used(n).unwrap_or(0)).collect()
+    }
+
+    /// Does what the platform does with memory: kills a process that exceeds it, and starts it again after a
+    /// short delay.
+    pub fn keep_within(&mut self, bytes: u64) {
+        for (index, used) in self.memory().into_iter().enumerate() {
+            if used > bytes {
+                let node = &mut self.nodes[index];
+                if let Some(mut child) = node.child.take() {
+                    let _ = child.kill();
+                    let _ = child.wait();
+                }
+                node.kills += 1;
+                node.back_at = Some(Instant::now() + RESTART_DELAY);
+                self.record
+                    .line(&format!("node {index} uses {used} bytes and is killed"));
+            }
+        }
+        for index in 0..self.nodes.len() {
+            if self.nodes[index]
+                .back_at
+                .is_some_and(|at| at <= Instant::now())
+            {
+                self.nodes[index].back_at = None;
+                self.start(index);
+            }
+        }
+    }
+
+    /// Returns how often each node was killed for want of memory.
+    pub fn kills(&self) -> Vec<u32> {
+        self.nodes.iter().map(|n| n.kills).collect()
+    }
+
     pub fn count(&self) -> usize {
         self.nodes.len()
     }
--- a/review/standin-4/store.rs
+++ b/review/standin-4/store.rs
@@ -10,6 +10,10 @@
     time::{Duration, Instant},
 };
 
+/// Bounds of one page of a range, as PROTOCOL.md has them.
+const PAGE_ITEMS: usize = 500;
+const PAGE_BYTES: usize = 1_000_000;
+
 #[derive(Clone)]
 struct Item {
     /// Base64, as on the wire.
@@ -144,11 +148,17 @@
                 let (prefix, after) = (query("prefix"), query("after"));
                 let rows = state.items.iter().filter(|(k, _)| k.starts_with(&prefix));
                 let rows = rows.filter(|(k, _)| after.is_empty() || **k > after);
-                let mut rows: Vec<Json> = rows.take(501).map(|(k, i)| row(k, i)).collect();
-                let more = rows.len() > 500;
-                rows.truncate(500);
+                let (mut page, mut bytes, mut more) = (Vec::new(), 0, false);
+                for (key, item) in rows {
+                    if page.len() >= PAGE_ITEMS || bytes >= PAGE_BYTES {
+                        more = true;
+                        break;
+                    }
+                    bytes += item.value.len() / 4 * 3;
+                    page.push(row(key, item));
+                }
                 let reply = object([
-                    ("items", Json::List(rows)),
+                    ("items", Json::List(page)),
                     ("hasMore", more.into()),
                     ("storeRevision", state.revision.into()),
                 ]);
--- a/review/standin-4/world.rs
+++ b/review/standin-4/world.rs
@@ -1,7 +1,7 @@
 //! A small deployment: store, executors of one service, and nodes.
 
 use crate::{
-    executor::{Executor, Kind, MAX_CHANNELS, Needs},
+    executor::{Executor, Kind, Needs},
     http,
     json::{Json, object},
     nodes::{HOST, Nodes},
@@ -12,7 +12,7 @@
     env, fs,
     net::{SocketAddr, TcpListener},
     path::PathBuf,
-    sync::{Arc, atomic::AtomicBool},
+    sync::Arc,
     time::Duration,
 };
 
@@ -24,8 +24,6 @@
     pub store: Arc<Store>,
     pub executors: Vec<Arc<Executor>>,
     pub nodes: Nodes,
-    /// Whether the nodes that end now do so without power.
-    pub powerless: Arc<AtomicBool>,
     needs: Arc<Needs>,
     folder: PathBuf,
 }
@@ -38,17 +36,9 @@
         let store = Arc::new(Store::new());
         store.put("op/config", &config(1, &[KEY]));
         let needs = Arc::new(Needs::default());
-        let powerless = Arc::new(AtomicBool::new(false));
         let start = |(i, kind): (usize, Kind)| {
             let id = format!("i-{i}");
-            Executor::start(
-                &id,
-                kind,
-                store.clone(),
-                record.clone(),
-                needs.clone(),
-                powerless.clone(),
-            )
+            Executor::start(&id, kind, store.clone(), record.clone(), needs.clone())
         };
         let executors: Vec<_> = kinds.into_iter().enumerate().map(start).collect();
         let address = serve_platform(&store);
@@ -57,7 +47,6 @@
             store,
             executors,
             nodes,
-            powerless,
             needs,
             folder,
         };
@@ -77,13 +66,6 @@
     pub fn set_need(&self, job: &str, cpu: u64, label: Option<&str>) {
         self.needs.set(job, cpu, label);
     }
-
-    /// Lists the executors that run a task of a job.
-    pub fn running_on(&self, job: &str) -> Vec<usize> {
-        let runs_job = |e: &Arc<Executor>| e.runs().iter().any(|(t, _)| t.starts_with(job));
-        let found = self.executors.iter().enumerate();
-        found.filter(|(_, e)| runs_job(e)).map(|(i, _)| i).collect()
-    }
 }
 
 impl Drop for World {
@@ -98,11 +80,8 @@
     let listener = TcpListener::bind("127.0.0.1:0").expect("a free port");
     let address = listener.local_addr().expect("an address");
     let store = store.clone();
-    let powerless = Arc::new(AtomicBool::new(false));
-    let channels = http::Channels::new(usize::MAX, powerless);
     http::serve(
         listener,
-        channels,
         || Some(0),
         move |req, _| match req.path.as_str() {
             "/-/machines" => {
@@ -138,7 +117,6 @@
     let service = object([
         ("name", "svc".into()),
         ("healthPath", "/healthz".into()),
-        ("maxConns", (MAX_CHANNELS as u64).into()),
         ("admissionCheck", false.into()),
         ("spare", false.into()),
     ]);
