--- a/review/standin-4/main.rs
+++ b/review/standin-4/main.rs
@@ -1,5 +1,5 @@
 //! Plays one case of the review: the platform, executors and clients in this process, the project's daemon
-//! in processes of its own. `standin-4 CASE FOLDER`; with `TROUBLE=0` the same without the disruption.
+//! in processes of its own. `standin-4 CASE RECORD`; with `TROUBLE=0` the same without the disruption.
 //!
 //! Exits with 1 if the rule was broken, 0 if it held, 2 if the case could not run.
 
@@ -16,15 +16,15 @@
 
 fn main() {
     let args: Vec<String> = env::args().collect();
-    let [_, case, folder] = args.as_slice() else {
-        eprintln!("standin-4 CASE FOLDER");
+    let [_, case, file] = args.as_slice() else {
+        eprintln!("standin-4 CASE RECORD");
         exit(2);
     };
     let trouble = env::var("TROUBLE").map_or(true, |t| t != "0");
-    let record = match record::Record::create(&Path::new(folder).join("record.txt")) {
+    let record = match record::Record::create(&Path::new(file)) {
         Ok(record) => Arc::new(record),
         Err(e) => {
-            eprintln!("record.txt: {e}");
+            eprintln!("{file}: {e}");
             exit(2);
         }
     };
--- a/review/standin-4/world.rs
+++ b/review/standin-4/world.rs
@@ -16,7 +16,7 @@
     time::Duration,
 };
 
-pub const PREFIX: &str = "/work/";
+pub const PREFIX: &str = "/jobs/";
 pub const OPEN_PREFIX: &str = "/open/";
 pub const KEY: &str = "key-of-the-tenant";
 
